--- /dev/null
+++ b/src/common/admission/AdmissionError.ts
@@ -0,0 +1,7 @@
+/** Errors of admission; all mean that the request did not run. */
+export type AdmissionError =
+  | { kind: 'queue_full', message: string, retryAfterMs: number }
+  | { kind: 'deadline_unreachable', message: string }
+  | { kind: 'no_upstream', message: string }
+  | { kind: 'request_blocked', message: string }
+  | { kind: 'caller_gone', message: string }
--- /dev/null
+++ b/src/common/admission/ISlot.ts
@@ -0,0 +1,10 @@
+import type { Upstream } from '../upstream/Upstream.js'
+import type { SlotResult } from './SlotResult.js'
+
+/** A place on an upstream; released exactly once. */
+export interface ISlot {
+  readonly upstream: Upstream
+  /** Time spent in the queue, milliseconds. */
+  readonly queuedMs: number
+  release (result: SlotResult): void
+}
--- /dev/null
+++ b/src/common/contract/ContractError.ts
@@ -0,0 +1,6 @@
+/** Errors of the contract layer. */
+export type ContractError =
+  | { kind: 'contract_invalid', message: string, line: number, field: string, rule: string }
+  | { kind: 'contract_conflict', message: string, currentRevision: number }
+  | { kind: 'contract_unknown', message: string }
+  | { kind: 'contract_unavailable', message: string, mayLand: boolean }
--- /dev/null
+++ b/src/common/contract/ContractRevision.ts
@@ -0,0 +1,12 @@
+import type { Contract } from '../schema/Contract.js'
+
+/** One accepted revision of a contract. */
+export interface ContractRevision {
+  customer: string
+  revision: number
+  operator: string
+  atMs: number
+  /** Contract file as published. */
+  text: string
+  contract: Contract
+}
--- /dev/null
+++ b/src/common/contract/IContractPublisher.ts
@@ -0,0 +1,9 @@
+import type { ResultAsync } from 'neverthrow'
+import type { ContractError } from './ContractError.js'
+import type { ContractRevision } from './ContractRevision.js'
+
+/** Publishes contracts through the log. */
+export interface IContractPublisher {
+  /** Resolves when the revision is in force on this entry, or with a conflict when another was first. */
+  publish (customer: string, baseRevision: number, operator: string, text: string): ResultAsync<ContractRevision, ContractError>
+}
--- /dev/null
+++ b/src/common/contract/IContractStore.ts
@@ -0,0 +1,16 @@
+import type { IEvent } from '../kernel/IEvent.js'
+import type { ContractRevision } from './ContractRevision.js'
+
+/** Contracts in force, folded from the `contracts` stream and from peers. */
+export interface IContractStore {
+  /** Fires when a revision comes into force on this entry. */
+  readonly onChange: IEvent<ContractRevision>
+  current (customer: string): ContractRevision | undefined
+  /** Contract whose callers hold the token with this SHA-256 digest (hex). */
+  findByTokenDigest (digest: string): ContractRevision | undefined
+  all (): ContractRevision[]
+  /** Known revisions of a customer in ascending order. */
+  history (customer: string): ContractRevision[]
+  /** Takes over a peer's revision if it is higher than the one in force. */
+  offer (revision: Omit<ContractRevision, 'contract'>): void
+}
--- /dev/null
+++ b/src/common/forward/IForwarder.ts
@@ -0,0 +1,9 @@
+import type { ResultAsync } from 'neverthrow'
+import type { UpstreamAnswer } from '../upstream/UpstreamAnswer.js'
+import type { CallError } from './CallError.js'
+import type { CallRequest } from './CallRequest.js'
+
+/** Runs lookups (with retry and hedging) and never-repeat calls (at most once). */
+export interface IForwarder {
+  forward (request: CallRequest): ResultAsync<UpstreamAnswer, CallError>
+}
--- /dev/null
+++ b/src/common/generation/GenerationRequest.ts
@@ -0,0 +1,18 @@
+/** A generation for a caller or a sample. */
+export interface GenerationRequest {
+  requestId: string
+  customer: string
+  service: string
+  /** Model name at the engine: `{customer}/{trainer}`, or the service name for the base model. */
+  model: string
+  workClass: string
+  size: 'short' | 'long'
+  prompt: string
+  maxTokens: number
+  /** Further sampling parameters, passed on to the engine as they are. */
+  parameters: Record<string, unknown>
+  deadlineAtMs: number
+  signal: AbortSignal
+  /** Set for samples: a chunk without a version stamp ends the generation with `origin_unknown`. */
+  needsOrigin: boolean
+}
--- /dev/null
+++ b/src/common/log/logHubId.ts
@@ -0,0 +1,5 @@
+import { createServiceId } from '../kernel/createServiceId.js'
+import type { ILogHub } from './ILogHub.js'
+
+/** Identifier of the log hub service. */
+export const logHubId = createServiceId<ILogHub>('logHub')
--- /dev/null
+++ b/src/common/metrics/loggerId.ts
@@ -0,0 +1,5 @@
+import { createServiceId } from '../kernel/createServiceId.js'
+import type { ILogger } from './ILogger.js'
+
+/** Identifier of the logger service. */
+export const loggerId = createServiceId<ILogger>('logger')
--- /dev/null
+++ b/src/common/schema/claimRecordSchema.ts
@@ -0,0 +1,32 @@
+import { z } from 'zod'
+import { identifierSchema } from './identifierSchema.js'
+import { storedAnswerSchema } from './storedAnswerSchema.js'
+
+const claimKeyFields = {
+  id: z.string(),
+  customer: identifierSchema,
+  service: identifierSchema,
+  /** The caller's Idempotency-Key. */
+  key: z.string().min(1).max(255)
+}
+
+/** Records of the `claims` stream. */
+export const claimRecordSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('claim'),
+    ...claimKeyFields,
+    body_sha256: z.string(),
+    entry: z.string(),
+    at_ms: z.number()
+  }),
+  z.object({ type: z.literal('result'), ...claimKeyFields, claim_id: z.string(), answer: storedAnswerSchema }),
+  z.object({ type: z.literal('release'), ...claimKeyFields, claim_id: z.string() }),
+  z.object({
+    type: z.literal('crash'),
+    id: z.string(),
+    upstream: z.string(),
+    boot_id: z.string(),
+    /** Requests in flight on the upstream when it died. */
+    fingerprints: z.array(z.string())
+  })
+])
--- /dev/null
+++ b/src/common/upstream/UpstreamError.ts
@@ -0,0 +1,12 @@
+/**
+ * Errors of the upstream layer. `sent` is false only when no byte of the request reached
+ * the upstream, so that it cannot have run.
+ */
+export type UpstreamError =
+  | { kind: 'connect_failed', message: string, sent: false }
+  | { kind: 'deadline_before_send', message: string, sent: false }
+  | { kind: 'reset', message: string, sent: true }
+  | { kind: 'timeout', message: string, sent: true }
+  | { kind: 'truncated', message: string, sent: true }
+  | { kind: 'mismatched', message: string, sent: true }
+  | { kind: 'cancelled', message: string, sent: boolean }
--- /dev/null
+++ b/src/common/upstream/UpstreamRequest.ts
@@ -0,0 +1,11 @@
+/** A request to an upstream. */
+export interface UpstreamRequest {
+  requestId: string
+  method: string
+  /** Path with query, starting with `/`. */
+  path: string
+  headers: Record<string, string>
+  body?: Uint8Array
+  /** `performance.now()` by which the whole answer must be there. */
+  deadlineAtMs: number
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,1 @@
+export { ServiceRegistry } from './common/kernel/ServiceRegistry.js'
