Add emulated outside systems

Change: standin holds log, membership list, weight store, engine, plain service, trainer, load balancer and fault proxy as separate processes with run-time faults. Behaviour is not tested yet.

--- /dev/null
+++ b/standin/common/destroyConnection.ts
@@ -0,0 +1,9 @@
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
+import type { Context } from 'hono'
+import type { StandInEnv } from './StandInEnv.js'
+
+/** Resets the request's connection without an answer. */
+export function destroyConnection (c: Context<StandInEnv>): Response {
+  c.env.incoming.socket.resetAndDestroy()
+  return RESPONSE_ALREADY_SENT
+}
--- /dev/null
+++ b/standin/common/startServer.ts
@@ -0,0 +1,22 @@
+import { serve, type ServerType } from '@hono/node-server'
+import type { Hono } from 'hono'
+import { parseAddress } from './parseAddress.js'
+import type { StandInEnv } from './StandInEnv.js'
+
+// Longer than the idle time of the clients' pools, so that a stand-in does not close a connection
+// at the moment at which a client reuses it.
+const KEEP_ALIVE_MS = 120_000
+
+/** Listens for HTTP and resolves with the server and its address `ip:port`. */
+export async function startServer (app: Hono<StandInEnv>, listen: string): Promise<{ server: ServerType, address: string }> {
+  const { host, port } = parseAddress(listen)
+  return await new Promise((resolve, reject) => {
+    const server = serve({
+      fetch: app.fetch,
+      hostname: host,
+      port,
+      serverOptions: { keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true }
+    }, info => resolve({ server, address: `${host}:${info.port}` }))
+    server.once('error', reject)
+  })
+}
--- /dev/null
+++ b/standin/engine/OrderRecord.ts
@@ -0,0 +1,11 @@
+import type { z } from 'zod'
+import type { orderSchema } from './orderSchema.js'
+
+/** An order that the engine received, as `GET /orders` answers it. */
+export interface OrderRecord {
+  order: z.output<typeof orderSchema>
+  received_at_ms: number
+  outcome: 'stale_fence' | 'repeated' | 'pending' | 'done' | 'failed'
+  finished_at_ms?: number
+  error?: string
+}
--- /dev/null
+++ b/standin/engine/TokenSource.ts
@@ -0,0 +1,36 @@
+import { hash } from '../common/hash.js'
+import { TOKEN_IDS_PER_VERSION } from './TOKEN_IDS_PER_VERSION.js'
+
+const FIXED_LENGTH = /\blen=(\d+)\b/
+const PARETO_LENGTH = /\blen=pareto:(\d+)\b/
+// Shape at which about 1 of 16 generations runs 10 times longer than the shortest.
+const PARETO_SHAPE = 1.2
+const HASH_RANGE = 2 ** 32
+
+/** Deterministic generation: every token follows from prompt, model, seed, version and index. */
+export class TokenSource {
+  private readonly _key: string
+
+  constructor (private readonly _prompt: string, model: string, seed: number) {
+    this._key = `${hash.text(_prompt)}/${model}/${seed}`
+  }
+
+  /** Token at an index of the output when the given version produces it. */
+  at (version: number, index: number): number {
+    return version * TOKEN_IDS_PER_VERSION + hash.number(`${this._key}/${index}`) % TOKEN_IDS_PER_VERSION
+  }
+
+  /**
+   * Tokens of the whole generation, at most `maxTokens`: N for `len=N` in the prompt, drawn from a
+   * Pareto distribution with minimum N for `len=pareto:N`, and `maxTokens` otherwise.
+   */
+  length (maxTokens: number): number {
+    const fixed = FIXED_LENGTH.exec(this._prompt)?.[1]
+    if (fixed !== undefined) return Math.min(maxTokens, Math.max(1, Number(fixed)))
+    const minimum = PARETO_LENGTH.exec(this._prompt)?.[1]
+    if (minimum === undefined) return maxTokens
+    const uniform = (hash.number(`${this._key}/length`) + 1) / (HASH_RANGE + 1)
+    const drawn = Math.ceil(Number(minimum) * uniform ** (-1 / PARETO_SHAPE))
+    return Math.min(maxTokens, Math.max(1, drawn))
+  }
+}
--- /dev/null
+++ b/standin/engine/prefixHashes.ts
@@ -0,0 +1,14 @@
+import { hash } from '../common/hash.js'
+import { PREFIX_BLOCK_TOKENS } from './PREFIX_BLOCK_TOKENS.js'
+
+/** Hashes of the prompt's prefixes of 1, 2, ... whole blocks, as cache events name them. */
+export function prefixHashes (model: string, prompt: string): string[] {
+  const words = prompt.split(/\s+/)
+  const hashes: string[] = []
+  let previous = model
+  for (let end = PREFIX_BLOCK_TOKENS; end <= words.length; end += PREFIX_BLOCK_TOKENS) {
+    previous = hash.text(`${previous}\n${words.slice(end - PREFIX_BLOCK_TOKENS, end).join(' ')}`)
+    hashes.push(previous)
+  }
+  return hashes
+}
--- /dev/null
+++ b/standin/engine/tokenText.ts
@@ -0,0 +1,4 @@
+/** Text of a token. */
+export function tokenText (tokenId: number): string {
+  return `${tokenId} `
+}
--- /dev/null
+++ b/standin/faultproxy/TcpRoute.ts
@@ -0,0 +1,78 @@
+import { connect, createServer, type Socket } from 'node:net'
+import { Emitter } from '../../src/common/kernel/Emitter.js'
+import { listenTcp } from '../common/listenTcp.js'
+import { parseAddress } from '../common/parseAddress.js'
+import { takeOne } from '../common/takeOne.js'
+import type { IRoute } from './IRoute.js'
+import { pumpData } from './pumpData.js'
+import type { RouteFaults } from './RouteFaults.js'
+import { routeFaultsSchema } from './routeFaultsSchema.js'
+
+/** TCP route of the fault proxy. */
+export class TcpRoute implements IRoute {
+  address = ''
+  faults: RouteFaults = routeFaultsSchema.parse({})
+  private readonly _clients = new Set<Socket>()
+  private readonly _changed = new Emitter<void>()
+  private readonly _server = createServer({ noDelay: true, allowHalfOpen: true }, socket => this._accept(socket))
+
+  constructor (public target: string) {}
+
+  async listen (address: string): Promise<void> {
+    this.address = await listenTcp(this._server, address)
+  }
+
+  async setFaults (faults: RouteFaults): Promise<void> {
+    const wasCut = this.faults.cut
+    this.faults = faults
+    this._changed.fire()
+    if (faults.cut !== wasCut) await this._setListening(!faults.cut)
+    for (const client of this._clients) this._applyTo(client)
+  }
+
+  private _applyTo (client: Socket): void {
+    if (this.faults.reset) client.resetAndDestroy()
+    else if (this.faults.cut) client.destroy()
+    else if (this.faults.half_close) client.end()
+  }
+
+  private async _setListening (isOn: boolean): Promise<void> {
+    // `close` waits for open connections, but stops accepting at once.
+    if (isOn) await listenTcp(this._server, this.address)
+    else this._server.close()
+  }
+
+  private _accept (client: Socket): void {
+    this._clients.add(client)
+    const upstream = connect({ ...parseAddress(this.target), noDelay: true, allowHalfOpen: true })
+    client.on('error', () => client.destroy())
+    client.on('close', () => {
+      this._clients.delete(client)
+      upstream.destroy()
+    })
+    upstream.on('error', () => client.resetAndDestroy())
+    this._applyTo(client)
+    pumpData(client, upstream, this._pump(() => this.faults.one_way_cut === 'to_target'))
+    pumpData(upstream, client, this._pump(() => {
+      if (this.faults.one_way_cut === 'to_client') return true
+      if (!takeOne(this.faults, 'drop_answers')) return false
+      client.destroy()
+      return true
+    }))
+  }
+
+  private _pump (isDiscarded: () => boolean) {
+    return { faults: () => this.faults, untilThawed: async () => await this._untilThawed(), isDiscarded }
+  }
+
+  private async _untilThawed (): Promise<void> {
+    while (this.faults.freeze) {
+      await new Promise<void>(resolve => {
+        const subscription = this._changed.event(() => {
+          subscription.dispose()
+          resolve()
+        })
+      })
+    }
+  }
+}
--- /dev/null
+++ b/standin/log/LogServer.ts
@@ -0,0 +1,106 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Context } from 'hono'
+import { z } from 'zod'
+import { Emitter } from '../../src/common/kernel/Emitter.js'
+import { createApp } from '../common/createApp.js'
+import { destroyConnection } from '../common/destroyConnection.js'
+import { FaultSwitch } from '../common/FaultSwitch.js'
+import { RateLimit } from '../common/RateLimit.js'
+import { readBody } from '../common/readBody.js'
+import type { StandInEnv } from '../common/StandInEnv.js'
+import { takeOne } from '../common/takeOne.js'
+import { logFaultsSchema } from './logFaultsSchema.js'
+import { LogStream } from './LogStream.js'
+
+const MAX_READ_LIMIT = 10_000
+const MAX_WAIT_MS = 60_000
+
+const appendSchema = z.strictObject({ records: z.array(z.unknown()).min(1) })
+const readSchema = z.strictObject({
+  from: z.coerce.number().int().min(0),
+  limit: z.coerce.number().int().min(1).max(MAX_READ_LIMIT).default(1000),
+  wait_ms: z.coerce.number().int().min(0).max(MAX_WAIT_MS).default(0)
+})
+
+/** Append-only log over HTTP: section 4.3 of the design page. */
+export class LogServer {
+  readonly app = createApp()
+  readonly faults = new FaultSwitch(logFaultsSchema)
+  private readonly _streams = new Map<string, LogStream>()
+  private readonly _appended = new Emitter<string>()
+  private readonly _rate: RateLimit
+  private _appends = 0
+  private _limited = 0
+
+  constructor (private readonly _retentionMs: number, appendRate: number) {
+    this._rate = new RateLimit(appendRate)
+    this.faults.mount(this.app)
+    this.app.get('/stats', c => c.json(this._stats()))
+    this.app.post('/v1/streams/:stream/records', async c => await this._append(c))
+    this.app.get('/v1/streams/:stream/records', async c => await this._read(c))
+  }
+
+  private async _append (c: Context<StandInEnv>): Promise<Response> {
+    const { records } = await readBody(c, appendSchema)
+    await sleep(this.faults.current.slow_ms)
+    if (this.faults.current.outage || this.faults.current.refuse_appends) return this._unavailable(c)
+    if (!this._rate.take()) {
+      this._limited++
+      return c.json({ error: { kind: 'rate_limited', message: 'append rate exceeded' } }, 429)
+    }
+    const name = c.req.param('stream') ?? ''
+    const stream = this._stream(name)
+    const first = stream.append(records, Date.now())
+    this._appends++
+    this._appended.fire(name)
+    if (takeOne(this.faults.current, 'lose_append_answers')) return destroyConnection(c)
+    return c.json({ first_offset: first, next_offset: first + records.length })
+  }
+
+  private async _read (c: Context<StandInEnv>): Promise<Response> {
+    const parsed = readSchema.safeParse(c.req.query())
+    if (!parsed.success) return c.json({ error: { kind: 'invalid_request', message: z.prettifyError(parsed.error) } }, 400)
+    const { from, limit, wait_ms: waitMs } = parsed.data
+    await sleep(this.faults.current.slow_ms)
+    const name = c.req.param('stream') ?? ''
+    const stream = this._stream(name)
+    if (!this.faults.current.outage && from >= stream.nextOffset && waitMs > 0) await this._waitForRecord(name, waitMs)
+    if (this.faults.current.outage) return this._unavailable(c)
+    const bounds = { earliest_offset: stream.earliestOffset(Date.now()), next_offset: stream.nextOffset }
+    if (from < bounds.earliest_offset) return c.json(bounds, 410)
+    return c.json({ records: stream.read(from, limit), ...bounds })
+  }
+
+  /** Resolves on the next append to the stream, when an outage begins, or after the time. */
+  private async _waitForRecord (name: string, waitMs: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const finish = () => {
+        clearTimeout(timer)
+        appended.dispose()
+        changed.dispose()
+        resolve()
+      }
+      const timer = setTimeout(finish, waitMs)
+      const appended = this._appended.event(stream => { if (stream === name) finish() })
+      const changed = this.faults.onChange(faults => { if (faults.outage) finish() })
+    })
+  }
+
+  private _unavailable (c: Context<StandInEnv>): Response {
+    return c.json({ error: { kind: 'unavailable', message: 'log unavailable' } }, 503)
+  }
+
+  private _stream (name: string): LogStream {
+    const stream = this._streams.get(name) ?? new LogStream(this._retentionMs)
+    this._streams.set(name, stream)
+    return stream
+  }
+
+  private _stats (): Record<string, unknown> {
+    const streams = Object.fromEntries([...this._streams].map(([name, stream]) => [name, {
+      earliest_offset: stream.earliestOffset(Date.now()),
+      next_offset: stream.nextOffset
+    }]))
+    return { appends: this._appends, limited: this._limited, streams }
+  }
+}
--- /dev/null
+++ b/standin/service/ServiceServer.ts
@@ -0,0 +1,76 @@
+import type { Context } from 'hono'
+import { createApp } from '../common/createApp.js'
+import { FaultSwitch } from '../common/FaultSwitch.js'
+import { hash } from '../common/hash.js'
+import { LoadReporter } from '../common/LoadReporter.js'
+import type { StandInEnv } from '../common/StandInEnv.js'
+import { takeOne } from '../common/takeOne.js'
+import { Ledger } from './Ledger.js'
+import { sendAnswer } from './sendAnswer.js'
+import type { ServiceAnswer } from './ServiceAnswer.js'
+import { serviceFaultsSchema } from './serviceFaultsSchema.js'
+import { WorkerPool } from './WorkerPool.js'
+
+const CRASH_MARK = 'crash-service'
+const CRASH_EXIT_CODE = 1
+const REWARD_STEPS = 1000
+
+interface ServiceOptions { id: string, capacity: number, serviceTimeMs: number, loadLagMs: number }
+type Produce = (c: Context<StandInEnv>, body: string, count: number) => unknown
+
+/** Plain service: lookups, non-repeatable tickets and a scorer. */
+export class ServiceServer {
+  readonly app = createApp()
+  readonly faults = new FaultSwitch(serviceFaultsSchema)
+  private readonly _ledger = new Ledger()
+  private readonly _pool: WorkerPool
+  private _previous: ServiceAnswer | undefined
+
+  constructor (private readonly _options: ServiceOptions) {
+    this._pool = new WorkerPool(_options.capacity)
+    this.faults.mount(this.app)
+    const load = new LoadReporter(_options.loadLagMs, () => ({
+      state: this.faults.current.leaving ? 'leaving' as const : 'serving' as const,
+      running: this._pool.running,
+      waiting: this._pool.waiting,
+      capacity: _options.capacity
+    }))
+    load.mount(this.app)
+    this.app.get('/ledger', c => c.json({ boot_id: load.bootId, calls: this._ledger.list(c.req.query()) }))
+    this._route('GET', '/orders/:id', c => ({ id: c.req.param('id'), server: _options.id }))
+    this._route('POST', '/tickets', (_c, body, count) => ({ ticket: hash.text(body), run: count, server: _options.id }))
+    this._route('POST', '/score', (_c, body) => ({ reward: hash.number(body) % REWARD_STEPS / REWARD_STEPS }))
+  }
+
+  private _route (method: string, path: string, produce: Produce): void {
+    this.app.on(method, path, async c => {
+      const body = method === 'GET' ? '' : await c.req.text()
+      await this.faults.until(faults => !faults.freeze)
+      if (takeOne(this.faults.current, 'reject_503')) {
+        return c.json({ error: { kind: 'unavailable', message: 'rejected before it ran' } }, 503)
+      }
+      const answer = await this._run(c, body, produce)
+      await this.faults.until(faults => !faults.freeze)
+      const sent = this.faults.current.swap_answers ? this._previous ?? answer : answer
+      this._previous = answer
+      return sendAnswer(c, sent, this.faults.current)
+    })
+  }
+
+  private async _run (c: Context<StandInEnv>, body: string, produce: Produce): Promise<ServiceAnswer> {
+    const url = new URL(c.req.url)
+    const path = decodeURI(url.pathname)
+    const requestId = c.req.header('x-request-id') ?? ''
+    let answer: ServiceAnswer | undefined
+    let finish = () => {}
+    await this._pool.run(() => {
+      if (path.includes(CRASH_MARK) || body.includes(CRASH_MARK)) process.exit(CRASH_EXIT_CODE)
+      const key = c.req.header('idempotency-key') ?? ''
+      const call = this._ledger.start({ key, requestId, method: c.req.method, path, body })
+      finish = () => { call.finished_at_ms = Date.now() }
+      answer = { status: 200, requestId, body: JSON.stringify(produce(c, body, call.count)) }
+    }, () => this._options.serviceTimeMs * this.faults.current.slow_factor)
+    finish()
+    return answer!
+  }
+}
--- /dev/null
+++ b/standin/trainer/RolloutApi.ts
@@ -0,0 +1,57 @@
+import { groupAnswerSchema } from './groupAnswerSchema.js'
+import type { TrainerOptions } from './TrainerOptions.js'
+
+const REQUEST_TIMEOUT_MS = 30_000
+
+/** Calls of a trainer; each call goes through the current address and moves to the next one on an error. */
+export class RolloutApi {
+  private _turn = 0
+  errors = 0
+  lastError = ''
+
+  constructor (private readonly _options: TrainerOptions) {}
+
+  get address (): string {
+    return this._options.addresses[this._turn % this._options.addresses.length]!
+  }
+
+  /** One POST attempt; true when it was accepted. */
+  async post (path: string, body: unknown): Promise<boolean> {
+    return await this._attempt(async () => {
+      const init = { method: 'POST', body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }
+      await (await this._fetch(path, init, AbortSignal.timeout(REQUEST_TIMEOUT_MS))).text()
+      return true
+    }) ?? false
+  }
+
+  /** One read attempt; undefined unless a whole answer arrived before the signal. */
+  async read (cursor: number, version: number, signal: AbortSignal) {
+    const { maxGroupsPerRead, waitMs } = this._options
+    const query = `cursor=${cursor}&version=${version}&max=${maxGroupsPerRead}&wait_ms=${waitMs}`
+    const limit = AbortSignal.any([signal, AbortSignal.timeout(waitMs + REQUEST_TIMEOUT_MS)])
+    return await this._attempt(async () => {
+      const answer = groupAnswerSchema.parse(await (await this._fetch(`/groups?${query}`, {}, limit)).json())
+      return signal.aborted ? undefined : answer
+    }, signal)
+  }
+
+  private async _fetch (path: string, init: RequestInit, signal: AbortSignal): Promise<Response> {
+    const url = `http://${this.address}/v1/trainers/${this._options.trainer}${path}`
+    const headers = { ...init.headers, authorization: `Bearer ${this._options.token}` }
+    const response = await fetch(url, { ...init, headers, signal })
+    if (!response.ok) throw new Error(`${init.method ?? 'GET'} ${path}: ${response.status} ${await response.text()}`)
+    return response
+  }
+
+  private async _attempt<T> (call: () => Promise<T>, signal?: AbortSignal): Promise<T | undefined> {
+    try {
+      return await call()
+    } catch (error) {
+      if (signal?.aborted === true) return undefined
+      this.errors++
+      this.lastError = `${this.address}: ${String(error)}`
+      this._turn++
+      return undefined
+    }
+  }
+}
--- /dev/null
+++ b/standin/trainer/WeightPublisher.ts
@@ -0,0 +1,53 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Emitter } from '../../src/common/kernel/Emitter.js'
+import type { RolloutApi } from './RolloutApi.js'
+import type { TrainerOptions } from './TrainerOptions.js'
+
+const RETRY_MS = 200
+
+/** Publishes a new version to the weight store at an interval and announces it. */
+export class WeightPublisher {
+  /** Newest version in the weight store. */
+  version: number
+  /** Newest version whose announcement was accepted. */
+  announced = -1
+  readonly publishedAtMs: Record<number, number> = {}
+  private readonly _published = new Emitter<number>()
+  readonly onPublish = this._published.event
+
+  constructor (
+    private readonly _options: TrainerOptions,
+    private readonly _api: RolloutApi,
+    private readonly _isHeld: () => boolean
+  ) {
+    this.version = _options.version
+  }
+
+  async run (): Promise<void> {
+    if (this.version > 0) await this._publish(this.version)
+    if (this._options.weightsEveryMs === 0) return
+    for (;;) {
+      await sleep(this._options.weightsEveryMs)
+      if (!this._isHeld()) await this._publish(this.version + 1)
+    }
+  }
+
+  private async _publish (version: number): Promise<void> {
+    while (!await this._store(version)) await sleep(RETRY_MS)
+    this.version = version
+    this.publishedAtMs[version] = Date.now()
+    this._published.fire(version)
+    while (!await this._api.post('/weights', { version })) await sleep(RETRY_MS)
+    this.announced = version
+  }
+
+  private async _store (version: number): Promise<boolean> {
+    const { weights, customer, trainer } = this._options
+    if (weights === '') return true
+    try {
+      return (await fetch(`http://${weights}/v1/weights/${customer}/${trainer}/${version}`, { method: 'PUT' })).ok
+    } catch {
+      return false
+    }
+  }
+}
--- /dev/null
+++ b/standin/trainer/main.ts
@@ -0,0 +1,34 @@
+import { z } from 'zod'
+import { addressList } from '../common/addressList.js'
+import { announceReady } from '../common/announceReady.js'
+import { listenAddress } from '../common/listenAddress.js'
+import { readOptions } from '../common/readOptions.js'
+import { startServer } from '../common/startServer.js'
+import { TrainerServer } from './TrainerServer.js'
+
+const count = z.coerce.number().int().min(0)
+const options = readOptions('trainer', {
+  listen: listenAddress,
+  customer: z.coerce.string(),
+  trainer: z.coerce.string(),
+  token: z.coerce.string(),
+  addresses: addressList,
+  weights: z.string().default(''),
+  weightsEveryMs: count.default(0),
+  steps: count.default(0),
+  firstStep: count.default(0),
+  ahead: count.default(0),
+  groups: count.min(1).default(4),
+  samples: count.min(1).default(4),
+  maxTokens: count.min(1).default(64),
+  prompt: z.coerce.string().default('step {step} group {group} len=pareto:16'),
+  trainMs: count.default(50),
+  waitMs: count.default(2000),
+  maxGroupsPerRead: count.min(1).default(16),
+  firstCursor: z.coerce.number().int().default(-1),
+  version: count.default(0)
+})
+const trainer = new TrainerServer(options)
+const { address } = await startServer(trainer.app, options.listen)
+announceReady(address)
+await trainer.run()
--- /dev/null
+++ b/standin/weights/WeightServer.ts
@@ -0,0 +1,66 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
+import type { Context } from 'hono'
+import { createApp } from '../common/createApp.js'
+import { FaultSwitch } from '../common/FaultSwitch.js'
+import { RateLimit } from '../common/RateLimit.js'
+import type { StandInEnv } from '../common/StandInEnv.js'
+import { takeOne } from '../common/takeOne.js'
+import { weightFaultsSchema } from './weightFaultsSchema.js'
+
+const PATH = '/v1/weights/:customer/:trainer/:version{[0-9]+}'
+const CONTENT_BYTES = 4096
+
+/** Weight store: keeps which versions were published and serves loads slowly. */
+export class WeightServer {
+  readonly app = createApp()
+  readonly faults = new FaultSwitch(weightFaultsSchema)
+  private readonly _published = new Map<string, number>()
+  private readonly _rate: RateLimit
+  private _loads = 0
+  private _limited = 0
+
+  constructor (loadRate: number, private readonly _loadMs: number) {
+    this._rate = new RateLimit(loadRate)
+    this.faults.mount(this.app)
+    this.app.get('/stats', c => c.json({ loads: this._loads, limited: this._limited, published: Object.fromEntries(this._published) }))
+    this.app.put(PATH, c => {
+      if (this.faults.current.outage) return this._unavailable(c)
+      const key = this._key(c)
+      if (!this._published.has(key)) this._published.set(key, Date.now())
+      return c.json({ published: key })
+    })
+    this.app.get(PATH, async c => await this._load(c))
+  }
+
+  private async _load (c: Context<StandInEnv>): Promise<Response> {
+    if (this.faults.current.outage) return this._unavailable(c)
+    if (!this._rate.take()) {
+      this._limited++
+      return c.json({ error: { kind: 'rate_limited', message: 'load rate exceeded' } }, 429)
+    }
+    const key = this._key(c)
+    if (!this._published.has(key)) return c.json({ error: { kind: 'not_found', message: `no weights ${key}` } }, 404)
+    await sleep(this._loadMs + this.faults.current.slow_ms)
+    this._loads++
+    const { customer, trainer, version } = c.req.param() as Record<string, string>
+    const body = JSON.stringify({ customer, trainer, version: Number(version), content: 'w'.repeat(CONTENT_BYTES) })
+    if (takeOne(this.faults.current, 'fail_loads')) return this._sendHalf(c, body)
+    return c.body(body, 200, { 'content-type': 'application/json' })
+  }
+
+  private _sendHalf (c: Context<StandInEnv>, body: string): Response {
+    const { outgoing } = c.env
+    outgoing.writeHead(200, { 'content-type': 'application/json', 'content-length': String(body.length) })
+    outgoing.write(body.slice(0, body.length / 2), () => outgoing.destroy())
+    return RESPONSE_ALREADY_SENT
+  }
+
+  private _key (c: Context<StandInEnv>): string {
+    return `${c.req.param('customer')}/${c.req.param('trainer')}/${c.req.param('version')}`
+  }
+
+  private _unavailable (c: Context<StandInEnv>): Response {
+    return c.json({ error: { kind: 'unavailable', message: 'weight store unavailable' } }, 503)
+  }
+}
