Add test harness, example contracts and stand-in tests

Cause: integration tests start many processes on loopback and must not leave any behind; they also rely on offsets, stamps, ledger and proxy faults. Change: test/harness starts stand-ins and entry daemons, leads chosen connections through the fault proxy and publishes contracts; the stand-ins have tests beside their sources; two example contracts are in demo.

--- a/standin/engine/Batcher.ts
+++ b/standin/engine/Batcher.ts
@@ -26,7 +26,7 @@
     private readonly _cache: PrefixCache,
     private readonly _faults: () => EngineFaults
   ) {
-    setInterval(() => this._tick(), TICK_MS)
+    setInterval(() => this._tick(), TICK_MS).unref()
   }
 
   add (request: EngineRequest): void {
--- a/standin/faultproxy/IRoute.ts
+++ b/standin/faultproxy/IRoute.ts
@@ -1,7 +1,8 @@
+import type { IDisposable } from '../../src/common/kernel/IDisposable.js'
 import type { RouteFaults } from './RouteFaults.js'
 
 /** A forwarded address with its own faults. */
-export interface IRoute {
+export interface IRoute extends IDisposable {
   /** `ip:port` that is forwarded. */
   readonly address: string
   /** `ip:port` that new connections and datagrams go to. */
--- /dev/null
+++ b/standin/faultproxy/TcpRoute.test.ts
@@ -0,0 +1,146 @@
+import { once } from 'node:events'
+import { connect, createServer, type Socket } from 'node:net'
+import { after, describe, it } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { expect } from 'earl'
+import { listenTcp } from '../common/listenTcp.js'
+import { parseAddress } from '../common/parseAddress.js'
+import { routeFaultsSchema } from './routeFaultsSchema.js'
+import { TcpRoute } from './TcpRoute.js'
+
+// Time in which data that is wrongly passed on would arrive; a busy machine only weakens the check.
+const SETTLE_MS = 50
+const sockets: Socket[] = []
+const closers: Array<() => void> = []
+
+/** A route to a server that answers `echo:` and what it received. */
+async function startRoute () {
+  const received: string[] = []
+  const server = createServer({ allowHalfOpen: true }, socket => {
+    sockets.push(socket)
+    socket.on('error', () => {})
+    socket.on('data', data => {
+      received.push(data.toString())
+      socket.write(`echo:${data.toString()}`)
+    })
+  })
+  const route = new TcpRoute(await listenTcp(server, '127.0.0.1:0'))
+  await route.listen('127.0.0.1:0')
+  closers.push(() => server.close())
+  closers.push(() => route.dispose())
+  const open = async (allowHalfOpen = false) => {
+    const socket = connect({ ...parseAddress(route.address), allowHalfOpen })
+    sockets.push(socket)
+    await once(socket, 'connect')
+    return socket
+  }
+  const faults = async (set: object = {}) => await route.setFaults(routeFaultsSchema.parse(set))
+  return { received, open, faults }
+}
+
+async function ask (socket: Socket, text: string): Promise<string> {
+  socket.write(text)
+  const [data] = await once(socket, 'data')
+  return data.toString()
+}
+
+async function until (check: () => boolean): Promise<void> {
+  while (!check()) await sleep(5)
+}
+
+describe('fault proxy route', () => {
+  after(() => {
+    for (const socket of sockets) socket.destroy()
+    for (const close of closers) close()
+  })
+
+  it('passes data both ways', async () => {
+    const { open } = await startRoute()
+    expect(await ask(await open(), 'a')).toEqual('echo:a')
+  })
+
+  it('passes data whole under delay and throttle', async () => {
+    const { open, faults } = await startRoute()
+    await faults({ delay_ms: 5, throttle_bytes_per_s: 1000 })
+    expect(await ask(await open(), 'a')).toEqual('echo:a')
+  })
+
+  it('holds data back while frozen and passes it on afterwards', async () => {
+    const { open, faults, received } = await startRoute()
+    const socket = await open()
+    await ask(socket, 'a')
+    await faults({ freeze: true })
+    const answer = ask(socket, 'b')
+    await sleep(SETTLE_MS)
+    expect(received).toEqual(['a'])
+    await faults()
+    expect(await answer).toEqual('echo:b')
+  })
+
+  it('lets a request through and swallows its answer', async () => {
+    const { open, faults, received } = await startRoute()
+    const socket = await open()
+    await faults({ drop_answers: 1 })
+    const answers: string[] = []
+    socket.on('data', data => answers.push(data.toString()))
+    socket.write('a')
+    await once(socket, 'close')
+    expect([received, answers]).toEqual([['a'], []])
+    expect(await ask(await open(), 'b')).toEqual('echo:b')
+  })
+
+  it('discards answers only when the direction to the client is cut', async () => {
+    const { open, faults, received } = await startRoute()
+    const socket = await open()
+    const answers: string[] = []
+    socket.on('data', data => answers.push(data.toString()))
+    await faults({ one_way_cut: 'to_client' })
+    socket.write('a')
+    await until(() => received.length === 1)
+    await sleep(SETTLE_MS)
+    expect(answers).toEqual([])
+    expect(socket.destroyed).toEqual(false)
+  })
+
+  it('discards requests when the direction to the target is cut', async () => {
+    const { open, faults, received } = await startRoute()
+    const socket = await open()
+    await faults({ one_way_cut: 'to_target' })
+    socket.write('lost')
+    await sleep(SETTLE_MS)
+    expect(received).toEqual([])
+    expect(socket.destroyed).toEqual(false)
+  })
+
+  it('closes and refuses connections while cut, and accepts again afterwards', async () => {
+    const { open, faults } = await startRoute()
+    const socket = await open()
+    const ended = once(socket.resume(), 'end')
+    await faults({ cut: true })
+    await ended
+    await expect(open()).toBeRejected()
+    await faults()
+    expect(await ask(await open(), 'a')).toEqual('echo:a')
+  })
+
+  it('resets connections', async () => {
+    const { open, faults } = await startRoute()
+    const socket = await open()
+    await ask(socket, 'a')
+    const failure = once(socket, 'error')
+    await faults({ reset: true })
+    expect((await failure)[0].code).toEqual('ECONNRESET')
+  })
+
+  it('closes the direction to the client and keeps the other one', async () => {
+    const { open, faults, received } = await startRoute()
+    const socket = await open(true)
+    await ask(socket, 'a')
+    const ended = once(socket, 'end')
+    await faults({ half_close: true })
+    await ended
+    socket.write('b')
+    await until(() => received.length === 2)
+    expect(received).toEqual(['a', 'b'])
+  })
+})
--- a/standin/faultproxy/TcpRoute.ts
+++ b/standin/faultproxy/TcpRoute.ts
@@ -30,6 +30,11 @@
     for (const client of this._clients) this._applyTo(client)
   }
 
+  dispose (): void {
+    this._server.close()
+    for (const client of this._clients) client.destroy()
+  }
+
   private _applyTo (client: Socket): void {
     if (this.faults.reset) client.resetAndDestroy()
     else if (this.faults.cut) client.destroy()
--- a/standin/faultproxy/UdpRoute.ts
+++ b/standin/faultproxy/UdpRoute.ts
@@ -29,6 +29,10 @@
     this.faults = faults
   }
 
+  dispose (): void {
+    this._socket.close()
+  }
+
   private _forward (data: Buffer): void {
     const { lose_every: loseEvery, cut, freeze, reset, delay_ms: delayMs } = this.faults
     this._count++
--- /dev/null
+++ b/standin/trainer/TrainerLoop.test.ts
@@ -0,0 +1,76 @@
+import { after, describe, it } from 'node:test'
+import { expect } from 'earl'
+import { createApp } from '../common/createApp.js'
+import { startServer } from '../common/startServer.js'
+import { RolloutApi } from './RolloutApi.js'
+import { TrainerLoop } from './TrainerLoop.js'
+import type { TrainerOptions } from './TrainerOptions.js'
+import { WeightPublisher } from './WeightPublisher.js'
+
+const closers: Array<() => void> = []
+const OPTIONS: TrainerOptions = {
+  customer: 'lin-shun',
+  trainer: 'brim',
+  token: 'secret',
+  addresses: [],
+  weights: '',
+  weightsEveryMs: 0,
+  steps: 1,
+  firstStep: 5,
+  ahead: 0,
+  groups: 2,
+  samples: 1,
+  maxTokens: 8,
+  prompt: 'step {step} group {group}',
+  trainMs: 0,
+  waitMs: 100,
+  maxGroupsPerRead: 16,
+  firstCursor: -1,
+  version: 3
+}
+
+function groupAt (position: number) {
+  const sample = { index: 0, attempt: 0, text: 't', token_ids: [3001], origin: [{ from: 0, to: 1, version: 3, kv_version: 3 }] }
+  return { step: 5, group: `s5-g${position}`, position, samples: [sample] }
+}
+
+/** Rollout service with the groups 0 and 1; a damaged one answers reads with half of the body. */
+async function startRollout (isDamaged: boolean) {
+  const app = createApp()
+  const seen: string[] = []
+  app.get('/v1/trainers/brim/groups', c => {
+    seen.push(c.req.url.split('?')[1]!)
+    const cursor = Number(c.req.query('cursor'))
+    const body = JSON.stringify({ groups: [groupAt(cursor + 1)], cursor: cursor + 1 })
+    return c.body(isDamaged ? body.slice(0, body.length / 2) : body)
+  })
+  app.post('/v1/trainers/brim/:call', async c => {
+    seen.push(`${c.req.param('call')} ${c.req.header('authorization')} ${await c.req.text()}`)
+    return c.json({})
+  })
+  const { server, address } = await startServer(app, '127.0.0.1:0')
+  closers.push(() => {
+    server.close()
+    if ('closeAllConnections' in server) server.closeAllConnections()
+  })
+  return { address, seen }
+}
+
+describe('trainer', () => {
+  after(() => { for (const close of closers) close() })
+
+  it('reads again with the same cursor through another address when an answer is not whole', async () => {
+    const [damaged, whole] = [await startRollout(true), await startRollout(false)]
+    const options = { ...OPTIONS, addresses: [damaged.address, whole.address] }
+    const api = new RolloutApi(options)
+    const weights = new WeightPublisher(options, api, () => false)
+    const loop = new TrainerLoop(options, api, weights, async () => {}, () => false)
+    await loop.run()
+    const query = (cursor: number) => `cursor=${cursor}&version=3&max=16&wait_ms=100`
+    expect(damaged.seen.slice(1)).toEqual([query(-1)])
+    expect(whole.seen).toEqual([query(-1), query(0), 'ack Bearer secret {"cursor":1}'])
+    expect(damaged.seen[0]!.startsWith('steps Bearer secret {"step":5,"groups":[{"group":"s5-g0","prompt":"step 5 group 0"')).toEqual(true)
+    expect(loop.received.map(group => [group.group, group.cursor_after, group.version_known])).toEqual([['s5-g0', 0, 3], ['s5-g1', 1, 3]])
+    expect(loop.stepsDone).toEqual(1)
+  })
+})
--- /dev/null
+++ b/test/harness/Cluster.ts
@@ -0,0 +1,232 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { Member } from '../../src/common/schema/Member.js'
+import { ClusterNetwork } from './ClusterNetwork.js'
+import type { ClusterOptions } from './ClusterOptions.js'
+import { entryIni } from './entryIni.js'
+import { EntryProcess } from './EntryProcess.js'
+import type { ManagedProcess } from './ManagedProcess.js'
+import { PortPicker } from './PortPicker.js'
+import type { ProxyRoute } from './ProxyRoute.js'
+import { publishContract } from './publishContract.js'
+import { StandIn } from './StandIn.js'
+import { tokens } from './tokens.js'
+import { waitUntil } from './waitUntil.js'
+
+const FAILURE_DOMAINS = ['steam-hall', 'block-room', 'dry-loft', 'finish-bay']
+const LOG_LINES_IN_ERRORS = 30
+
+type Flags = Record<string, string | number | boolean>
+
+/**
+ * Log, membership list, weight store, upstreams and entry daemons on loopback. `dispose` ends every
+ * process; the processes also end when the test process does.
+ */
+export class Cluster {
+  readonly entries: EntryProcess[] = []
+  readonly upstreams = new Map<string, StandIn>()
+  readonly log: StandIn
+  readonly membership: StandIn
+  readonly weights: StandIn
+  readonly proxy = new StandIn('faultproxy', 'faultproxy')
+  readonly network: ClusterNetwork
+  private readonly _processes: ManagedProcess[] = []
+  private readonly _members = new Map<string, Member>()
+  private readonly _ports = new PortPicker()
+  private _folder = ''
+  private _incarnations = 0
+
+  private constructor (readonly options: ClusterOptions) {
+    this.log = new StandIn('log', 'log', options.log)
+    this.membership = new StandIn('membership', 'membership', { 'lag-ms': 200, ...options.membership })
+    this.weights = new StandIn('weights', 'weights', options.weights)
+    this.network = new ClusterNetwork(this.proxy, options.proxied ?? (() => false))
+  }
+
+  /** Starts everything and resolves when every entry is ready. */
+  static async start (options: ClusterOptions): Promise<Cluster> {
+    const cluster = new Cluster(options)
+    try {
+      await cluster.startPlatform()
+      await cluster.startEntries()
+      return cluster
+    } catch (error) {
+      await cluster.dispose()
+      throw new Error(`${String(error)}\n${cluster.lastLogLines()}`, { cause: error })
+    }
+  }
+
+  /** Starts everything but the entries. */
+  static async startWithoutEntries (options: ClusterOptions): Promise<Cluster> {
+    const cluster = new Cluster(options)
+    try {
+      await cluster.startPlatform()
+      return cluster
+    } catch (error) {
+      await cluster.dispose()
+      throw error
+    }
+  }
+
+  entry (id: string): EntryProcess {
+    const entry = this.entries.find(candidate => candidate.name === id)
+    if (entry === undefined) throw new Error(`no entry ${id}`)
+    return entry
+  }
+
+  upstream (id: string): StandIn {
+    const upstream = this.upstreams.get(id)
+    if (upstream === undefined) throw new Error(`no upstream ${id}`)
+    return upstream
+  }
+
+  route (from: string, to: string): ProxyRoute {
+    return this.network.route(from, to)
+  }
+
+  async publish (text: string, entry: EntryProcess = this.entries[0]!): Promise<any> {
+    return await publishContract(entry.listen, text)
+  }
+
+  /** Registers a change of a member, for example `{ state: 'leaving' }`. */
+  async updateMember (id: string, change: Partial<Member>): Promise<void> {
+    const member = { ...this._members.get(id)!, ...change }
+    this._members.set(id, member)
+    await this.membership.put(`/members/${id}`, member)
+  }
+
+  /** Starts a process that has ended again, as a new incarnation at the same address. */
+  async restart (process: EntryProcess | StandIn): Promise<void> {
+    await process.exited()
+    await process.start()
+    if (this._members.has(process.name)) {
+      await this.updateMember(process.name, { state: 'live', incarnation: this._incarnation(process.name) })
+    }
+  }
+
+  /** Starts a load balancer over the entries; resolves with it and the address for callers. */
+  async startBalancer (flags: Flags = {}): Promise<{ balancer: StandIn, front: string }> {
+    const targets = this.entries.map(entry => entry.listen).join(',')
+    const balancer = await this._start(new StandIn('balancer', 'balancer', { targets, 'lag-ms': 500, ...flags }))
+    const { front } = await balancer.get('/ready')
+    return { balancer, front }
+  }
+
+  /** Starts a trainer; without the flag `addresses` it goes to the entries directly. */
+  async startTrainer (customer: 'lin-shun' | 'almaskert', trainer: string, flags: Flags = {}): Promise<StandIn> {
+    return await this._start(new StandIn(`trainer-${trainer}`, 'trainer', {
+      customer,
+      trainer,
+      token: tokens[customer],
+      addresses: this.entries.map(entry => entry.listen).join(','),
+      weights: this.weights.address,
+      ...flags
+    }))
+  }
+
+  /** Ends every process and removes the temporary folder. */
+  async dispose (): Promise<void> {
+    for (const process of this._processes) process.dispose()
+    await Promise.all(this._processes.map(async process => await process.exited()))
+    if (this._folder !== '') await rm(this._folder, { recursive: true, force: true })
+  }
+
+  /** Last log lines of the entries, for messages of failed tests. */
+  lastLogLines (): string {
+    return this.entries.map(entry => `--- ${entry.name}\n${entry.logs.slice(-LOG_LINES_IN_ERRORS).join('\n')}`).join('\n')
+  }
+
+  async startPlatform (): Promise<void> {
+    await Promise.all([this.log, this.membership, this.weights, this.proxy].map(async item => await this._start(item)))
+    await Promise.all(Object.entries(this.options.services).flatMap(([service, plan]) =>
+      Array.from({ length: plan.count }, async (_, index) => await this._startUpstream(service, index))))
+  }
+
+  async startEntries (): Promise<void> {
+    this._folder = await mkdtemp(join(tmpdir(), 'hyssopvalve-'))
+    for (let index = 0; index < this.options.entries; index++) await this._addEntry(index)
+    for (const entry of this.entries) await this._writeSettings(entry)
+    await Promise.all(this.entries.map(async entry => await this._start(entry)))
+    for (const text of this.options.contracts) await this.publish(text)
+    await Promise.all(this.entries.map(async entry =>
+      await waitUntil(`${entry.name} is ready`, async () => await entry.readiness() === 200)))
+  }
+
+  private async _start<T extends ManagedProcess> (process: T): Promise<T> {
+    this._processes.push(process)
+    await process.start()
+    return process
+  }
+
+  private async _startUpstream (service: string, index: number): Promise<void> {
+    const plan = this.options.services[service]!
+    const id = `${service}-${index + 1}`
+    const flags = plan.flags?.(index) ?? {}
+    const process = plan.kind === 'plain'
+      ? new StandIn(id, 'service', { id, ...flags })
+      : new StandIn(id, 'engine', {
+        model: service,
+        weights: await this.network.address(id, 'weights', this.weights.address),
+        'check-fence': plan.checksFence ?? true,
+        ...flags
+      })
+    await this._start(process)
+    this.upstreams.set(id, process)
+    await this._register({ id, role: 'upstream', service, address: process.address, failure_domain: this._domain(index) })
+  }
+
+  private async _addEntry (index: number): Promise<void> {
+    const id = `entry-${index + 1}`
+    const [listen, peer, rpc] = [await this._ports.pick(), await this._ports.pick(), await this._ports.pick()]
+    this.entries.push(new EntryProcess(id, this._domain(index), listen, peer, rpc, join(this._folder, `${id}.ini`)))
+    const domain = { failure_domain: this._domain(index) }
+    await this._register({ id, role: 'entry', address: listen, peer_address: peer, rpc_address: rpc, ...domain })
+  }
+
+  /** Writes an entry's settings with the addresses as this entry is to see them. */
+  private async _writeSettings (entry: EntryProcess): Promise<void> {
+    const view: Record<string, { address?: string, peer_address?: string, rpc_address?: string }> = {}
+    for (const [id, process] of this.upstreams) {
+      view[id] = { address: await this.network.address(entry.name, id, process.address) }
+    }
+    for (const peer of this.entries.filter(other => other !== entry)) {
+      view[peer.name] = {
+        peer_address: await this.network.address(entry.name, peer.name, peer.peer, 'udp'),
+        rpc_address: await this.network.address(entry.name, peer.name, peer.rpc)
+      }
+    }
+    const { address: membership } = await this.membership.put(`/views/${entry.name}`, { addresses: view })
+    const services = Object.entries(this.options.services).map(([name, plan]) => {
+      const addresses = Array.from({ length: plan.count }, (_, index) => view[`${name}-${index + 1}`]!.address!)
+      return [name, { ...plan, addresses }]
+    })
+    await writeFile(entry.configFile, entryIni({
+      id: entry.name,
+      failureDomain: entry.failureDomain,
+      listen: entry.listen,
+      peer: entry.peer,
+      rpc: entry.rpc,
+      log: await this.network.address(entry.name, 'log', this.log.address),
+      membership: await this.network.address(entry.name, 'membership', membership),
+      services: Object.fromEntries(services),
+      timing: this.options.timing ?? {},
+      http: this.options.http ?? {}
+    }))
+  }
+
+  private async _register (member: Omit<Member, 'state' | 'incarnation'>): Promise<void> {
+    this._members.set(member.id, { ...member, state: 'live', incarnation: this._incarnation(member.id) })
+    await this.updateMember(member.id, {})
+  }
+
+  private _incarnation (id: string): string {
+    this._incarnations++
+    return `${id}-run-${this._incarnations}`
+  }
+
+  private _domain (index: number): string {
+    const domains = this.options.failureDomains ?? FAILURE_DOMAINS
+    return domains[index % domains.length]!
+  }
+}
--- /dev/null
+++ b/test/harness/StandIn.ts
@@ -0,0 +1,34 @@
+import { httpJson } from './httpJson.js'
+import { ManagedProcess } from './ManagedProcess.js'
+
+/** A stand-in process. A restart listens on the same address as the first start. */
+export class StandIn extends ManagedProcess {
+  /** `flags` without `--listen`; keys are the flags' names, for example `'load-lag-ms'`. */
+  constructor (name: string, kind: string, flags: Record<string, string | number | boolean> = {}) {
+    // `--flag=value` keeps negative numbers from being read as flags.
+    super(name, `standin/${kind}/main.js`, Object.entries(flags).map(([flag, value]) => `--${flag}=${value}`))
+  }
+
+  override async start (): Promise<void> {
+    await super.start()
+    const listen = `--listen=${this.address}`
+    if (!this.args.includes(listen)) this.args.push(listen)
+  }
+
+  async get (path: string): Promise<any> {
+    return await httpJson('GET', this.address, path)
+  }
+
+  async post (path: string, body: unknown): Promise<any> {
+    return await httpJson('POST', this.address, path, body)
+  }
+
+  async put (path: string, body: unknown): Promise<any> {
+    return await httpJson('PUT', this.address, path, body)
+  }
+
+  /** Replaces the faults in force; without an argument all faults are cleared. */
+  async faults (faults: Record<string, unknown> = {}): Promise<void> {
+    await this.post('/faults', faults)
+  }
+}
