Keep harness ports free across restarts and let failed tests end

Cause: stand-ins listened on ports that the system also uses for outgoing connections, so that a restart could find its port taken; children kept a test process alive that failed before it disposed them; a trainer whose announcement failed published no further versions. Change: the harness picks ports below the ephemeral range; running children do not hold the event loop; the trainer publishes and announces independently. Conclusion: what remains untested is the harness with the real entry daemon.

--- a/standin/balancer/Balancer.ts
+++ b/standin/balancer/Balancer.ts
@@ -1,5 +1,6 @@
 import { connect, createServer, type Socket } from 'node:net'
 import { z } from 'zod'
+import type { IDisposable } from '../../src/common/kernel/IDisposable.js'
 import { createApp } from '../common/createApp.js'
 import { FaultSwitch } from '../common/FaultSwitch.js'
 import { LaggedValue } from '../common/LaggedValue.js'
@@ -15,7 +16,7 @@
  * TCP load balancer, blind to load: round robin over the targets as they were `lagMs` ago.
  * A connection to a dead target is reset, as a plain TCP balancer does.
  */
-export class Balancer {
+export class Balancer implements IDisposable {
   readonly app = createApp()
   readonly faults = new FaultSwitch(balancerFaultsSchema)
   private readonly _targets = new LaggedValue<string[]>(HISTORY_MS)
@@ -40,6 +41,10 @@
     return this._front
   }
 
+  dispose (): void {
+    this._server.close()
+  }
+
   private _accept (client: Socket): void {
     const targets = this._targets.get(this._lagMs, Date.now())?.value ?? []
     client.on('error', () => client.destroy())
--- a/standin/engine/EngineServer.test.ts
+++ b/standin/engine/EngineServer.test.ts
@@ -7,6 +7,9 @@
 import { TokenSource } from './TokenSource.js'
 import { versionOfToken } from './versionOfToken.js'
 
+// Only ends a run that would wait forever.
+const TIMEOUT_MS = 60_000
+
 const MODEL = 'lin-shun/brim'
 const ENDLESS = 1_000_000
 const OPTIONS: EngineOptions = {
@@ -85,7 +88,7 @@
   return { tokenIds, stamps, isDone, finishReason }
 }
 
-describe('engine', () => {
+describe('engine', { timeout: TIMEOUT_MS }, () => {
   after(() => { for (const close of closers) close() })
 
   it('generates tokens that a checker can recompute', async () => {
--- a/standin/faultproxy/TcpRoute.test.ts
+++ b/standin/faultproxy/TcpRoute.test.ts
@@ -8,6 +8,9 @@
 import { routeFaultsSchema } from './routeFaultsSchema.js'
 import { TcpRoute } from './TcpRoute.js'
 
+// Only ends a run that would wait forever.
+const TIMEOUT_MS = 60_000
+
 // Time in which data that is wrongly passed on would arrive; a busy machine only weakens the check.
 const SETTLE_MS = 50
 const sockets: Socket[] = []
@@ -48,7 +51,7 @@
   while (!check()) await sleep(5)
 }
 
-describe('fault proxy route', () => {
+describe('fault proxy route', { timeout: TIMEOUT_MS }, () => {
   after(() => {
     for (const socket of sockets) socket.destroy()
     for (const close of closers) close()
--- a/standin/faultproxy/UdpRoute.test.ts
+++ b/standin/faultproxy/UdpRoute.test.ts
@@ -7,7 +7,10 @@
 import { routeFaultsSchema } from './routeFaultsSchema.js'
 import { UdpRoute } from './UdpRoute.js'
 
-describe('fault proxy route for datagrams', () => {
+// Only ends a run that would wait forever.
+const TIMEOUT_MS = 60_000
+
+describe('fault proxy route for datagrams', { timeout: TIMEOUT_MS }, () => {
   it('loses every n-th datagram and delivers the others', async () => {
     const target = createSocket('udp4')
     const sender = createSocket('udp4')
--- a/standin/log/LogServer.test.ts
+++ b/standin/log/LogServer.test.ts
@@ -5,6 +5,9 @@
 import { LogServer } from './LogServer.js'
 import { LogStream } from './LogStream.js'
 
+// Only ends a run that would wait forever.
+const TIMEOUT_MS = 60_000
+
 const RETENTION_MS = 3_600_000
 const closers: Array<() => void> = []
 
@@ -29,7 +32,7 @@
   return page.records.map(record => record.value)
 }
 
-describe('log', () => {
+describe('log', { timeout: TIMEOUT_MS }, () => {
   after(() => { for (const close of closers) close() })
 
   it('numbers records without gaps over several appends', async () => {
--- a/standin/service/ServiceServer.test.ts
+++ b/standin/service/ServiceServer.test.ts
@@ -3,6 +3,9 @@
 import { startServer } from '../common/startServer.js'
 import { ServiceServer } from './ServiceServer.js'
 
+// Only ends a run that would wait forever.
+const TIMEOUT_MS = 60_000
+
 const closers: Array<() => void> = []
 
 async function startService () {
@@ -23,7 +26,7 @@
   }
 }
 
-describe('service', () => {
+describe('service', { timeout: TIMEOUT_MS }, () => {
   after(() => { for (const close of closers) close() })
 
   it('answers a lookup with the id and the request id', async () => {
--- a/standin/trainer/TrainerLoop.test.ts
+++ b/standin/trainer/TrainerLoop.test.ts
@@ -1,5 +1,6 @@
 import { after, describe, it } from 'node:test'
 import { expect } from 'earl'
+import { Emitter } from '../../src/common/kernel/Emitter.js'
 import { createApp } from '../common/createApp.js'
 import { startServer } from '../common/startServer.js'
 import { RolloutApi } from './RolloutApi.js'
@@ -7,6 +8,9 @@
 import type { TrainerOptions } from './TrainerOptions.js'
 import { WeightPublisher } from './WeightPublisher.js'
 
+// Only ends a run that would wait forever.
+const TIMEOUT_MS = 60_000
+
 const closers: Array<() => void> = []
 const OPTIONS: TrainerOptions = {
   customer: 'lin-shun',
@@ -56,7 +60,7 @@
   return { address, seen }
 }
 
-describe('trainer', () => {
+describe('trainer', { timeout: TIMEOUT_MS }, () => {
   after(() => { for (const close of closers) close() })
 
   it('reads again with the same cursor through another address when an answer is not whole', async () => {
@@ -73,4 +77,27 @@
     expect(loop.received.map(group => [group.group, group.cursor_after, group.version_known])).toEqual([['s5-g0', 0, 3], ['s5-g1', 1, 3]])
     expect(loop.stepsDone).toEqual(1)
   })
+
+  it('gives a pending read up when it publishes a version and reads with that version', async () => {
+    const published = new Emitter<number>()
+    const weights = { version: 3, onPublish: published.event }
+    const app = createApp()
+    const versions: string[] = []
+    app.post('/v1/trainers/brim/:call', c => c.json({}))
+    app.get('/v1/trainers/brim/groups', async c => {
+      versions.push(c.req.query('version')!)
+      const whole = c.json({ groups: [groupAt(0), groupAt(1)], cursor: 1 })
+      if (versions.length > 1) return whole
+      weights.version = 4
+      published.fire(4)
+      return whole
+    })
+    const { server, address } = await startServer(app, '127.0.0.1:0')
+    closers.push(() => server.close())
+    const options = { ...OPTIONS, addresses: [address] }
+    const loop = new TrainerLoop(options, new RolloutApi(options), weights as WeightPublisher, async () => {}, () => false)
+    await loop.run()
+    expect(versions).toEqual(['3', '4'])
+    expect(loop.received.map(group => group.version_known)).toEqual([4, 4])
+  })
 })
--- a/standin/trainer/WeightPublisher.ts
+++ b/standin/trainer/WeightPublisher.ts
@@ -3,7 +3,7 @@
 import type { RolloutApi } from './RolloutApi.js'
 import type { TrainerOptions } from './TrainerOptions.js'
 
-const RETRY_MS = 200
+const RETRY_MS = 50
 
 /** Publishes a new version to the weight store at an interval and announces it. */
 export class WeightPublisher {
@@ -24,6 +24,10 @@
   }
 
   async run (): Promise<void> {
+    await Promise.all([this._publishAll(), this._announceAll()])
+  }
+
+  private async _publishAll (): Promise<void> {
     if (this.version > 0) await this._publish(this.version)
     if (this._options.weightsEveryMs === 0) return
     for (;;) {
@@ -32,13 +36,21 @@
     }
   }
 
+  /** Announces the newest version until it is accepted; versions in between may be skipped. */
+  private async _announceAll (): Promise<void> {
+    for (;;) {
+      const version = this.version
+      const isDue = version > this.announced && version in this.publishedAtMs
+      if (isDue && await this._api.post('/weights', { version })) this.announced = version
+      else await sleep(RETRY_MS)
+    }
+  }
+
   private async _publish (version: number): Promise<void> {
     while (!await this._store(version)) await sleep(RETRY_MS)
     this.version = version
     this.publishedAtMs[version] = Date.now()
     this._published.fire(version)
-    while (!await this._api.post('/weights', { version })) await sleep(RETRY_MS)
-    this.announced = version
   }
 
   private async _store (version: number): Promise<boolean> {
--- a/test/harness/Cluster.ts
+++ b/test/harness/Cluster.ts
@@ -7,7 +7,7 @@
 import { entryIni } from './entryIni.js'
 import { EntryProcess } from './EntryProcess.js'
 import type { ManagedProcess } from './ManagedProcess.js'
-import { PortPicker } from './PortPicker.js'
+import { pickAddress } from './pickAddress.js'
 import type { ProxyRoute } from './ProxyRoute.js'
 import { publishContract } from './publishContract.js'
 import { StandIn } from './StandIn.js'
@@ -33,7 +33,6 @@
   readonly network: ClusterNetwork
   private readonly _processes: ManagedProcess[] = []
   private readonly _members = new Map<string, Member>()
-  private readonly _ports = new PortPicker()
   private _folder = ''
   private _incarnations = 0
 
@@ -108,8 +107,8 @@
   /** Starts a load balancer over the entries; resolves with it and the address for callers. */
   async startBalancer (flags: Flags = {}): Promise<{ balancer: StandIn, front: string }> {
     const targets = this.entries.map(entry => entry.listen).join(',')
-    const balancer = await this._start(new StandIn('balancer', 'balancer', { targets, 'lag-ms': 500, ...flags }))
-    const { front } = await balancer.get('/ready')
+    const front = await pickAddress()
+    const balancer = await this._start(new StandIn('balancer', 'balancer', { targets, front, 'lag-ms': 500, ...flags }))
     return { balancer, front }
   }
 
@@ -178,7 +177,7 @@
 
   private async _addEntry (index: number): Promise<void> {
     const id = `entry-${index + 1}`
-    const [listen, peer, rpc] = [await this._ports.pick(), await this._ports.pick(), await this._ports.pick()]
+    const [listen, peer, rpc] = [await pickAddress(), await pickAddress(), await pickAddress()]
     this.entries.push(new EntryProcess(id, this._domain(index), listen, peer, rpc, join(this._folder, `${id}.ini`)))
     const domain = { failure_domain: this._domain(index) }
     await this._register({ id, role: 'entry', address: listen, peer_address: peer, rpc_address: rpc, ...domain })
--- a/test/harness/ManagedProcess.ts
+++ b/test/harness/ManagedProcess.ts
@@ -1,5 +1,6 @@
 import { type ChildProcess, spawn } from 'node:child_process'
 import { once } from 'node:events'
+import type { Socket } from 'node:net'
 import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
 import type { IDisposable } from '../../src/common/kernel/IDisposable.js'
@@ -69,6 +70,7 @@
         if (address === undefined) return
         this.address = address
         clearTimeout(timer)
+        this._setRef(false)
         resolve()
       })
     })
@@ -102,13 +104,24 @@
 
   /** Resolves when the process is gone. */
   async exited (): Promise<void> {
-    if (this.isRunning) await once(this._child!, 'exit')
+    if (!this.isRunning) return
+    this._setRef(true)
+    await once(this._child!, 'exit')
   }
 
   dispose (): void {
     this.signal('SIGKILL')
   }
 
+  /** A running child must not keep the test process from ending, for example after a failed test. */
+  private _setRef (isOn: boolean): void {
+    const child = this._child!
+    for (const handle of [child, child.stdin, child.stdout, child.stderr] as unknown as Array<Socket | null>) {
+      if (isOn) handle?.ref()
+      else handle?.unref()
+    }
+  }
+
   private _keep (line: string): void {
     this.logs.push(line)
     if (this.logs.length > 2 * MAX_LOG_LINES) this.logs.splice(0, MAX_LOG_LINES)
--- a/test/harness/ProxyRoute.ts
+++ b/test/harness/ProxyRoute.ts
@@ -1,3 +1,4 @@
+import { pickAddress } from './pickAddress.js'
 import type { StandIn } from './StandIn.js'
 
 /** A route of a fault proxy process. */
@@ -6,7 +7,8 @@
 
   /** Adds the route to the proxy. */
   static async open (proxy: StandIn, name: string, target: string, protocol: 'tcp' | 'udp' = 'tcp'): Promise<ProxyRoute> {
-    const { address } = await proxy.put('/routes', { name, target, protocol })
+    const listen = await pickAddress()
+    const { address } = await proxy.put('/routes', { name, target, protocol, listen })
     return new ProxyRoute(proxy, name, address)
   }
 
--- a/test/harness/StandIn.ts
+++ b/test/harness/StandIn.ts
@@ -1,5 +1,6 @@
 import { httpJson } from './httpJson.js'
 import { ManagedProcess } from './ManagedProcess.js'
+import { pickAddress } from './pickAddress.js'
 
 /** A stand-in process. A restart listens on the same address as the first start. */
 export class StandIn extends ManagedProcess {
@@ -10,9 +11,8 @@
   }
 
   override async start (): Promise<void> {
+    if (!this.args.some(arg => arg.startsWith('--listen='))) this.args.push(`--listen=${await pickAddress()}`)
     await super.start()
-    const listen = `--listen=${this.address}`
-    if (!this.args.includes(listen)) this.args.push(listen)
   }
 
   async get (path: string): Promise<any> {
--- a/test/harness/harness.test.ts
+++ b/test/harness/harness.test.ts
@@ -12,13 +12,30 @@
 import { tokens } from './tokens.js'
 import { waitUntil } from './waitUntil.js'
 
+// Only ends a run that would wait forever.
+const TIMEOUT_MS = 120_000
+
 const WEIGHTS = '/v1/weights/lin-shun/brim/1'
 
 async function answers (address: string): Promise<boolean> {
   return await fetch(`http://${address}/ready`).then(response => response.ok, () => false)
 }
 
-describe('harness', () => {
+/** A process that starts a log, prints its address and then runs the given code. */
+async function startParent (code: string) {
+  const script = `
+    const { StandIn } = await import(${JSON.stringify(new URL('./StandIn.js', import.meta.url).href)})
+    const log = new StandIn('log', 'log')
+    await log.start()
+    console.log(log.address)
+    ${code}
+  `
+  const parent = spawn(process.execPath, ['--input-type=module', '-e', script], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const [address] = await once(createInterface({ input: parent.stdout }), 'line')
+  return { parent, address: address as string }
+}
+
+describe('harness', { timeout: TIMEOUT_MS }, () => {
   it('restarts a killed stand-in at its address', async () => {
     const log = new StandIn('log', 'log')
     try {
@@ -51,19 +68,18 @@
   })
 
   it('leaves no process behind when the test process is killed', async () => {
-    const script = `
-      const { StandIn } = await import(${JSON.stringify(new URL('./StandIn.js', import.meta.url).href)})
-      const log = new StandIn('log', 'log')
-      await log.start()
-      console.log(log.address)
-    `
-    const parent = spawn(process.execPath, ['--input-type=module', '-e', script], { stdio: ['ignore', 'pipe', 'inherit'] })
-    const [address] = await once(createInterface({ input: parent.stdout }), 'line')
+    const { parent, address } = await startParent('await new Promise(resolve => setTimeout(resolve, 600_000))')
     expect(await answers(address)).toEqual(true)
     parent.kill('SIGKILL')
     await waitUntil('the child ends', async () => !await answers(address))
   })
 
+  it('does not keep a test process alive that forgets to dispose, and ends the child with it', async () => {
+    const { parent, address } = await startParent('')
+    if (parent.exitCode === null) await once(parent, 'exit')
+    await waitUntil('the child ends', async () => !await answers(address))
+  })
+
   it('leads a connection through the fault proxy and starts the platform of a cluster', async () => {
     const cluster = await Cluster.startWithoutEntries({
       entries: 0,
--- a/test/harness/PortPicker.ts
+++ b/test/harness/pickAddress.ts
@@ -3,23 +3,22 @@
 import { createServer } from 'node:net'
 
 // Below the range from which the system takes ports for outgoing connections, so that a picked port
-// stays free until its process binds it.
+// stays free until its process binds it, also again after a restart.
 const FIRST_PORT = 10_000
 const PORT_COUNT = 20_000
+// Test processes that run at the same time have close pids; this keeps their ports apart.
+const PORTS_PER_PID = 1009
 
-/** Picks ports that are free for TCP and UDP on loopback. Test processes start at different ports. */
-export class PortPicker {
-  private _next = process.pid * 97 % PORT_COUNT
+let next = process.pid * PORTS_PER_PID % PORT_COUNT
 
-  /** An address `127.0.0.1:<port>`. */
-  async pick (): Promise<string> {
-    for (let attempt = 0; attempt < PORT_COUNT; attempt++) {
-      const port = FIRST_PORT + this._next
-      this._next = (this._next + 1) % PORT_COUNT
-      if (await isFree(port)) return `127.0.0.1:${port}`
-    }
-    throw new Error('no free port')
+/** Picks a loopback address `127.0.0.1:<port>` whose port is free for TCP and UDP. */
+export async function pickAddress (): Promise<string> {
+  for (let attempt = 0; attempt < PORT_COUNT; attempt++) {
+    const port = FIRST_PORT + next
+    next = (next + 1) % PORT_COUNT
+    if (await isFree(port)) return `127.0.0.1:${port}`
   }
+  throw new Error('no free port')
 }
 
 async function isFree (port: number): Promise<boolean> {
