Read the settings of an entry daemon from INI, flags and environment

Cause: the daemon needs checked settings before it opens a socket. Change: readEntrySettings checks the file by a zod schema with defaults; readIni takes overrides and names the flag or variable of a faulty one; addresses must carry an IP number. Conclusion: faults of the settings are found at start, with line, field and rule.

--- a/src/common/settings/IniError.ts
+++ b/src/common/settings/IniError.ts
@@ -5,4 +5,6 @@
   /** Section and key, for example `work.lookup.deadline_ms`. */
   field: string
   rule: string
+  /** Flag or environment variable that set the value; absent for values of the file. */
+  source?: string
 }
--- /dev/null
+++ b/src/common/settings/entrySettingsFileSchema.ts
@@ -0,0 +1,56 @@
+import { z } from 'zod'
+import { identifierSchema } from '../schema/identifierSchema.js'
+import { ipAddressSchema } from './ipAddressSchema.js'
+
+// A shorter key could be guessed from one recorded datagram.
+const MIN_PEER_KEY_LENGTH = 16
+const MAX_TIMER_MS = 2_147_483_647
+
+const milliseconds = (min: number, standard: number): z.ZodDefault<z.ZodInt> => z.int().min(min).max(MAX_TIMER_MS).default(standard)
+const amount = (min: number, max: number, standard: number): z.ZodDefault<z.ZodInt> => z.int().min(min).max(max).default(standard)
+
+const serviceSchema = z.strictObject({
+  kind: z.enum(['engine', 'plain']),
+  checks_fence: z.boolean().default(true),
+  order_addresses: z.array(ipAddressSchema).default([]),
+  swap_parallel: amount(1, 1000, 2),
+  balancer: z.enum(['random', 'round-robin', 'least-outstanding', 'expected-wait']).default('expected-wait')
+})
+
+/** The INI file of an entry daemon. */
+export const entrySettingsFileSchema = z.strictObject({
+  entry: z.strictObject({
+    id: identifierSchema,
+    failure_domain: identifierSchema,
+    listen: ipAddressSchema,
+    peer: ipAddressSchema,
+    rpc: ipAddressSchema,
+    peer_key: z.string().min(MIN_PEER_KEY_LENGTH).optional(),
+    peer_key_file: z.string().min(1).optional()
+  }).refine(entry => (entry.peer_key === undefined) !== (entry.peer_key_file === undefined), 'needs either peer_key or peer_key_file'),
+  platform: z.strictObject({ log: ipAddressSchema, membership: ipAddressSchema }),
+  operators: z.record(identifierSchema, z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest in hex')).default({}),
+  service: z.record(identifierSchema, serviceSchema).default({}),
+  timing: z.strictObject({
+    append_interval_ms: milliseconds(1, 50),
+    lease_ms: milliseconds(100, 10_000),
+    lease_guard_ms: milliseconds(0, 2000),
+    retention_ms: milliseconds(1000, 3_600_000),
+    membership_poll_ms: milliseconds(10, 1000),
+    load_poll_ms: milliseconds(10, 500),
+    gossip_interval_ms: milliseconds(10, 400),
+    heartbeat_timeout_ms: milliseconds(50, 3000),
+    drain_notice_ms: milliseconds(0, 3000),
+    drain_limit_ms: milliseconds(0, 600_000)
+  }).refine(timing => timing.lease_guard_ms < timing.lease_ms, { path: ['lease_guard_ms'], message: 'must be less than lease_ms' })
+    .refine(timing => timing.gossip_interval_ms < timing.heartbeat_timeout_ms, { path: ['heartbeat_timeout_ms'], message: 'must be more than gossip_interval_ms' })
+    .prefault({}),
+  http: z.strictObject({
+    // A submitted step may hold 512 prompts of up to 32 KiB.
+    max_body_bytes: amount(1024, 1_073_741_824, 16_777_216),
+    max_header_bytes: amount(1024, 1_048_576, 16_384),
+    max_connections: amount(1, 1_000_000, 10_000),
+    idle_timeout_ms: milliseconds(100, 65_000),
+    max_stream_ms: milliseconds(100, 3_600_000)
+  }).prefault({})
+})
--- /dev/null
+++ b/src/common/settings/readEntrySettings.test.ts
@@ -0,0 +1,73 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { ok } from 'neverthrow'
+import { readEntrySettings } from './readEntrySettings.js'
+
+const SETTINGS = `[entry]
+id = entry-1
+failure_domain = steam-hall
+listen = 127.0.0.1:8080
+peer = 127.0.0.1:8081
+rpc = [::1]:8082
+peer_key = 0123456789abcdef0123
+
+[platform]
+log = 127.0.0.1:9000
+membership = 127.0.0.1:9001
+
+[operators]
+mei = ${'a'.repeat(64)}
+
+[service.order-app]
+kind = plain
+
+[service.shaping-llm]
+kind = engine
+checks_fence = false
+order_addresses = 127.0.0.1:7000, 127.0.0.1:7001
+`
+
+describe('readEntrySettings', () => {
+  it('reads sections, lists and defaults', () => {
+    const settings = readEntrySettings(SETTINGS)._unsafeUnwrap()
+    expect(settings.services.map(service => [service.name, service.checksFence])).toEqual([['order-app', true], ['shaping-llm', false]])
+    expect(settings.services[1]?.orderAddresses).toEqual(['127.0.0.1:7000', '127.0.0.1:7001'])
+    expect([settings.appendIntervalMs, settings.leaseMs, settings.drainLimitMs]).toEqual([50, 10_000, 600_000])
+    expect(settings.operatorsByTokenDigest.get('a'.repeat(64))).toEqual('mei')
+  })
+
+  it('refuses host names and ports out of range, with the line', () => {
+    for (const address of ['localhost:80', '127.0.0.1', '127.0.0.1:70000', '1.2.3:80']) {
+      const errors = readEntrySettings(SETTINGS.replace('127.0.0.1:8080', address))._unsafeUnwrapErr()
+      expect(errors).toEqual([{ line: 4, field: 'entry.listen', rule: 'must be ip:port with an IP number' }])
+    }
+  })
+
+  it('lets overrides win over the file and names the source of a faulty one', () => {
+    const overrides = [{ field: 'timing.lease_ms', value: '5000', source: 'HYSSOPVALVE_TIMING_LEASE_MS' }]
+    expect(readEntrySettings(SETTINGS, { overrides })._unsafeUnwrap().leaseMs).toEqual(5000)
+    const faulty = [{ field: 'entry.listen', value: 'here', source: '--entry-listen' }]
+    expect(readEntrySettings(SETTINGS, { overrides: faulty })._unsafeUnwrapErr()[0]?.source).toEqual('--entry-listen')
+  })
+
+  it('takes the key from a file, and refuses a short or a second one', () => {
+    const text = SETTINGS.replace('peer_key = 0123456789abcdef0123', 'peer_key_file = /run/key')
+    expect(readEntrySettings(text, { readKeyFile: () => ok('0123456789abcdef\n') })._unsafeUnwrap().peerKey).toEqual('0123456789abcdef')
+    expect(readEntrySettings(text, { readKeyFile: () => ok('short') })._unsafeUnwrapErr()[0]?.line).toEqual(7)
+    const both = SETTINGS.replace('peer_key =', 'peer_key_file = x\npeer_key =')
+    expect(readEntrySettings(both).isErr()).toEqual(true)
+  })
+
+  it('refuses equal operator tokens, which would make the audit trail ambiguous', () => {
+    const errors = readEntrySettings(SETTINGS.replace('[operators]\n', `[operators]\nlee = ${'a'.repeat(64)}\n`))._unsafeUnwrapErr()
+    expect(errors[0]?.field).toEqual('operators.mei')
+  })
+
+  it('never throws, whatever the text', () => {
+    const line = fc.oneof(fc.string(), fc.constantFrom(...SETTINGS.split('\n')), fc.constantFrom('[__proto__]', 'constructor = 1', '[entry.id]', '[service]', 'timing = 3', '[a.__proto__.b]', 'x[] = 1'))
+    fc.assert(fc.property(fc.array(line, { maxLength: 30 }), lines => {
+      readEntrySettings(lines.join('\n'), { overrides: [{ field: 'entry.id', value: 'x', source: 'x' }] })
+    }), { numRuns: 500 })
+  })
+})
--- a/src/common/settings/readIni.ts
+++ b/src/common/settings/readIni.ts
@@ -3,6 +3,7 @@
 import type { z } from 'zod'
 import type { IniError } from './IniError.js'
 import { IniLines } from './IniLines.js'
+import type { IniOverride } from './IniOverride.js'
 
 type Issue = z.core.$ZodIssue
 
@@ -12,22 +13,35 @@
 
 /**
  * Reads an INI text by a schema. Sections named `a.b` nest; comma-separated values become arrays
- * and digits become numbers where the schema asks for them. All faults are returned by line.
+ * and digits become numbers where the schema asks for them. Overrides replace values of the file.
+ * All faults are returned by line.
  */
-export function readIni<T extends z.ZodType> (text: string, schema: T): Result<z.output<T>, IniError[]> {
+export function readIni<T extends z.ZodType> (text: string, schema: T, overrides: readonly IniOverride[] = []): Result<z.output<T>, IniError[]> {
   const lines = new IniLines(text)
   if (lines.errors.length > 0) return err(lines.errors)
   const data: unknown = JSON.parse(JSON.stringify(parse(text)))
+  for (const override of overrides) applyOverride(data, override)
   for (let pass = 0; ; pass++) {
     const parsed = schema.safeParse(data)
     if (parsed.success) return ok(parsed.data)
     const converted = parsed.error.issues.filter(issue => convertAt(data, issue)).length
     if (converted === 0 || pass >= MAX_CONVERSION_PASSES) {
-      return err(parsed.error.issues.flatMap(issue => toErrors(issue, lines)))
+      return err(parsed.error.issues.flatMap(issue => toErrors(issue, lines)).map(error => withSource(error, overrides)))
     }
   }
 }
 
+function applyOverride (data: any, override: IniOverride): void {
+  const [section = '', key = ''] = override.field.split('.')
+  if (typeof data[section] !== 'object' || data[section] === null) data[section] = {}
+  data[section][key] = override.value
+}
+
+function withSource (error: IniError, overrides: readonly IniOverride[]): IniError {
+  const override = overrides.find(candidate => candidate.field === error.field)
+  return override === undefined ? error : { ...error, source: override.source }
+}
+
 function convertAt (data: unknown, issue: Issue): boolean {
   if (issue.code !== 'invalid_type') return false
   const parent = issue.path.slice(0, -1).reduce<any>((node, key) => node?.[key], data)
