Add metrics and the logfmt logger

Cause: every module reports events and figures through ILogger and IMetrics. Change: Metrics keeps two 30 s HDR intervals per duration series and at most 500 series per metric; createLogger formats pino events as logfmt in the same thread. Conclusion: memory of metrics is bounded, and log values cannot forge lines.

--- /dev/null
+++ b/src/common/metrics/Metrics.ts
@@ -0,0 +1,99 @@
+import { Counter, Gauge, Registry } from 'prom-client'
+import { Disposable } from '../kernel/Disposable.js'
+import { toDisposable } from '../kernel/toDisposable.js'
+import { DurationSeries } from './DurationSeries.js'
+import type { IMetrics } from './IMetrics.js'
+import type { IMetricsSource } from './IMetricsSource.js'
+
+type Labels = Record<string, string>
+
+const PREFIX = 'hyssopvalve_'
+const INTERVAL_MS = 30_000
+// Bounds the memory when a label takes unexpectedly many values.
+const MAX_SERIES_PER_METRIC = 500
+
+/** Counters, gauges and interval histograms; exposed in the Prometheus text format. */
+export class Metrics extends Disposable implements IMetrics, IMetricsSource {
+  private readonly _registry = new Registry()
+  private readonly _counters = new Map<string, { metric: Counter, labelNames: string[], seen: Set<string> }>()
+  private readonly _gauges = new Map<string, { metric: Gauge, labelNames: string[], seen: Set<string> }>()
+  private readonly _durations = new Map<string, Map<string, { labels: Labels, series: DurationSeries }>>()
+
+  readonly contentType = this._registry.contentType
+
+  start (): void {
+    const timer = setInterval(() => this._rotate(), INTERVAL_MS)
+    this._register(toDisposable(() => clearInterval(timer)))
+  }
+
+  count (name: string, labels: Labels = {}, by = 1): void {
+    const entry = getOrAdd(this._counters, name, () => ({
+      metric: new Counter({ name: PREFIX + name, help: name, labelNames: Object.keys(labels), registers: [this._registry] }),
+      labelNames: Object.keys(labels),
+      seen: new Set<string>()
+    }))
+    const known = selectLabels(entry.labelNames, labels)
+    if (admitSeries(entry.seen, known)) entry.metric.inc(known, by)
+  }
+
+  gauge (name: string, value: number, labels: Labels = {}): void {
+    const entry = getOrAdd(this._gauges, name, () => ({
+      metric: new Gauge({ name: PREFIX + name, help: name, labelNames: Object.keys(labels), registers: [this._registry] }),
+      labelNames: Object.keys(labels),
+      seen: new Set<string>()
+    }))
+    const known = selectLabels(entry.labelNames, labels)
+    if (admitSeries(entry.seen, known)) entry.metric.set(known, value)
+  }
+
+  duration (name: string, valueMs: number, labels: Labels = {}): void {
+    const byLabels = getOrAdd(this._durations, name, () => new Map<string, { labels: Labels, series: DurationSeries }>())
+    const key = labelKey(labels)
+    if (!byLabels.has(key) && byLabels.size >= MAX_SERIES_PER_METRIC) return
+    getOrAdd(byLabels, key, () => ({ labels, series: new DurationSeries() })).series.record(valueMs)
+  }
+
+  async exposition (): Promise<string> {
+    for (const [name, byLabels] of this._durations) {
+      for (const { labels, series } of byLabels.values()) {
+        for (const [quantile, value] of Object.entries(series.quantiles())) {
+          this.gauge(`${name}_ms`, value, { ...labels, quantile })
+        }
+        this.gauge(`${name}_observed`, series.total, labels)
+        this.gauge(`${name}_sum_ms`, series.sumMs, labels)
+      }
+    }
+    return await this._registry.metrics()
+  }
+
+  private _rotate (): void {
+    for (const byLabels of this._durations.values()) {
+      for (const { series } of byLabels.values()) series.rotate()
+    }
+  }
+}
+
+function getOrAdd<K, V> (map: Map<K, V>, key: K, create: () => V): V {
+  const known = map.get(key)
+  if (known !== undefined) return known
+  const created = create()
+  map.set(key, created)
+  return created
+}
+
+/** The first use of a metric fixes its label names, because prom-client throws on others. */
+function selectLabels (names: readonly string[], labels: Labels): Labels {
+  return Object.fromEntries(names.map(name => [name, labels[name] ?? '']))
+}
+
+function admitSeries (seen: Set<string>, labels: Labels): boolean {
+  const key = labelKey(labels)
+  if (seen.has(key)) return true
+  if (seen.size >= MAX_SERIES_PER_METRIC) return false
+  seen.add(key)
+  return true
+}
+
+function labelKey (labels: Labels): string {
+  return JSON.stringify(Object.entries(labels).sort())
+}
--- /dev/null
+++ b/src/node/entry/RunningLogger.ts
@@ -0,0 +1,8 @@
+import type { ILogger } from '../../common/metrics/ILogger.js'
+
+/** A logger and the function that writes out what it still holds. */
+export interface RunningLogger {
+  logger: ILogger
+  /** Resolves when everything is written, at most after a second. */
+  close: () => Promise<void>
+}
--- /dev/null
+++ b/src/node/entry/createLogger.ts
@@ -0,0 +1,36 @@
+import { pino } from 'pino'
+import * as logfmtModule from 'pino-logfmt'
+import type { LogFmtTransportOptions } from 'pino-logfmt'
+import type { ILogger } from '../../common/metrics/ILogger.js'
+import type { RunningLogger } from './RunningLogger.js'
+
+type BuildStream = (options: LogFmtTransportOptions) => Promise<NodeJS.WritableStream>
+
+// The package's types leave out the default export that its README documents as the transport target.
+const buildLogfmt = (logfmtModule as unknown as { default: BuildStream }).default
+
+const CLOSE_TIMEOUT_MS = 1000
+
+/**
+ * Opens the log of this process: one key=value line per event. The formatting stream runs in this
+ * thread, because a worker thread costs about 10 MB per process. `destination` is a file descriptor or path.
+ */
+export async function createLogger (level: string, entry: string, destination: number | string = 2): Promise<RunningLogger> {
+  const stream = await buildLogfmt({ destination, includeLevelLabel: true, levelLabelKey: 'severity', formatTime: true, escapeMultilineStrings: true, flattenNestedObjects: true })
+  const base = pino({ level, base: { entry }, messageKey: 'event' }, stream)
+  const logger: ILogger = {
+    debug: (fields, event) => base.debug(fields, event),
+    info: (fields, event) => base.info(fields, event),
+    warn: (fields, event) => base.warn(fields, event),
+    error: (fields, event) => base.error(fields, event)
+  }
+  return { logger, close: async () => await closeStream(stream) }
+}
+
+async function closeStream (stream: NodeJS.WritableStream): Promise<void> {
+  await new Promise<void>(resolve => {
+    const timer = setTimeout(resolve, CLOSE_TIMEOUT_MS)
+    stream.once('close', () => { clearTimeout(timer); resolve() })
+    stream.end()
+  })
+}
