Add gossip, peer table and contract transfer between entries

Cause: entries need to know which others are alive and must obtain contracts without the log. Change: PeerTable judges heartbeats on the monotonic clock; Gossip sends datagrams of at most 500 bytes whose lists rotate; UdpPeerSocket checks size, HMAC and order; PeerServer and PeerClient transfer contracts over connect-es with an authentication header; ContractSync asks the listed entries at start and after a retention gap.

--- a/src/common/crash/ISuspectTable.ts
+++ b/src/common/crash/ISuspectTable.ts
@@ -8,4 +8,8 @@
   recordCompletion (fingerprint: string): void
   /** An upstream died with these requests of this entry in flight. */
   recordCrash (upstreamId: string, bootId: string, fingerprints: string[]): void
+  /** Fingerprints that this entry holds as suspects, for the gossip. */
+  suspects? (): string[]
+  /** Another entry holds this fingerprint as a suspect. */
+  recordPeerSuspect? (fingerprint: string): void
 }
--- /dev/null
+++ b/src/common/peer/ContractSync.test.ts
@@ -0,0 +1,69 @@
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import { expect } from 'earl'
+import { errAsync, okAsync } from 'neverthrow'
+import type { ILogFold } from '../log/ILogFold.js'
+import { ContractSync } from './ContractSync.js'
+
+const logger = { info () {}, warn () {}, error () {}, debug () {} }
+const revision = { customer: 'lin-shun', revision: 3, operator: 'mei', atMs: 1, text: '' }
+
+describe('ContractSync', () => {
+  let isCaughtUp: boolean
+  let answers: Record<string, any>
+  let offered: any[]
+  let asked: string[]
+  let fold: ILogFold
+  let sync: ContractSync
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setInterval', 'Date'] })
+    mock.method(performance, 'now', () => Date.now())
+    isCaughtUp = false
+    answers = { a: errAsync({ kind: 'peer_unavailable', message: 'down' }), b: okAsync([revision]) }
+    offered = []
+    asked = []
+    sync = new ContractSync(
+      { hasList: true, rpcAddresses: () => new Map(Object.keys(answers).map(id => [id, id])) } as any,
+      { getContracts: address => { asked.push(address); return answers[address] } },
+      { all: () => offered, offer: (item: any) => offered.push(item) } as any,
+      { addFold: (_stream: string, added: ILogFold) => { fold = added }, status: () => ({ isCaughtUp }) } as any,
+      logger)
+    sync.start()
+  })
+  afterEach(() => {
+    sync.dispose()
+    mock.timers.reset()
+    mock.restoreAll()
+  })
+  const tick = async (ms: number): Promise<void> => {
+    mock.timers.tick(ms)
+    for (let turn = 0; turn < 20; turn++) await Promise.resolve()
+  }
+
+  it('asks all listed entries once and is settled by one answer during a log outage', async () => {
+    expect(sync.isSettled).toEqual(false)
+    await tick(250)
+    expect(sync.isSettled).toEqual(true)
+    expect(offered).toEqual([revision])
+    await tick(5000)
+    expect(asked).toEqual(['a', 'b'])
+  })
+
+  it('asks again while there is no contract, because all entries may start at once', async () => {
+    answers = { a: answers['a'] }
+    await tick(250)
+    expect(sync.isSettled).toEqual(false)
+    await tick(2250)
+    expect(asked).toEqual(['a', 'a'])
+  })
+
+  it('needs both the log and the entries after a retention gap', async () => {
+    await tick(250)
+    fold.onGap(100)
+    expect(sync.isSettled).toEqual(false)
+    await tick(250)
+    expect(sync.isSettled).toEqual(false)
+    isCaughtUp = true
+    expect(sync.isSettled).toEqual(true)
+    expect(asked.length).toEqual(4)
+  })
+})
--- /dev/null
+++ b/src/common/peer/ContractSync.ts
@@ -0,0 +1,95 @@
+import type { IContractStore } from '../contract/IContractStore.js'
+import { contractStoreId } from '../contract/contractStoreId.js'
+import { Disposable } from '../kernel/Disposable.js'
+import { toDisposable } from '../kernel/toDisposable.js'
+import type { ILogHub } from '../log/ILogHub.js'
+import { logHubId } from '../log/logHubId.js'
+import type { ILogger } from '../metrics/ILogger.js'
+import { loggerId } from '../metrics/loggerId.js'
+import type { IContractSync } from './IContractSync.js'
+import type { IPeerClient } from './IPeerClient.js'
+import type { IPeerRegistry } from './IPeerRegistry.js'
+import { peerClientId } from './peerClientId.js'
+import { peerRegistryId } from './peerRegistryId.js'
+
+const CHECK_INTERVAL_MS = 250
+const FETCH_TIMEOUT_MS = 2000
+// An entry without any contract asks again, because its peers may have started at the same time.
+const RETRY_MS = 2000
+
+/** Asks the listed entries for their contracts at start and after a retention gap. */
+export class ContractSync extends Disposable implements IContractSync {
+  private readonly _fetching = new Set<string>()
+  private _lastRoundAtMs = -Infinity
+  private _isAsking = false
+  private _mustAsk = true
+  private _hasAnswer = false
+  private _hadGap = false
+  private _round = 0
+
+  constructor (
+    @peerRegistryId private readonly _peers: IPeerRegistry,
+    @peerClientId private readonly _client: IPeerClient,
+    @contractStoreId private readonly _contracts: IContractStore,
+    @logHubId private readonly _log: ILogHub,
+    @loggerId private readonly _logger: ILogger
+  ) {
+    super()
+    this._log.addFold('contracts', { apply: () => {}, onGap: () => this._onGap() })
+  }
+
+  get isSettled (): boolean {
+    const isCaughtUp = this._log.status('contracts').isCaughtUp
+    return this._hadGap ? isCaughtUp && !this._mustAsk : isCaughtUp || this._hasAnswer
+  }
+
+  start (): void {
+    const timer = setInterval(() => this._check(), CHECK_INTERVAL_MS)
+    this._register(toDisposable(() => clearInterval(timer)))
+  }
+
+  fetchFrom (peerId: string): void {
+    const address = this._peers.rpcAddresses().get(peerId)
+    if (address !== undefined) this._fetch(peerId, address)
+  }
+
+  private _onGap (): void {
+    this._hadGap = true
+    this._hasAnswer = false
+    this._mustAsk = true
+    this._round += 1
+  }
+
+  private _check (): void {
+    if (this._isAsking || !this._peers.hasList) return
+    const isRetryDue = performance.now() - this._lastRoundAtMs >= RETRY_MS
+    if (this._mustAsk || (this._contracts.all().length === 0 && isRetryDue)) this._askAll()
+  }
+
+  private async _askAll (): Promise<void> {
+    this._isAsking = true
+    const round = this._round
+    const peers = [...this._peers.rpcAddresses()]
+    const answers = await Promise.all(peers.map(async ([id, address]) => await this._fetch(id, address)))
+    this._isAsking = false
+    this._lastRoundAtMs = performance.now()
+    // Answers from before a gap must not count as answers after it.
+    if (round !== this._round) return
+    this._mustAsk = false
+    this._hasAnswer ||= answers.includes(true)
+    this._logger.info({ asked: peers.length, answered: answers.filter(Boolean).length }, 'peer_contracts_asked')
+  }
+
+  private async _fetch (peerId: string, address: string): Promise<boolean> {
+    if (this._fetching.has(peerId)) return false
+    this._fetching.add(peerId)
+    const result = await this._client.getContracts(address, FETCH_TIMEOUT_MS)
+    this._fetching.delete(peerId)
+    if (result.isErr()) {
+      this._logger.warn({ peer: peerId, reason: result.error.message }, 'peer_contracts_failed')
+      return false
+    }
+    for (const revision of result.value) this._contracts.offer(revision)
+    return result.value.length > 0
+  }
+}
--- /dev/null
+++ b/src/common/peer/Gossip.ts
@@ -0,0 +1,100 @@
+import type { Gossip as GossipMessage } from '../../gen/peer_pb.js'
+import type { IContractStore } from '../contract/IContractStore.js'
+import { contractStoreId } from '../contract/contractStoreId.js'
+import type { ISuspectTable } from '../crash/ISuspectTable.js'
+import { suspectTableId } from '../crash/suspectTableId.js'
+import { Disposable } from '../kernel/Disposable.js'
+import { toDisposable } from '../kernel/toDisposable.js'
+import type { EntrySettings } from '../settings/EntrySettings.js'
+import { entrySettingsId } from '../settings/entrySettingsId.js'
+import type { IUpstreamTable } from '../upstream/IUpstreamTable.js'
+import { upstreamTableId } from '../upstream/upstreamTableId.js'
+import { contractSyncId } from './contractSyncId.js'
+import type { GossipContent } from './GossipContent.js'
+import { GossipWriter } from './GossipWriter.js'
+import type { IContractSync } from './IContractSync.js'
+import type { IGossip } from './IGossip.js'
+import type { IPeerRegistry } from './IPeerRegistry.js'
+import type { IPeerSocket } from './IPeerSocket.js'
+import { PeerLoads } from './PeerLoads.js'
+import { peerRegistryId } from './peerRegistryId.js'
+import { peerSocketId } from './peerSocketId.js'
+
+const TARGETS_PER_INTERVAL = 2
+const TARGETS_PER_ANNOUNCEMENT = 12
+
+/** Sends the state to random entries at each interval and applies what arrives. */
+export class Gossip extends Disposable implements IGossip {
+  private readonly _writer = new GossipWriter()
+  private readonly _loads: PeerLoads
+
+  constructor (
+    @entrySettingsId private readonly _settings: EntrySettings,
+    @peerRegistryId private readonly _peers: IPeerRegistry,
+    @peerSocketId private readonly _socket: IPeerSocket,
+    @contractStoreId private readonly _contracts: IContractStore,
+    @contractSyncId private readonly _sync: IContractSync,
+    @upstreamTableId private readonly _upstreams: IUpstreamTable,
+    @suspectTableId private readonly _suspects: ISuspectTable
+  ) {
+    super()
+    this._loads = new PeerLoads(_settings.heartbeatTimeoutMs)
+  }
+
+  start (): void {
+    this._register(this._socket.onGossip(({ message, address }) => this._apply(message, address)))
+    const timer = setInterval(() => this._tick(), this._settings.gossipIntervalMs)
+    this._register(toDisposable(() => clearInterval(timer)))
+  }
+
+  announce (): void {
+    this._send(TARGETS_PER_ANNOUNCEMENT)
+  }
+
+  private _tick (): void {
+    this._send(TARGETS_PER_INTERVAL)
+    for (const [upstreamId, outstanding] of this._loads.sums()) {
+      this._upstreams.updatePeerOutstanding(upstreamId, outstanding)
+    }
+  }
+
+  private _send (targets: number): void {
+    const addresses = this._peers.peerAddresses()
+    for (let count = 0; count < targets && addresses.length > 0; count++) {
+      const [address] = addresses.splice(Math.floor(Math.random() * addresses.length), 1)
+      if (address !== undefined) this._socket.send(address, this._writer.write(this._content()))
+    }
+  }
+
+  private _content (): GossipContent {
+    return {
+      sender: this._settings.id,
+      incarnation: this._peers.incarnation,
+      failureDomain: this._settings.failureDomain,
+      isDraining: this._peers.isDraining,
+      heartbeats: this._peers.freshHeartbeats(),
+      contractHeads: this._contracts.all().map(revision => ({ customer: revision.customer, revision: revision.revision })),
+      upstreams: this._upstreams.all().map(upstream => ({
+        id: upstream.id, incarnation: upstream.incarnation, outstanding: upstream.outstanding, isLeaving: upstream.isLeaving
+      })),
+      suspects: this._suspects.suspects?.() ?? []
+    }
+  }
+
+  private _apply (message: GossipMessage, address: string): void {
+    if (message.sender === this._settings.id) return
+    this._peers.recordHeartbeat({
+      id: message.sender, incarnation: message.incarnation, sequence: Number(message.sequence), isDraining: message.draining
+    }, { address, failureDomain: message.failureDomain })
+    for (const beat of message.heartbeats) {
+      this._peers.recordHeartbeat({ id: beat.id, incarnation: beat.incarnation, sequence: Number(beat.sequence), isDraining: beat.draining })
+    }
+    for (const hint of message.upstreams) {
+      this._loads.record(hint.id, message.sender, hint.outstanding)
+      if (hint.leaving) this._upstreams.markLeaving(hint.id, hint.incarnation)
+    }
+    for (const suspect of message.suspects) this._suspects.recordPeerSuspect?.(suspect)
+    const isBehind = message.contractHeads.some(head => Number(head.revision) > (this._contracts.current(head.customer)?.revision ?? 0))
+    if (isBehind) this._sync.fetchFrom(message.sender)
+  }
+}
--- /dev/null
+++ b/src/common/peer/GossipWriter.test.ts
@@ -0,0 +1,36 @@
+import { describe, it } from 'node:test'
+import { fromBinary } from '@bufbuild/protobuf'
+import { expect } from 'earl'
+import { GossipSchema } from '../../gen/peer_pb.js'
+import type { GossipContent } from './GossipContent.js'
+import { GossipWriter } from './GossipWriter.js'
+
+const range = <T>(count: number, map: (index: number) => T): T[] => Array.from({ length: count }, (_, index) => map(index))
+
+describe('GossipWriter', () => {
+  it('stays within 460 bytes and rotates until each item was sent', () => {
+    const content: GossipContent = {
+      sender: 'entry-1',
+      incarnation: 'mabcdefghijk',
+      failureDomain: 'steam-hall',
+      isDraining: true,
+      heartbeats: range(30, index => ({ id: `entry-${index}`, incarnation: 'mabcdefghijk', sequence: 1e6, isDraining: false })),
+      contractHeads: range(20, index => ({ customer: `customer-${index}`, revision: 300 })),
+      upstreams: range(40, index => ({ id: `engine-${index}`, incarnation: 'x'.repeat(12), outstanding: 7, isLeaving: index === 39 })),
+      suspects: range(12, index => `${index}`.padStart(32, 'f'))
+    }
+    const writer = new GossipWriter()
+    const seen = new Set<string>()
+    for (let count = 0; count < 20; count++) {
+      const payload = writer.write(content)
+      expect(payload.length).toBeLessThanOrEqual(460)
+      const message = fromBinary(GossipSchema, payload)
+      expect(message.sequence).toEqual(BigInt(count + 1))
+      expect(message.upstreams[0]?.leaving).toEqual(true)
+      for (const item of [...message.heartbeats, ...message.upstreams]) seen.add(item.id)
+      for (const head of message.contractHeads) seen.add(head.customer)
+      for (const suspect of message.suspects) seen.add(suspect)
+    }
+    expect(seen.size).toEqual(30 + 20 + 40 + 12)
+  })
+})
--- /dev/null
+++ b/src/common/peer/peerSocketId.ts
@@ -0,0 +1,5 @@
+import { createServiceId } from '../kernel/createServiceId.js'
+import type { IPeerSocket } from './IPeerSocket.js'
+
+/** Identifier of the datagram socket. */
+export const peerSocketId = createServiceId<IPeerSocket>('peerSocket')
--- /dev/null
+++ b/src/node/peer/PeerServer.ts
@@ -0,0 +1,77 @@
+import { once } from 'node:events'
+import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2'
+import type { AddressInfo } from 'node:net'
+import { Code, ConnectError, type ConnectRouter, type Interceptor } from '@connectrpc/connect'
+import { connectNodeAdapter } from '@connectrpc/connect-node'
+import type { IContractStore } from '../../common/contract/IContractStore.js'
+import { contractStoreId } from '../../common/contract/contractStoreId.js'
+import { Disposable } from '../../common/kernel/Disposable.js'
+import { toDisposable } from '../../common/kernel/toDisposable.js'
+import type { ILogger } from '../../common/metrics/ILogger.js'
+import { loggerId } from '../../common/metrics/loggerId.js'
+import type { EntrySettings } from '../../common/settings/EntrySettings.js'
+import { entrySettingsId } from '../../common/settings/entrySettingsId.js'
+import { PeerService } from '../../gen/peer_pb.js'
+import { formatAddress } from './formatAddress.js'
+import { isPeerTokenValid } from './isPeerTokenValid.js'
+import { parseAddress } from './parseAddress.js'
+
+// Requests carry no fields; anything larger is no peer's request.
+const MAX_REQUEST_BYTES = 4096
+
+/** connect-es service for the other entries, over HTTP/2 without TLS. */
+export class PeerServer extends Disposable {
+  private readonly _server: Http2Server
+  private readonly _sessions = new Set<ServerHttp2Session>()
+
+  constructor (
+    @entrySettingsId private readonly _settings: EntrySettings,
+    @contractStoreId private readonly _contracts: IContractStore,
+    @loggerId private readonly _logger: ILogger
+  ) {
+    super()
+    this._server = createServer(connectNodeAdapter({
+      routes: router => this._route(router),
+      interceptors: [this._authenticate()],
+      readMaxBytes: MAX_REQUEST_BYTES
+    }))
+    this._server.on('session', session => {
+      this._sessions.add(session)
+      session.on('error', () => {})
+      session.on('close', () => this._sessions.delete(session))
+    })
+    this._register(toDisposable(() => {
+      this._server.close()
+      for (const session of this._sessions) session.destroy()
+    }))
+  }
+
+  /** Listens and returns the `ip:port`; rejects when the address is taken. */
+  async start (): Promise<string> {
+    const { host, port } = parseAddress(this._settings.rpcAddress)
+    this._server.listen(port, host)
+    await once(this._server, 'listening')
+    this._server.on('error', error => this._logger.warn({ reason: error.message }, 'peer_server_error'))
+    const bound = this._server.address() as AddressInfo
+    return formatAddress(bound.address, bound.port)
+  }
+
+  private _route (router: ConnectRouter): void {
+    router.service(PeerService, {
+      getContracts: () => ({
+        revisions: this._contracts.all().map(({ customer, revision, operator, atMs, text }) => (
+          { customer, revision: BigInt(revision), operator, atMs: BigInt(Math.round(atMs)), text }
+        ))
+      })
+    })
+  }
+
+  private _authenticate (): Interceptor {
+    return next => async request => {
+      if (!isPeerTokenValid(this._settings.peerKey, request.method.name, request.header.get('authorization'), Date.now())) {
+        throw new ConnectError('invalid authentication', Code.Unauthenticated)
+      }
+      return await next(request)
+    }
+  }
+}
--- /dev/null
+++ b/src/node/peer/openDatagram.ts
@@ -0,0 +1,21 @@
+import { createHmac, timingSafeEqual } from 'node:crypto'
+import { fromBinary } from '@bufbuild/protobuf'
+import { err, ok, type Result } from 'neverthrow'
+import { EnvelopeSchema, GossipSchema, type Gossip } from '../../gen/peer_pb.js'
+
+type Refusal = 'oversized' | 'malformed' | 'unauthenticated'
+
+const MAX_DATAGRAM_BYTES = 500
+
+/** Checks size and HMAC of a datagram and decodes it; nothing is decoded beyond the envelope before the HMAC holds. */
+export function openDatagram (datagram: Uint8Array, key: string): Result<Gossip, Refusal> {
+  if (datagram.length > MAX_DATAGRAM_BYTES) return err('oversized')
+  try {
+    const envelope = fromBinary(EnvelopeSchema, datagram)
+    const expected = createHmac('sha256', key).update(envelope.payload).digest()
+    if (envelope.mac.length !== expected.length || !timingSafeEqual(envelope.mac, expected)) return err('unauthenticated')
+    return ok(fromBinary(GossipSchema, envelope.payload))
+  } catch {
+    return err('malformed')
+  }
+}
--- /dev/null
+++ b/src/node/peer/peer.test.ts
@@ -0,0 +1,105 @@
+import { after, before, describe, it } from 'node:test'
+import { create, toBinary } from '@bufbuild/protobuf'
+import { createSocket } from 'node:dgram'
+import { connect } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { GossipSchema } from '../../gen/peer_pb.js'
+import { Metrics } from '../../common/metrics/Metrics.js'
+import { isPeerTokenValid } from './isPeerTokenValid.js'
+import { createPeerToken } from './createPeerToken.js'
+import { openDatagram } from './openDatagram.js'
+import { parseAddress } from './parseAddress.js'
+import { PeerClient } from './PeerClient.js'
+import { PeerServer } from './PeerServer.js'
+import { sealDatagram } from './sealDatagram.js'
+import { UdpPeerSocket } from './UdpPeerSocket.js'
+
+// Field tag and length of the payload stand before it.
+const PAYLOAD_START = 2
+const KEY = '0123456789abcdef'
+const logger = { info () {}, warn () {}, error () {}, debug () {} }
+const settings: any = { id: 'entry-1', peerAddress: '127.0.0.1:0', rpcAddress: '127.0.0.1:0', peerKey: KEY }
+const payload = (sequence: number, incarnation = 'b'): Uint8Array =>
+  toBinary(GossipSchema, create(GossipSchema, { sender: 'entry-2', incarnation, sequence: BigInt(sequence) }))
+
+describe('datagrams', () => {
+  it('open only with the same key, and never with changed content', () => {
+    const sealed = sealDatagram(payload(1), KEY)
+    const original = openDatagram(sealed, KEY)._unsafeUnwrap()
+    expect(openDatagram(sealed, 'another key 12345').isErr()).toEqual(true)
+    for (let index = 0; index < sealed.length; index++) {
+      const changed = Uint8Array.from(sealed)
+      changed[index] = (changed[index] ?? 0) ^ 1
+      // The decoder tolerates some changes of the framing, which leave the content as it was.
+      const opened = openDatagram(changed, KEY)
+      if (opened.isOk()) expect(opened.value).toEqual(original)
+      if (index >= PAYLOAD_START && index < PAYLOAD_START + payload(1).length) expect(opened.isErr()).toEqual(true)
+    }
+  })
+
+  it('are refused without an exception, whatever the bytes', () => {
+    fc.assert(fc.property(fc.uint8Array({ maxLength: 600 }), bytes => openDatagram(bytes, KEY).isErr()), { numRuns: 1000 })
+    fc.assert(fc.property(fc.uint8Array({ maxLength: 450 }), bytes => { openDatagram(sealDatagram(bytes, KEY), KEY) }), { numRuns: 1000 })
+    expect(openDatagram(sealDatagram(new Uint8Array(500), KEY), KEY)._unsafeUnwrapErr()).toEqual('oversized')
+  })
+})
+
+describe('UdpPeerSocket', () => {
+  it('delivers each datagram once and drops repeated, earlier and foreign ones', async () => {
+    const metrics = new Metrics()
+    const socket = new UdpPeerSocket(settings, metrics, logger)
+    const { port } = parseAddress(await socket.start())
+    const received: string[] = []
+    socket.onGossip(({ message }) => received.push(`${message.incarnation}${message.sequence}`))
+    const sender = createSocket('udp4')
+    const datagrams = [payload(1), payload(2), payload(1), payload(2), payload(9, 'a'), payload(1, 'c')].map(item => sealDatagram(item, KEY))
+    for (const datagram of [...datagrams, sealDatagram(payload(5), 'wrong key 123456')]) {
+      await new Promise(resolve => sender.send(datagram, port, '127.0.0.1', resolve))
+    }
+    await sleep(100)
+    sender.close()
+    socket.dispose()
+    expect(received).toEqual(['b1', 'b2', 'c1'])
+    const lines = (await metrics.exposition()).split('\n')
+    expect(lines).toInclude('hyssopvalve_gossip_dropped{reason="repeated"} 3')
+    expect(lines).toInclude('hyssopvalve_gossip_dropped{reason="unauthenticated"} 1')
+  })
+})
+
+describe('PeerService', () => {
+  const revision = { customer: 'lin-shun', revision: 3, operator: 'mei', atMs: 1000, text: '[contract]' }
+  const server = new PeerServer(settings, { all: () => [revision] } as any, logger)
+  let address = ''
+  before(async () => { address = await server.start() })
+  after(() => server.dispose())
+
+  it('hands out the contracts in force', async () => {
+    expect((await new PeerClient(settings).getContracts(address, 2000))._unsafeUnwrap()).toEqual([revision])
+  })
+
+  it('refuses a caller without the shared key', async () => {
+    const result = await new PeerClient({ ...settings, peerKey: 'another key 12345' }).getContracts(address, 2000)
+    expect(result._unsafeUnwrapErr().message).toInclude('unauthenticated')
+  })
+
+  it('gives up after the timeout and on a closed port', async () => {
+    const client = new PeerClient(settings)
+    expect((await client.getContracts('127.0.0.1:1', 500)).isErr()).toEqual(true)
+    const socket = connect(parseAddress(address).port, '127.0.0.1')
+    socket.on('error', () => {})
+    socket.write('GET / HTTP/1.1\r\n\r\n')
+    await sleep(50)
+    socket.destroy()
+    expect((await client.getContracts(address, 2000)).isOk()).toEqual(true)
+  })
+
+  it('accepts an authentication header for its method and for minutes only', () => {
+    const token = createPeerToken(KEY, 'GetContracts', 1_000_000)
+    expect(isPeerTokenValid(KEY, 'GetContracts', token, 1_100_000)).toEqual(true)
+    expect(isPeerTokenValid(KEY, 'Other', token, 1_100_000)).toEqual(false)
+    expect(isPeerTokenValid(KEY, 'GetContracts', token, 1_400_000)).toEqual(false)
+    expect(isPeerTokenValid(KEY, 'GetContracts', null, 0)).toEqual(false)
+  })
+})
