Add the HTTP interface for callers, trainers and operators

Cause: callers, trainers and operators need one listener with limits, authentication and error bodies that state truthfully whether a request ran. Conclusion: bad input ends in a 4xx with field and reason, and abandoned work ends.

--- /dev/null
+++ b/src/node/http/IHttpServer.ts
@@ -0,0 +1,9 @@
+/** The listener for callers, trainers and operators. */
+export interface IHttpServer {
+  /** Listens and returns the `ip:port`. */
+  start (): Promise<string>
+  /** Requests whose response is not written completely. */
+  inFlight (): number
+  /** Accepts no further connections and closes idle ones; call repeatedly while requests finish. */
+  closeIdle (): void
+}
--- /dev/null
+++ b/src/node/http/IRoutes.ts
@@ -0,0 +1,7 @@
+import type { Hono } from 'hono'
+import type { AppEnv } from './AppEnv.js'
+
+/** A part of the HTTP interface. */
+export interface IRoutes {
+  mount (app: Hono<AppEnv>): void
+}
--- /dev/null
+++ b/src/node/http/TrainerRoutes.ts
@@ -0,0 +1,100 @@
+import type { Context, Hono } from 'hono'
+import { err, ok, type Result, type ResultAsync } from 'neverthrow'
+import type { IPeerRegistry } from '../../common/peer/IPeerRegistry.js'
+import { peerRegistryId } from '../../common/peer/peerRegistryId.js'
+import type { ITrainerDesk } from '../../common/training/ITrainerDesk.js'
+import { trainerDeskId } from '../../common/training/trainerDeskId.js'
+import type { TrainingError } from '../../common/training/TrainingError.js'
+import { addRoute } from './addRoute.js'
+import type { ApiError } from './ApiError.js'
+import type { AppEnv } from './AppEnv.js'
+import type { Authenticator } from './Authenticator.js'
+import { authenticatorId } from './authenticatorId.js'
+import type { IRoutes } from './IRoutes.js'
+import { readJson } from './readJson.js'
+import { sendError } from './sendError.js'
+import { toInvalid } from './toInvalid.js'
+import { toTrainingApiError } from './toTrainingApiError.js'
+import { trainerSchemas } from './trainerSchemas.js'
+
+interface TrainerCall { customer: string, trainer: string }
+
+const PREFIX = '/v1/trainers/:trainer'
+
+/** Endpoints of the trainers. The customer always comes from the token, never from the request. */
+export class TrainerRoutes implements IRoutes {
+  constructor (
+    @authenticatorId private readonly _authenticator: Authenticator,
+    @trainerDeskId private readonly _desk: ITrainerDesk,
+    @peerRegistryId private readonly _peers: IPeerRegistry
+  ) {}
+
+  mount (app: Hono<AppEnv>): void {
+    addRoute(app, `${PREFIX}/steps`, { POST: async context => await this._submit(context) })
+    addRoute(app, `${PREFIX}/groups`, { GET: async context => await this._read(context) })
+    addRoute(app, `${PREFIX}/ack`, { POST: async context => await this._acknowledge(context) })
+    addRoute(app, `${PREFIX}/weights`, { POST: async context => await this._announce(context) })
+  }
+
+  private async _submit (context: Context<AppEnv>): Promise<Response> {
+    const call = this._authorize(context)
+    if (call.isErr()) return sendError(context, call.error)
+    const body = await readJson(context, trainerSchemas.step)
+    if (body.isErr()) return sendError(context, body.error)
+    const { customer, trainer } = call.value
+    return await respond(context, this._desk.submit(customer, trainer, body.value.step, body.value.groups), () => ({ step: body.value.step }))
+  }
+
+  private async _read (context: Context<AppEnv>): Promise<Response> {
+    const call = this._authorize(context)
+    if (call.isErr()) return sendError(context, call.error)
+    const query = trainerSchemas.read.safeParse(context.req.query())
+    if (!query.success) return sendError(context, toInvalid(query.error))
+    const { cursor, version, max, wait_ms: waitMs } = query.data
+    const result = this._desk.read({
+      ...call.value,
+      cursor,
+      version,
+      max,
+      // A draining entry responds at once, so that the trainer reads on elsewhere.
+      waitMs: this._peers.isDraining ? 0 : waitMs,
+      signal: context.req.raw.signal
+    })
+    return await respond(context, result, page => page)
+  }
+
+  private async _acknowledge (context: Context<AppEnv>): Promise<Response> {
+    const call = this._authorize(context)
+    if (call.isErr()) return sendError(context, call.error)
+    const body = await readJson(context, trainerSchemas.ack)
+    if (body.isErr()) return sendError(context, body.error)
+    const { customer, trainer } = call.value
+    return await respond(context, this._desk.acknowledge(customer, trainer, body.value.cursor), () => ({ cursor: body.value.cursor }))
+  }
+
+  private async _announce (context: Context<AppEnv>): Promise<Response> {
+    const call = this._authorize(context)
+    if (call.isErr()) return sendError(context, call.error)
+    const body = await readJson(context, trainerSchemas.weights)
+    if (body.isErr()) return sendError(context, body.error)
+    const { customer, trainer } = call.value
+    return await respond(context, this._desk.announceWeights(customer, trainer, body.value.version), () => ({ version: body.value.version }))
+  }
+
+  private _authorize (context: Context<AppEnv>): Result<TrainerCall, ApiError> {
+    return this._authenticator.customer(context).andThen(revision => {
+      const parsed = trainerSchemas.trainer.safeParse(context.req.param())
+      if (!parsed.success) return err(toInvalid(parsed.error))
+      const { trainer } = parsed.data
+      if (!Object.hasOwn(revision.contract.trainer, trainer)) {
+        return err<TrainerCall, ApiError>({ status: 404, kind: 'trainer_unknown', message: `the contract names no trainer ${trainer}`, field: 'trainer', outcome: 'not_run' })
+      }
+      return ok({ customer: revision.customer, trainer })
+    })
+  }
+}
+
+async function respond<T> (context: Context<AppEnv>, result: ResultAsync<T, TrainingError>, toBody: (value: T) => object): Promise<Response> {
+  const settled = await result
+  return settled.isOk() ? context.json(toBody(settled.value)) : sendError(context, toTrainingApiError(settled.error))
+}
--- /dev/null
+++ b/src/node/http/createApp.ts
@@ -0,0 +1,45 @@
+import { randomUUID } from 'node:crypto'
+import { Hono, type MiddlewareHandler } from 'hono'
+import { bodyLimit } from 'hono/body-limit'
+import type { ILogger } from '../../common/metrics/ILogger.js'
+import type { AppEnv } from './AppEnv.js'
+import type { IRoutes } from './IRoutes.js'
+import { sendError } from './sendError.js'
+
+const REQUEST_ID_PATTERN = /^[A-Za-z0-9._-]{1,128}$/
+
+/** Options of the application. */
+interface AppOptions {
+  routes: IRoutes[]
+  maxBodyBytes: number
+  logger: ILogger
+  /** Wraps every request, with its record in place. */
+  track: MiddlewareHandler<AppEnv>
+}
+
+/** Builds the application: request id, tracking, body limit, routes and errors in one format. */
+export function createApp (options: AppOptions): Hono<AppEnv> {
+  const app = new Hono<AppEnv>()
+  app.use(async (context, next) => {
+    const given = context.req.header('x-request-id') ?? ''
+    const requestId = REQUEST_ID_PATTERN.test(given) ? given : randomUUID()
+    context.set('record', { requestId, startedAtMs: performance.now(), outcome: 'ok', isStream: false })
+    await next()
+    context.res.headers.set('x-request-id', requestId)
+  })
+  app.use(options.track)
+  app.use(bodyLimit({
+    maxSize: options.maxBodyBytes,
+    onError: context => sendError(context, {
+      status: 413, kind: 'body_too_large', message: `the body may have at most ${options.maxBodyBytes} bytes`, outcome: 'not_run'
+    })
+  }))
+  for (const routes of options.routes) routes.mount(app)
+  app.notFound(context => sendError(context, { status: 404, kind: 'not_found', message: 'no such path', outcome: 'not_run' }))
+  app.onError((error, context) => {
+    const { requestId, customer } = context.get('record')
+    options.logger.error({ request: requestId, customer, reason: error.message, stack: error.stack }, 'request_fault')
+    return sendError(context, { status: 500, kind: 'internal_error', message: 'unexpected fault', outcome: 'unknown' })
+  })
+  return app
+}
--- /dev/null
+++ b/src/node/http/httpServerId.ts
@@ -0,0 +1,5 @@
+import { createServiceId } from '../../common/kernel/createServiceId.js'
+import type { IHttpServer } from './IHttpServer.js'
+
+/** Identifier of the HTTP listener. */
+export const httpServerId = createServiceId<IHttpServer>('httpServer')
--- /dev/null
+++ b/src/node/http/readBody.ts
@@ -0,0 +1,13 @@
+import type { Context } from 'hono'
+import { err, ok, type Result } from 'neverthrow'
+import type { ApiError } from './ApiError.js'
+import type { AppEnv } from './AppEnv.js'
+
+/** Reads the whole request body; the size limit is applied by a middleware before. */
+export async function readBody (context: Context<AppEnv>): Promise<Result<Uint8Array, ApiError>> {
+  try {
+    return ok(new Uint8Array(await context.req.arrayBuffer()))
+  } catch {
+    return err({ status: 400, kind: 'body_incomplete', message: 'the request body ended early', outcome: 'not_run' })
+  }
+}
--- /dev/null
+++ b/src/node/http/toErrorBody.ts
@@ -0,0 +1,7 @@
+import type { ApiError } from './ApiError.js'
+
+/** Body of an error response. */
+export function toErrorBody (error: ApiError): { error: Record<string, unknown> } {
+  const { kind, message, field, outcome, details } = error
+  return { error: { kind, message, ...(field === undefined ? {} : { field }), outcome, ...details } }
+}
