Add the entry daemon, its planned stop and the hyssopvalve command

Cause: the modules need a process that wires, starts and stops them, and operators a command. The wiring of the other modules is still empty, so the daemon itself does not start yet. Conclusion: the shell is complete; registerServices awaits the other modules.

--- /dev/null
+++ b/src/node/cli/CliIo.ts
@@ -0,0 +1,6 @@
+/** Surroundings of the command, replaceable in tests. */
+export interface CliIo {
+  out: (line: string) => void
+  err: (line: string) => void
+  env: Record<string, string | undefined>
+}
--- /dev/null
+++ b/src/node/cli/checkContract.ts
@@ -0,0 +1,13 @@
+import { contractSchema } from '../../common/schema/contractSchema.js'
+import { readIni } from '../../common/settings/readIni.js'
+import { CliFault } from './CliFault.js'
+import { formatIniErrors } from './formatIniErrors.js'
+import { readInputFile } from './readInputFile.js'
+
+/** Reads and checks a contract file; throws a CliFault with all faults. */
+export function checkContract (file: string): { customer: string, text: string } {
+  const text = readInputFile(file)
+  const result = readIni(text, contractSchema)
+  if (result.isErr()) throw new CliFault(2, formatIniErrors(file, result.error))
+  return { customer: result.value.contract.customer, text }
+}
--- /dev/null
+++ b/src/node/cli/main.ts
@@ -0,0 +1,14 @@
+#!/usr/bin/env node
+import { readFileSync } from 'node:fs'
+import { runCli } from './runCli.js'
+
+const packageFile = new URL('../../../../package.json', import.meta.url)
+const { version } = JSON.parse(readFileSync(packageFile, 'utf8')) as { version: string }
+
+process.exitCode = await runCli(process.argv, version, {
+  out: line => console.log(line),
+  err: line => console.error(line),
+  env: process.env
+})
+// Sockets of a failed start must not keep the process alive.
+if (process.exitCode !== 0) process.exit()
--- /dev/null
+++ b/src/node/cli/runCli.ts
@@ -0,0 +1,93 @@
+import { cac, type CAC } from 'cac'
+import { registerServices } from '../entry/registerServices.js'
+import { overridableFields } from '../../common/settings/overridableFields.js'
+import { AdminClient } from './AdminClient.js'
+import { CliFault } from './CliFault.js'
+import type { CliIo } from './CliIo.js'
+import { flagOf } from './flagOf.js'
+import { loadSettings } from './loadSettings.js'
+import { runContractCommand } from './runContractCommand.js'
+import { runEntryCommand } from './runEntryCommand.js'
+
+type Options = Record<string, unknown>
+
+// A flag would show the key in the list of processes.
+const FIELDS_WITHOUT_FLAG = ['entry.peer_key']
+
+/** Runs the `hyssopvalve` command and returns its exit code: 0, 1 for failures, 2 for invalid input. */
+export async function runCli (argv: string[], version: string, io: CliIo): Promise<number> {
+  const cli = cac('hyssopvalve')
+  let exitCode = 0
+  addEntryCommand(cli, io, code => { exitCode = code })
+  addAdminCommands(cli, io)
+  cli.version(version)
+  cli.help()
+  addExamples(cli)
+  try {
+    const { args, options } = cli.parse(argv, { run: false })
+    if (options['help'] === true || options['version'] === true) return 0
+    if (cli.matchedCommand === undefined) {
+      throw new CliFault(2, [args[0] === undefined ? 'a command is missing, see --help' : `unknown command ${args[0]}, see --help`])
+    }
+    await cli.runMatchedCommand()
+    return exitCode
+  } catch (error) {
+    const isUsage = error instanceof Error && error.name === 'CACError'
+    if (!isUsage && !(error instanceof CliFault)) throw error
+    for (const line of error instanceof CliFault ? error.lines : [error.message]) io.err(line)
+    return error instanceof CliFault ? error.exitCode : 2
+  }
+}
+
+function addEntryCommand (cli: CAC, io: CliIo, setExitCode: (code: number) => void): void {
+  const command = cli.command('entry', 'Run an entry daemon')
+    .option('--config <file>', 'Settings file (INI)')
+    .option('--log-level <level>', 'debug, info, warn or error', { default: 'info' })
+    .example('  hyssopvalve entry --config /etc/hyssopvalve/entry.ini')
+    .example('  HYSSOPVALVE_ENTRY_LISTEN=10.0.0.7:8080 hyssopvalve entry --config entry.ini --timing-lease-ms 8000')
+  for (const field of overridableFields) {
+    if (!FIELDS_WITHOUT_FLAG.includes(field)) command.option(`${flagOf(field)} <value>`, `Overrides ${field}`)
+  }
+  command.action(async (options: Options) => {
+    const logLevel = String(options['logLevel'])
+    if (!['debug', 'info', 'warn', 'error'].includes(logLevel)) throw new CliFault(2, ['--log-level: must be debug, info, warn or error'])
+    if (options['config'] === undefined) throw new CliFault(2, ['--config: is missing'])
+    setExitCode(await runEntryCommand(loadSettings(String(options['config']), options, io), logLevel, io, registerServices))
+  })
+}
+
+function addAdminCommands (cli: CAC, io: CliIo): void {
+  cli.option('--admin <ip:port>', 'Address of an entry, or HYSSOPVALVE_ADMIN')
+  cli.option('--token <token>', 'Operator token, better by HYSSOPVALVE_TOKEN')
+  cli.command('contract <action> <target>', 'check FILE, publish FILE, show CUSTOMER, diff CUSTOMER or history CUSTOMER')
+    .option('--base-revision <number>', 'Revision that was edited; 0 for a first contract')
+    .option('--revision <number>', 'Revision to compare with the one before it')
+    .example('  hyssopvalve contract check lin-shun.ini')
+    .example('  hyssopvalve contract publish lin-shun.ini --base-revision 4 --admin 10.0.0.7:8080')
+    .example('  hyssopvalve contract diff lin-shun --revision 5')
+    .action(async (action: string, target: string, options: Options) =>
+      await runContractCommand(action, String(target), options, () => connect(options, io), io))
+  cli.command('status', 'Show the state of an entry').action(async (options: Options) => {
+    io.out(JSON.stringify(await connect(options, io).call('GET', '/status'), undefined, 2))
+  })
+  cli.command('audit', 'Show who changed which contract, one JSON object per line').action(async (options: Options) => {
+    for (const event of (await connect(options, io).call('GET', '/audit')).events) io.out(JSON.stringify(event))
+  })
+}
+
+function addExamples (cli: CAC): void {
+  cli.example('  hyssopvalve entry --config entry.ini')
+  cli.example('  hyssopvalve contract check lin-shun.ini')
+  cli.example('  hyssopvalve contract publish lin-shun.ini --base-revision 4')
+  cli.example('  hyssopvalve status --admin 10.0.0.7:8080')
+}
+
+function connect (options: Options, io: CliIo): AdminClient {
+  const address = options['admin'] ?? io.env['HYSSOPVALVE_ADMIN']
+  const token = options['token'] ?? io.env['HYSSOPVALVE_TOKEN']
+  if (address === undefined) throw new CliFault(2, ['--admin or HYSSOPVALVE_ADMIN: is missing'])
+  if (token === undefined || token === '') throw new CliFault(2, ['--token or HYSSOPVALVE_TOKEN: is missing'])
+  // The argument parser turns digits into numbers, which loses leading zeros and long values.
+  if (typeof token === 'number') throw new CliFault(2, ['--token: a token of digits must be given by HYSSOPVALVE_TOKEN'])
+  return new AdminClient(String(address), String(token))
+}
--- /dev/null
+++ b/src/node/cli/runContractCommand.ts
@@ -0,0 +1,58 @@
+import type { AdminClient } from './AdminClient.js'
+import { checkContract } from './checkContract.js'
+import { CliFault } from './CliFault.js'
+import type { CliIo } from './CliIo.js'
+
+interface ContractOptions { baseRevision?: unknown, revision?: unknown }
+
+/** Runs `contract <action> <target>`; `connect` is called only by actions that need an entry. */
+export async function runContractCommand (action: string, target: string, options: ContractOptions, connect: () => AdminClient, io: CliIo): Promise<void> {
+  switch (action) {
+    case 'check':
+      io.out(`valid contract of ${checkContract(target).customer}`)
+      return
+    case 'publish':
+      return await publish(target, options, connect, io)
+    case 'show':
+      io.out((await connect().call('GET', pathOf(target))).text)
+      return
+    case 'history':
+      for (const item of (await connect().call('GET', `${pathOf(target)}/history`)).revisions) io.out(formatRevision(item))
+      return
+    case 'diff':
+      return await diff(target, options, connect, io)
+    default:
+      throw new CliFault(2, [`unknown action ${action}: use check, publish, show, diff or history`])
+  }
+}
+
+async function publish (file: string, options: ContractOptions, connect: () => AdminClient, io: CliIo): Promise<void> {
+  const { customer, text } = checkContract(file)
+  const baseRevision = options.baseRevision
+  if (typeof baseRevision !== 'number' || !Number.isSafeInteger(baseRevision) || baseRevision < 0) {
+    throw new CliFault(2, ['--base-revision: must be the revision that was edited, 0 for a first contract'])
+  }
+  const published = await connect().call('POST', pathOf(customer), { base_revision: baseRevision, text }, file)
+  io.out(`published ${formatRevision(published)}`)
+}
+
+async function diff (customer: string, options: ContractOptions, connect: () => AdminClient, io: CliIo): Promise<void> {
+  const { revisions } = await connect().call('GET', `${pathOf(customer)}/history`)
+  const wanted = options.revision ?? revisions.at(-1).revision
+  const item = revisions.find((candidate: any) => candidate.revision === wanted)
+  if (item === undefined) throw new CliFault(1, [`revision ${String(wanted)} of ${customer} is not known any more`])
+  io.out(formatRevision(item))
+  for (const change of item.changes) io.out(formatChange(change))
+}
+
+function pathOf (customer: string): string {
+  return `/contracts/${encodeURIComponent(customer)}`
+}
+
+function formatRevision (item: any): string {
+  return `customer=${item.customer} revision=${item.revision} operator=${item.operator} time=${new Date(item.at_ms).toISOString()}`
+}
+
+function formatChange (change: any): string {
+  return `  ${change.field}: ${JSON.stringify(change.before) ?? 'absent'} -> ${JSON.stringify(change.after) ?? 'absent'}`
+}
--- /dev/null
+++ b/src/node/cli/runEntryCommand.test.ts
@@ -0,0 +1,43 @@
+import { describe, it } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { expect } from 'earl'
+import { readEntrySettings } from '../../common/settings/readEntrySettings.js'
+import { registerFakes } from '../entry/testing/registerFakes.js'
+import { CliFault } from './CliFault.js'
+import { runEntryCommand } from './runEntryCommand.js'
+
+const settings = readEntrySettings(`[entry]
+id = entry-1
+failure_domain = steam-hall
+listen = 127.0.0.1:0
+peer = 127.0.0.1:0
+rpc = 127.0.0.1:0
+peer_key = 0123456789abcdef
+[platform]
+log = 127.0.0.1:1
+membership = 127.0.0.1:1
+[timing]
+drain_notice_ms = 50
+`)._unsafeUnwrap()
+
+describe('runEntryCommand', () => {
+  it('prints the address when it listens, and exits with 0 when the first signal has drained it', async () => {
+    const lines: string[] = []
+    const io = { out: (line: string) => { lines.push(line) }, err () {}, env: {} }
+    const running = runEntryCommand(settings, 'error', io, registry =>
+      registerFakes(registry, { callMs: () => 300, deadlineMs: 1000, otherWork: () => 0, onFlush () {} }))
+    while (lines.length === 0) await sleep(5)
+    expect(lines[0]).toMatchRegex(/^ready 127\.0\.0\.1:\d+$/)
+    const call = fetch(`http://${lines[0]?.slice('ready '.length)}/v1/services/order-app/x`, { headers: { authorization: 'Bearer token' } })
+    await sleep(50)
+    process.emit('SIGTERM', 'SIGTERM')
+    expect((await call).status).toEqual(200)
+    expect(await running).toEqual(0)
+    process.removeAllListeners('SIGTERM').removeAllListeners('SIGINT')
+  })
+
+  it('fails with one line when a service is missing or an address is taken', async () => {
+    const io = { out () {}, err () {}, env: {} }
+    await expect(runEntryCommand(settings, 'error', io, () => ({ startOrder: [], inFlight: () => 0 }))).toBeRejectedWith(CliFault, 'the entry cannot start')
+  })
+})
--- /dev/null
+++ b/src/node/cli/runEntryCommand.ts
@@ -0,0 +1,37 @@
+import type { EntrySettings } from '../../common/settings/EntrySettings.js'
+import { createLogger } from '../entry/createLogger.js'
+import { Entry } from '../entry/Entry.js'
+import type { ServiceRegistration } from '../entry/ServiceRegistration.js'
+import { CliFault } from './CliFault.js'
+import type { CliIo } from './CliIo.js'
+
+/** Runs the entry daemon until a signal has drained it; returns the exit code. */
+export async function runEntryCommand (settings: EntrySettings, logLevel: string, io: CliIo, registerServices: ServiceRegistration): Promise<number> {
+  const { logger, close } = await createLogger(logLevel, settings.id)
+  let entry: Entry | undefined
+  try {
+    entry = new Entry(settings, logger, registerServices)
+    const address = await entry.start()
+    logger.info({ address, failure_domain: settings.failureDomain }, 'entry_started')
+    io.out(`ready ${address}`)
+  } catch (error) {
+    entry?.dispose()
+    await close()
+    throw new CliFault(1, [`the entry cannot start: ${(error as Error).message}`])
+  }
+  logger.info({ signal: await waitForSignal() }, 'signal_received')
+  const isDrained = await entry.drain()
+  entry.dispose()
+  await close()
+  return isDrained ? 0 : 1
+}
+
+/** Resolves at the first signal; from then on a second one exits at once. */
+async function waitForSignal (): Promise<string> {
+  const signals = ['SIGTERM', 'SIGINT'] as const
+  const first = await new Promise<string>(resolve => {
+    for (const signal of signals) process.once(signal, resolve)
+  })
+  for (const signal of signals) process.removeAllListeners(signal).on(signal, () => process.exit(1))
+  return first
+}
--- /dev/null
+++ b/src/node/entry/testing/registerFakes.ts
@@ -0,0 +1,37 @@
+import { createHash } from 'node:crypto'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { okAsync } from 'neverthrow'
+import { admissionId } from '../../../common/admission/admissionId.js'
+import { contractPublisherId } from '../../../common/contract/contractPublisherId.js'
+import { contractStoreId } from '../../../common/contract/contractStoreId.js'
+import { suspectTableId } from '../../../common/crash/suspectTableId.js'
+import { forwarderId } from '../../../common/forward/forwarderId.js'
+import { generatorId } from '../../../common/generation/generatorId.js'
+import type { IServiceRegistry } from '../../../common/kernel/IServiceRegistry.js'
+import { logHubId } from '../../../common/log/logHubId.js'
+import { trainerDeskId } from '../../../common/training/trainerDeskId.js'
+import { upstreamTableId } from '../../../common/upstream/upstreamTableId.js'
+import { contractDiffId } from '../../http/contractDiffId.js'
+import type { RegisteredServices } from '../RegisteredServices.js'
+
+interface FakeOptions { callMs: () => number, deadlineMs: number, otherWork: () => number, onFlush: () => void }
+
+const TOKEN_DIGEST = createHash('sha256').update('token').digest('hex')
+
+/** Registers stand-ins for the other modules: one contract whose token is `token`, and calls of a given length. */
+export function registerFakes (registry: IServiceRegistry, options: FakeOptions): RegisteredServices {
+  const work = { lookup: { service: 'order-app', kind: 'call', methods: [], path: '/', deadline_ms: options.deadlineMs, repeat: 'allowed' } }
+  const revision: any = { customer: 'lin-shun', revision: 1, contract: { access: { token_sha256: [TOKEN_DIGEST] }, work, trainer: {} } }
+  const register = (id: any, fake: object): unknown => registry.register(id, fake)
+  register(contractStoreId, { all: () => [revision], current: () => revision, findByTokenDigest: () => revision, offer () {} })
+  register(logHubId, { addFold () {}, status: () => ({ isCaughtUp: true }), flush: async () => options.onFlush() })
+  register(upstreamTableId, { all: () => [], updatePeerOutstanding () {} })
+  register(forwarderId, {
+    forward: () => okAsync(1).map(async () => {
+      await sleep(options.callMs())
+      return { status: 200, headers: {}, body: Buffer.from('done') }
+    })
+  })
+  for (const id of [suspectTableId, admissionId, generatorId, trainerDeskId, contractPublisherId, contractDiffId]) register(id, {})
+  return { startOrder: [], inFlight: options.otherWork }
+}
