Hear replaced entries whose clock is behind

Cause: incarnations sort by start time, so a replaced host with a clock behind stayed unheard for as long as its predecessor was remembered; a single fetch did not count as a peer's answer. Change: PeerTable and ReplayGuard forget an entry after ten heartbeat timeouts of silence; ContractSync counts every fetch since the last gap. Conclusion: a wrong clock keeps an entry out for 30 s at the default timeout, not for hours.

--- a/src/common/peer/ContractSync.ts
+++ b/src/common/peer/ContractSync.ts
@@ -76,13 +76,13 @@
     // Answers from before a gap must not count as answers after it.
     if (round !== this._round) return
     this._mustAsk = false
-    this._hasAnswer ||= answers.includes(true)
     this._logger.info({ asked: peers.length, answered: answers.filter(Boolean).length }, 'peer_contracts_asked')
   }
 
   private async _fetch (peerId: string, address: string): Promise<boolean> {
     if (this._fetching.has(peerId)) return false
     this._fetching.add(peerId)
+    const round = this._round
     const result = await this._client.getContracts(address, FETCH_TIMEOUT_MS)
     this._fetching.delete(peerId)
     if (result.isErr()) {
@@ -90,6 +90,7 @@
       return false
     }
     for (const revision of result.value) this._contracts.offer(revision)
-    return result.value.length > 0
+    if (result.value.length > 0 && round === this._round) this._hasAnswer = true
+    return true
   }
 }
--- a/src/common/peer/PeerTable.test.ts
+++ b/src/common/peer/PeerTable.test.ts
@@ -48,6 +48,14 @@
     expect(table.liveIds()).toEqual(['entry-1', 'entry-2'])
   })
 
+  it('hears a replaced host with a lower incarnation after ten timeouts', () => {
+    table.updateMembers([member('entry-2')])
+    table.recordHeartbeat(beat('entry-2', 5, 'b'))
+    mock.timers.tick(30_300)
+    table.recordHeartbeat(beat('entry-2', 1, 'a'))
+    expect(table.liveIds()).toEqual(['entry-1', 'entry-2'])
+  })
+
   it('leaves out draining entries, by heartbeat, list or own state', () => {
     table.recordHeartbeat(beat('entry-2', 1, 'b', true))
     table.recordHeartbeat(beat('entry-3', 1))
--- a/src/common/peer/PeerTable.ts
+++ b/src/common/peer/PeerTable.ts
@@ -21,8 +21,9 @@
 const CHECKS_PER_TIMEOUT = 10
 // A heartbeat passed on for the whole timeout at each hop would keep a dead entry alive for several timeouts.
 const FRESH_PART_OF_TIMEOUT = 1 / 3
-// Entries that were replaced under a new id are forgotten after this many timeouts.
-const FORGET_TIMEOUTS = 100
+// After this many timeouts the heartbeats of an entry are forgotten, so that a replaced host whose
+// clock is behind, and whose incarnation is therefore lower, is heard again.
+const FORGET_TIMEOUTS = 10
 
 /** Other entries by heartbeat and membership list; aliveness is judged on the monotonic clock. */
 export class PeerTable extends Disposable implements IPeerRegistry {
@@ -130,7 +131,7 @@
   private _check (): void {
     const forgetBefore = performance.now() - this._settings.heartbeatTimeoutMs * FORGET_TIMEOUTS
     for (const record of this._records.values()) {
-      if (record.heardAtMs < forgetBefore && !this._members.has(record.id)) this._records.delete(record.id)
+      if (record.heardAtMs < forgetBefore) this._records.delete(record.id)
     }
     const live = this.liveIds().join()
     if (live === this._liveKey) return
--- a/src/node/peer/UdpPeerSocket.ts
+++ b/src/node/peer/UdpPeerSocket.ts
@@ -17,10 +17,13 @@
 import { parseAddress } from './parseAddress.js'
 import { sealDatagram } from './sealDatagram.js'
 
+// The peer table forgets silent entries after the same time.
+const FORGET_TIMEOUTS = 10
+
 /** The UDP socket of the gossip. */
 export class UdpPeerSocket extends Disposable implements IPeerSocket {
   private readonly _onGossip = this._register(new Emitter<{ message: Gossip, address: string }>())
-  private readonly _guard = new ReplayGuard()
+  private readonly _guard: ReplayGuard
   private readonly _socket: Socket
   private _isClosed = false
   readonly onGossip = this._onGossip.event
@@ -31,6 +34,7 @@
     @loggerId private readonly _logger: ILogger
   ) {
     super()
+    this._guard = new ReplayGuard(_settings.heartbeatTimeoutMs * FORGET_TIMEOUTS)
     const type = parseAddress(_settings.peerAddress).host.includes(':') ? 'udp6' : 'udp4'
     this._socket = createSocket(type)
     this._register(toDisposable(() => {
--- a/src/node/peer/peer.test.ts
+++ b/src/node/peer/peer.test.ts
@@ -7,6 +7,7 @@
 import fc from 'fast-check'
 import { GossipSchema } from '../../gen/peer_pb.js'
 import { Metrics } from '../../common/metrics/Metrics.js'
+import { ReplayGuard } from '../../common/peer/ReplayGuard.js'
 import { isPeerTokenValid } from './isPeerTokenValid.js'
 import { createPeerToken } from './createPeerToken.js'
 import { openDatagram } from './openDatagram.js'
@@ -20,7 +21,7 @@
 const PAYLOAD_START = 2
 const KEY = '0123456789abcdef'
 const logger = { info () {}, warn () {}, error () {}, debug () {} }
-const settings: any = { id: 'entry-1', peerAddress: '127.0.0.1:0', rpcAddress: '127.0.0.1:0', peerKey: KEY }
+const settings: any = { id: 'entry-1', peerAddress: '127.0.0.1:0', rpcAddress: '127.0.0.1:0', peerKey: KEY, heartbeatTimeoutMs: 3000 }
 const payload = (sequence: number, incarnation = 'b'): Uint8Array =>
   toBinary(GossipSchema, create(GossipSchema, { sender: 'entry-2', incarnation, sequence: BigInt(sequence) }))
 
@@ -46,6 +47,15 @@
   })
 })
 
+describe('ReplayGuard', () => {
+  it('forgets a silent sender, whose successor may have a lower incarnation', async () => {
+    const guard = new ReplayGuard(30)
+    expect([guard.accept('entry-2', 'b', 2n), guard.accept('entry-2', 'a', 9n)]).toEqual([true, false])
+    await sleep(40)
+    expect(guard.accept('entry-2', 'a', 1n)).toEqual(true)
+  })
+})
+
 describe('UdpPeerSocket', () => {
   it('delivers each datagram once and drops repeated, earlier and foreign ones', async () => {
     const metrics = new Metrics()
