Check that a drain ends only after the last response

Cause: a trial without the count of HTTP requests in the drain passed all tests. Change: the drain test disposes the entry as soon as the drain ends; a test covers HEAD calls.

--- a/src/node/entry/Entry.test.ts
+++ b/src/node/entry/Entry.test.ts
@@ -74,8 +74,10 @@
     const late = call()
     await sleep(250)
     await expect(fetch(`${url}/livez`)).toBeRejectedWith('fetch failed')
-    expect([await running, await late]).toEqual(['200 done', '200 done'])
     expect(await drained).toEqual(true)
+    // What is still open now would be cut off.
+    entry.dispose()
+    expect([await running, await late]).toEqual(['200 done', '200 done'])
     expect(flushed).toEqual(true)
   })
 
--- a/src/node/http/ServiceRoutes.test.ts
+++ b/src/node/http/ServiceRoutes.test.ts
@@ -29,6 +29,15 @@
     expect(['authorization', 'host', 'content-length', 'x-deadline-ms'].filter(name => name in seen.headers)).toEqual([])
   })
 
+  it('gives HEAD to the service as HEAD, for a class that allows it', async () => {
+    expect((await bed.send('HEAD', '/v1/services/order-app/orders')).status).toEqual(403)
+    const lookup = bed.contracts[0]?.contract.work['lookup']
+    lookup?.methods.push('HEAD')
+    const { status, json } = await bed.send('HEAD', '/v1/services/order-app/orders')
+    expect([status, json, seen.method]).toEqual([201, '', 'HEAD'])
+    lookup?.methods.pop()
+  })
+
   it('refuses calls that no class covers', async () => {
     const paths = ['/v1/services/order-app/admin', '/v1/services/order-app/orders-old', '/v1/services/order-app', '/v1/services/kapu/orders']
     for (const path of paths) expect([path, (await bed.send('GET', path)).status]).toEqual([path, 403])
