Test the exchange between entries over loopback sockets

Cause: gossip, datagram socket and contract transfer had been tested separately only. Change: a test runs three peers with UDP sockets and connect-es servers on loopback. Conclusion: the parts work together with fast timing (20 ms interval, 400 ms timeout).

--- /dev/null
+++ b/src/node/peer/exchange.test.ts
@@ -0,0 +1,78 @@
+import { describe, it } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { expect } from 'earl'
+import { ContractSync } from '../../common/peer/ContractSync.js'
+import { Gossip } from '../../common/peer/Gossip.js'
+import { PeerTable } from '../../common/peer/PeerTable.js'
+import type { Member } from '../../common/schema/Member.js'
+import { Metrics } from '../../common/metrics/Metrics.js'
+import { PeerClient } from './PeerClient.js'
+import { PeerServer } from './PeerServer.js'
+import { UdpPeerSocket } from './UdpPeerSocket.js'
+
+const logger = { info () {}, warn () {}, error () {}, debug () {} }
+
+class Node {
+  readonly revisions = new Map<string, any>()
+  readonly settings: any
+  readonly contracts: any = {
+    all: () => [...this.revisions.values()],
+    current: (customer: string) => this.revisions.get(customer),
+    offer: (revision: any) => this.revisions.set(revision.customer, revision)
+  }
+
+  readonly socket: UdpPeerSocket
+  readonly table: PeerTable
+  readonly server: PeerServer
+  readonly sync: ContractSync
+  readonly gossip: Gossip
+  member!: Member
+
+  constructor (readonly id: string) {
+    this.settings = { id, failureDomain: `domain-${id}`, peerAddress: '127.0.0.1:0', rpcAddress: '127.0.0.1:0', peerKey: '0123456789abcdef', heartbeatTimeoutMs: 400, gossipIntervalMs: 20 }
+    this.socket = new UdpPeerSocket(this.settings, new Metrics(), logger)
+    this.table = new PeerTable(this.settings, logger)
+    this.server = new PeerServer(this.settings, this.contracts, logger)
+    this.sync = new ContractSync(this.table, new PeerClient(this.settings), this.contracts, { addFold () {}, status: () => ({ isCaughtUp: false }) } as any, logger)
+    this.gossip = new Gossip(this.settings, this.table, this.socket, this.contracts, this.sync, { all: () => [], updatePeerOutstanding () {} } as any, {} as any)
+  }
+
+  async start (): Promise<void> {
+    const peerAddress = await this.socket.start()
+    const rpcAddress = await this.server.start()
+    this.member = { id: this.id, role: 'entry', address: '', peer_address: peerAddress, rpc_address: rpcAddress, failure_domain: this.settings.failureDomain, state: 'live', incarnation: '' }
+    this.table.start()
+    this.sync.start()
+    this.gossip.start()
+  }
+
+  dispose (): void {
+    for (const part of [this.gossip, this.sync, this.server, this.socket, this.table]) part.dispose()
+  }
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  for (let attempt = 0; attempt < 200 && !condition(); attempt++) await sleep(20)
+  expect(condition()).toEqual(true)
+}
+
+describe('exchange between entries over loopback', () => {
+  it('makes entries known to each other, spreads contracts and notices a dead entry', async () => {
+    const nodes = ['entry-1', 'entry-2', 'entry-3'].map(id => new Node(id))
+    for (const node of nodes) await node.start()
+    const [first, second, third] = nodes as [Node, Node, Node]
+    first.revisions.set('lin-shun', { customer: 'lin-shun', revision: 1, operator: 'mei', atMs: 1, text: 't1' })
+    for (const node of nodes) node.table.updateMembers(nodes.map(other => other.member))
+    await until(() => nodes.every(node => node.table.liveIds().length === 3 && node.revisions.get('lin-shun')?.text === 't1'))
+    expect(second.sync.isSettled).toEqual(true)
+    third.revisions.set('lin-shun', { customer: 'lin-shun', revision: 2, operator: 'mei', atMs: 2, text: 't2' })
+    await until(() => nodes.every(node => node.revisions.get('lin-shun')?.revision === 2))
+    third.table.startDraining()
+    third.gossip.announce()
+    await until(() => first.table.liveIds().join() === 'entry-1,entry-2')
+    second.dispose()
+    await until(() => first.table.liveIds().join() === 'entry-1')
+    first.dispose()
+    third.dispose()
+  })
+})
