Add undici client that classifies upstream errors by bytes written

Cause: callers may be told not_run only when no byte of a request reached an upstream, and a late or cut answer must never pass as whole. Change: Exchange drives undici's dispatch interface directly. A request counts as sent from onRequestStart on; a second start is refused. A failed exchange aborts its connection.

--- /dev/null
+++ b/src/node/upstream/Exchange.ts
@@ -0,0 +1,128 @@
+import type { Dispatcher } from 'undici'
+import type { UpstreamError } from '../../common/upstream/UpstreamError.js'
+import type { UpstreamRequest } from '../../common/upstream/UpstreamRequest.js'
+import { hasWholeFraming } from './hasWholeFraming.js'
+import type { IExchangeSink } from './IExchangeSink.js'
+import { toAnswerHeaders } from './toAnswerHeaders.js'
+
+/** Longest delay of a timer of the runtime; a longer one would fire at once. */
+const MAX_TIMER_MS = 2_147_483_647
+
+/**
+ * One request on one connection. Errors are classified by whether undici began to write the request:
+ * before `onRequestStart` nothing was written, after it the request may have run.
+ */
+export class Exchange implements Dispatcher.DispatchHandler {
+  private _controller?: Dispatcher.DispatchController
+  private _isOver = false
+  private readonly _timer: NodeJS.Timeout
+  private readonly _onAbort = (): void => {
+    this.fail({ kind: 'cancelled', message: 'request was cancelled', sent: this._isSent })
+  }
+
+  constructor (
+    private readonly _request: UpstreamRequest,
+    private readonly _signal: AbortSignal,
+    private readonly _sink: IExchangeSink
+  ) {
+    const delayMs = Math.max(0, _request.deadlineAtMs - performance.now())
+    this._timer = setTimeout(() => this._onDeadline(), Math.min(delayMs, MAX_TIMER_MS))
+    _signal.addEventListener('abort', this._onAbort)
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    if (this._isOver) {
+      // The deadline passed or the caller left while the connection was being opened: nothing is written.
+      controller.abort(new Error('request is over'))
+      return
+    }
+    if (this._isSent) {
+      // undici puts a request back in its queue in rare cases; a request must not be written twice.
+      controller.abort(new Error('request was sent before'))
+      this.fail({ kind: 'reset', message: 'connection ended before the answer', sent: true })
+      return
+    }
+    this._controller = controller
+  }
+
+  onResponseStart (_controller: Dispatcher.DispatchController, status: number, raw: Record<string, string | string[] | undefined>): void {
+    if (this._isOver || status < 200) {
+      return
+    }
+    const echo = raw['x-request-id']
+    if (echo !== undefined && echo !== this._request.requestId) {
+      this.fail({ kind: 'mismatched', message: 'answer carries the id of another request', sent: true })
+      return
+    }
+    if (!hasWholeFraming(this._request.method, status, raw)) {
+      this.fail({ kind: 'truncated', message: 'answer is delimited only by the end of the connection', sent: true })
+      return
+    }
+    this._failOn(this._sink.onHead(status, toAnswerHeaders(raw)))
+  }
+
+  onResponseData (controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+    if (!this._isOver) {
+      this._failOn(this._sink.onData(chunk, () => controller.pause(), () => controller.resume()))
+    }
+  }
+
+  onResponseEnd (): void {
+    if (this._finish()) {
+      this._sink.onEnd()
+    }
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    if (!this._isSent) {
+      this.fail({ kind: 'connect_failed', message: describe(error), sent: false })
+    } else {
+      this.fail({ kind: this._sawHead(error) ? 'truncated' : 'reset', message: describe(error), sent: true })
+    }
+  }
+
+  /** Ends the exchange with an error and destroys its connection. */
+  fail (error: UpstreamError): void {
+    if (this._finish()) {
+      this._controller?.abort(new Error(error.message))
+      this._sink.onError(error)
+    }
+  }
+
+  private get _isSent (): boolean {
+    return this._controller !== undefined
+  }
+
+  private _onDeadline (): void {
+    if (this._isSent) {
+      this.fail({ kind: 'timeout', message: 'no whole answer before the deadline', sent: true })
+    } else {
+      this.fail({ kind: 'deadline_before_send', message: 'deadline passed before the request was sent', sent: false })
+    }
+  }
+
+  private _sawHead (error: Error): boolean {
+    return this._controller?.rawHeaders != null || (error as { code?: string }).code === 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH'
+  }
+
+  private _failOn (error: UpstreamError | undefined): void {
+    if (error !== undefined) {
+      this.fail(error)
+    }
+  }
+
+  private _finish (): boolean {
+    if (this._isOver) {
+      return false
+    }
+    this._isOver = true
+    clearTimeout(this._timer)
+    this._signal.removeEventListener('abort', this._onAbort)
+    return true
+  }
+}
+
+function describe (error: Error): string {
+  const code = (error as { code?: string }).code
+  return code === undefined ? error.message : `${code}: ${error.message}`
+}
--- /dev/null
+++ b/src/node/upstream/HttpUpstreamClient.test.ts
@@ -0,0 +1,208 @@
+import { createServer, type RequestListener, type Server } from 'node:http'
+import { createServer as createTcpServer, type AddressInfo, type Server as TcpServer, type Socket } from 'node:net'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import type { EntrySettings } from '../../common/settings/EntrySettings.js'
+import type { UpstreamRequest } from '../../common/upstream/UpstreamRequest.js'
+import { HttpUpstreamClient } from './HttpUpstreamClient.js'
+
+const settings = { maxBodyBytes: 1000, maxHeaderBytes: 16_384 } as EntrySettings
+const never = new AbortController().signal
+const HEAD = 'HTTP/1.1 200 OK\r\n'
+
+describe('HttpUpstreamClient', () => {
+  let client: HttpUpstreamClient
+  let servers: Array<Server | TcpServer>
+  let connections: number
+
+  beforeEach(() => {
+    client = new HttpUpstreamClient(settings)
+    servers = []
+    connections = 0
+  })
+
+  afterEach(() => {
+    client.dispose()
+    servers.forEach((server) => server.close())
+  })
+
+  async function listen (server: Server | TcpServer): Promise<string> {
+    servers.push(server)
+    server.on('connection', () => { connections++ })
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`
+  }
+
+  const http = (listener: RequestListener): Promise<string> => listen(createServer(listener))
+
+  /** Serves raw bytes; the callback runs once for each packet that starts a request. */
+  const raw = (onRequest: (socket: Socket, text: string) => void): Promise<string> => listen(createTcpServer((socket) => {
+    socket.on('error', () => undefined)
+    socket.on('data', (data) => onRequest(socket, data.toString()))
+  }))
+
+  function request (requestId: string, patch: Partial<UpstreamRequest> = {}): UpstreamRequest {
+    return { requestId, method: 'GET', path: '/x', headers: {}, deadlineAtMs: performance.now() + 1000, ...patch }
+  }
+
+  const failure = async (address: string, patch: Partial<UpstreamRequest> = {}): Promise<unknown> => {
+    const error = (await client.call(address, request('a', patch), never))._unsafeUnwrapErr()
+    return { kind: error.kind, sent: error.sent }
+  }
+
+  it('passes an answer on and drops hop-by-hop headers in both directions', async () => {
+    let seen: Record<string, unknown> = {}
+    const address = await http((req, res) => {
+      seen = req.headers
+      res.setHeader('connection', 'keep-alive, x-hop')
+      res.setHeader('x-hop', '1')
+      res.setHeader('x-kept', '1')
+      res.end('hello')
+    })
+    const headers = { Connection: 'x-private', 'x-private': '1', TE: 'trailers', host: 'other', 'x-own': '2' }
+    const answer = (await client.call(address, request('a', { headers }), never))._unsafeUnwrap()
+    expect(Buffer.from(answer.body).toString()).toEqual('hello')
+    expect(answer.headers['x-kept']).toEqual('1')
+    expect(Object.keys(answer.headers).filter((name) => name === 'x-hop' || name === 'connection')).toEqual([])
+    expect([seen['x-private'], seen.te, seen['x-own'], seen['x-request-id'], seen.host]).toEqual([undefined, undefined, '2', 'a', address])
+  })
+
+  it('never gives a late answer to the next request', async () => {
+    const socketsById = new Map<string, Socket>()
+    const address = await raw((socket, text) => {
+      const id = /x-request-id: (\w+)/.exec(text)?.[1] ?? ''
+      socketsById.set(id, socket)
+      const reply = (): unknown => socket.write(`${HEAD}Content-Length: 1\r\n\r\n${id}`)
+      setTimeout(reply, id === 'a' ? 80 : 0)
+    })
+    expect(await failure(address, { deadlineAtMs: performance.now() + 40 })).toEqual({ kind: 'timeout', sent: true })
+    const answer = (await client.call(address, request('b'), never))._unsafeUnwrap()
+    expect(Buffer.from(answer.body).toString()).toEqual('b')
+    expect(socketsById.get('a') === socketsById.get('b')).toEqual(false)
+  })
+
+  it('sends one request at a time on a connection and reuses it', async () => {
+    const address = await http((_req, res) => { setTimeout(() => res.end('x'), 20) })
+    await Promise.all([client.call(address, request('a'), never), client.call(address, request('b'), never)])
+    expect(connections).toEqual(2)
+    // undici offers a connection again one turn of the event loop after its answer.
+    await new Promise((resolve) => setTimeout(resolve, 5))
+    await client.call(address, request('c'), never)
+    expect(connections).toEqual(2)
+  })
+
+  it('reports a truncated body, in Content-Length and in chunked framing', async () => {
+    const byLength = await raw((socket) => socket.end(`${HEAD}Content-Length: 10\r\n\r\nabc`))
+    expect(await failure(byLength)).toEqual({ kind: 'truncated', sent: true })
+    const byChunks = await raw((socket) => socket.end(`${HEAD}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n`))
+    expect(await failure(byChunks)).toEqual({ kind: 'truncated', sent: true })
+  })
+
+  it('does not accept a body that ends with the connection', async () => {
+    const address = await raw((socket) => socket.end(`${HEAD}Connection: close\r\n\r\nabc`))
+    expect(await failure(address)).toEqual({ kind: 'truncated', sent: true })
+  })
+
+  it('reports a reset after sending as sent, and sends once', async () => {
+    let requests = 0
+    const address = await raw((socket) => { requests++; socket.resetAndDestroy() })
+    expect(await failure(address)).toEqual({ kind: 'reset', sent: true })
+    expect(requests).toEqual(1)
+  })
+
+  it('reports a refused connection as not sent', async () => {
+    const address = await raw(() => undefined)
+    await new Promise((resolve) => servers[0]!.close(resolve))
+    expect(await failure(address)).toEqual({ kind: 'connect_failed', sent: false })
+  })
+
+  it('refuses an answer with the id of another request', async () => {
+    const address = await raw((socket) => socket.write(`${HEAD}X-Request-Id: b\r\nContent-Length: 1\r\n\r\nb`))
+    expect(await failure(address)).toEqual({ kind: 'mismatched', sent: true })
+  })
+
+  it('does not repeat a request on a kept connection that the upstream closes unanswered', async () => {
+    let requests = 0
+    const address = await raw((socket) => {
+      requests++
+      if (requests === 1) {
+        socket.write(`${HEAD}Content-Length: 1\r\n\r\na`)
+      } else {
+        socket.destroy()
+      }
+    })
+    await client.call(address, request('a'), never)
+    await new Promise((resolve) => setTimeout(resolve, 20))
+    expect(await failure(address)).toEqual({ kind: 'reset', sent: true })
+    expect(requests).toEqual(2)
+  })
+
+  it('opens a new connection when the kept one was closed while idle', async () => {
+    const address = await raw((socket) => socket.end(`${HEAD}Content-Length: 1\r\n\r\na`))
+    await client.call(address, request('a'), never)
+    await new Promise((resolve) => setTimeout(resolve, 20))
+    expect((await client.call(address, request('b'), never)).isOk()).toEqual(true)
+  })
+
+  it('refuses before sending when the deadline has passed or the caller is gone', async () => {
+    let requests = 0
+    const address = await raw(() => { requests++ })
+    expect(await failure(address, { deadlineAtMs: performance.now() - 1 })).toEqual({ kind: 'deadline_before_send', sent: false })
+    const aborted = (await client.call(address, request('a'), AbortSignal.abort()))._unsafeUnwrapErr()
+    expect([aborted.kind, aborted.sent, requests]).toEqual(['cancelled', false, 0])
+  })
+
+  it('closes the connection of a cancelled request', async () => {
+    const controller = new AbortController()
+    let onClose: () => void
+    const closed = new Promise<void>((resolve) => { onClose = resolve })
+    const address = await raw((socket) => {
+      socket.on('close', () => onClose())
+      controller.abort()
+    })
+    const error = (await client.call(address, request('a'), controller.signal))._unsafeUnwrapErr()
+    expect([error.kind, error.sent]).toEqual(['cancelled', true])
+    await closed
+  })
+
+  it('bounds the body', async () => {
+    const address = await http((_req, res) => { res.end('x'.repeat(1001)) })
+    expect(await failure(address)).toEqual({ kind: 'truncated', sent: true })
+  })
+
+  async function events (address: string): Promise<string[]> {
+    const stream = (await client.stream(address, request('a'), never))._unsafeUnwrap()
+    const seen: string[] = []
+    for await (const event of stream.events) {
+      seen.push(event.match((data) => data, (error) => `error ${error.kind}`))
+    }
+    return seen
+  }
+
+  it('yields events in order when packets split lines, characters and line ends', async () => {
+    const body = Buffer.from('data: ű1\r\n\r\n: note\r\ndata: a\r\ndata: b\r\n\r\ndata: [DONE]\r\n\r\n')
+    const address = await http(async (_req, res) => {
+      for (const byte of body) {
+        res.write(Buffer.from([byte]))
+        await new Promise((resolve) => setImmediate(resolve))
+      }
+      res.end()
+    })
+    expect(await events(address)).toEqual(['ű1', 'a\nb', '[DONE]'])
+  })
+
+  it('ends a stream without its end marker as truncated', async () => {
+    const ended = await http((_req, res) => { res.end('data: 1\n\n') })
+    expect(await events(ended)).toEqual(['1', 'error truncated'])
+    const cut = await http((_req, res) => { res.write('data: 1\n\n', () => res.destroy()) })
+    expect(await events(cut)).toEqual(['1', 'error truncated'])
+  })
+
+  it('bounds an event and hands a long stream to a slow reader in order', async () => {
+    const oversized = await http((_req, res) => { res.end(`data: ${'x'.repeat(1_100_000)}`) })
+    expect(await events(oversized)).toEqual(['error truncated'])
+    const data = Array.from({ length: 50_000 }, (_, index) => String(index)).concat('[DONE]')
+    const long = await http((_req, res) => { res.end(data.map((item) => `data: ${item}\n\n`).join('')) })
+    expect(await events(long)).toEqual(data)
+  })
+})
--- /dev/null
+++ b/src/node/upstream/HttpUpstreamClient.ts
@@ -0,0 +1,102 @@
+import { err, ResultAsync, type Result } from 'neverthrow'
+import { Agent } from 'undici'
+import { Disposable } from '../../common/kernel/Disposable.js'
+import { toDisposable } from '../../common/kernel/toDisposable.js'
+import type { EntrySettings } from '../../common/settings/EntrySettings.js'
+import { entrySettingsId } from '../../common/settings/entrySettingsId.js'
+import type { IUpstreamClient } from '../../common/upstream/IUpstreamClient.js'
+import type { UpstreamAnswer } from '../../common/upstream/UpstreamAnswer.js'
+import type { UpstreamError } from '../../common/upstream/UpstreamError.js'
+import type { UpstreamRequest } from '../../common/upstream/UpstreamRequest.js'
+import type { UpstreamStream } from '../../common/upstream/UpstreamStream.js'
+import { EventStreamSink } from './EventStreamSink.js'
+import { Exchange } from './Exchange.js'
+import type { IExchangeSink } from './IExchangeSink.js'
+import { toRequestHeaders } from './toRequestHeaders.js'
+import { WholeAnswerSink } from './WholeAnswerSink.js'
+
+/** Allows one retransmission of a lost SYN, which the kernel sends after 1 s. */
+const CONNECT_TIMEOUT_MS = 1_500
+/** Idle time after which a connection is closed; below the common 5 s of servers, to lose fewer races with their close. */
+const KEEP_ALIVE_MS = 4_000
+
+type Settle<T> = (result: Result<T, UpstreamError>) => void
+
+/** IUpstreamClient on undici, used below its retrying and body-consuming interfaces. */
+export class HttpUpstreamClient extends Disposable implements IUpstreamClient {
+  private readonly _agent: Agent
+
+  constructor (@entrySettingsId private readonly _settings: EntrySettings) {
+    super()
+    this._agent = new Agent({
+      // One request at a time on a connection, and as many connections as there are requests.
+      pipelining: 1,
+      connections: null,
+      allowH2: false,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveMaxTimeout: KEEP_ALIVE_MS,
+      maxHeaderSize: this._settings.maxHeaderBytes,
+      // The deadline of each request limits its time.
+      headersTimeout: 0,
+      bodyTimeout: 0
+    })
+    this._register(toDisposable(() => { this._agent.destroy().catch(() => undefined) }))
+  }
+
+  call (address: string, request: UpstreamRequest, signal: AbortSignal): ResultAsync<UpstreamAnswer, UpstreamError> {
+    return this._start(address, request, signal, (settle: Settle<UpstreamAnswer>) => {
+      return new WholeAnswerSink(this._settings.maxBodyBytes, settle)
+    })
+  }
+
+  stream (address: string, request: UpstreamRequest, signal: AbortSignal): ResultAsync<UpstreamStream, UpstreamError> {
+    return this._start(address, request, signal, (settle: Settle<UpstreamStream>, close) => {
+      return new EventStreamSink(settle, close)
+    })
+  }
+
+  private _start<T> (
+    address: string,
+    request: UpstreamRequest,
+    signal: AbortSignal,
+    createSink: (settle: Settle<T>, close: () => void) => IExchangeSink
+  ): ResultAsync<T, UpstreamError> {
+    return new ResultAsync(new Promise<Result<T, UpstreamError>>((resolve) => {
+      const refusal = this._refusal(request, signal)
+      if (refusal !== undefined) {
+        resolve(err(refusal))
+        return
+      }
+      const close = (): void => exchange.fail({ kind: 'cancelled', message: 'reader closed the stream', sent: true })
+      const exchange: Exchange = new Exchange(request, signal, createSink(resolve, close))
+      this._dispatch(address, request, exchange)
+    }))
+  }
+
+  private _dispatch (address: string, request: UpstreamRequest, exchange: Exchange): void {
+    try {
+      this._agent.dispatch({
+        origin: `http://${address}`,
+        path: request.path,
+        method: request.method as 'GET',
+        headers: toRequestHeaders(request),
+        body: request.body ?? null,
+        idempotent: false
+      }, exchange)
+    } catch (error) {
+      // undici rejects a malformed request before it opens a connection.
+      exchange.fail({ kind: 'connect_failed', message: String(error), sent: false })
+    }
+  }
+
+  private _refusal (request: UpstreamRequest, signal: AbortSignal): UpstreamError | undefined {
+    if (signal.aborted) {
+      return { kind: 'cancelled', message: 'request was cancelled before it was sent', sent: false }
+    }
+    if (performance.now() >= request.deadlineAtMs) {
+      return { kind: 'deadline_before_send', message: 'deadline passed before the request was sent', sent: false }
+    }
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/node/upstream/WholeAnswerSink.ts
@@ -0,0 +1,40 @@
+import { err, ok, type Result } from 'neverthrow'
+import type { UpstreamAnswer } from '../../common/upstream/UpstreamAnswer.js'
+import type { UpstreamError } from '../../common/upstream/UpstreamError.js'
+import type { IExchangeSink } from './IExchangeSink.js'
+
+/** Collects a whole answer of bounded size. */
+export class WholeAnswerSink implements IExchangeSink {
+  private readonly _chunks: Uint8Array[] = []
+  private _size = 0
+  private _status = 0
+  private _headers: Record<string, string> = {}
+
+  constructor (
+    private readonly _maxBodyBytes: number,
+    private readonly _settle: (result: Result<UpstreamAnswer, UpstreamError>) => void
+  ) {}
+
+  onHead (status: number, headers: Record<string, string>): UpstreamError | undefined {
+    this._status = status
+    this._headers = headers
+    return undefined
+  }
+
+  onData (chunk: Uint8Array): UpstreamError | undefined {
+    this._size += chunk.length
+    if (this._size > this._maxBodyBytes) {
+      return { kind: 'truncated', message: `answer exceeds ${this._maxBodyBytes} bytes`, sent: true }
+    }
+    this._chunks.push(chunk)
+    return undefined
+  }
+
+  onEnd (): void {
+    this._settle(ok({ status: this._status, headers: this._headers, body: new Uint8Array(Buffer.concat(this._chunks)) }))
+  }
+
+  onError (error: UpstreamError): void {
+    this._settle(err(error))
+  }
+}
