--- a/src/common/upstream/Upstream.ts
+++ b/src/common/upstream/Upstream.ts
@@ -1,4 +1,6 @@
 import type { LoadReport } from '../schema/LoadReport.js'
+import type { InFlightRequest } from './InFlightRequest.js'
+import type { IServiceTimes } from './IServiceTimes.js'
 
 /** What this entry knows about one upstream. */
 export interface Upstream {
@@ -24,4 +26,12 @@
   unitTimeMs: number
   /** Adaptive limit of this entry's requests in flight. */
   limit: number
+  /** Requests of this entry that were in flight when the load report was read. */
+  outstandingAtReport?: number
+  /** `performance.now()` at which it became reachable again; absent if it never was down. */
+  recoveredAtMs?: number
+  /** Requests of this entry in flight. */
+  inFlight?: ReadonlySet<InFlightRequest>
+  /** Time estimates by size of work; absent where nothing was measured. */
+  times?: IServiceTimes
 }
--- /dev/null
+++ b/src/common/upstream/UpstreamRecord.ts
@@ -0,0 +1,133 @@
+import type { LoadReport } from '../schema/LoadReport.js'
+import type { Member } from '../schema/Member.js'
+import type { InFlightRequest } from './InFlightRequest.js'
+import { ServiceTimes } from './ServiceTimes.js'
+import type { Upstream } from './Upstream.js'
+
+/** First limit of an upstream that has not been measured. */
+const INITIAL_LIMIT = 8
+/** Limit of an upstream that has just come back, so that its traffic grows gradually. */
+const RECOVERY_LIMIT = 2
+/** Time after a reset within which a refused connection or a new boot id makes it a crash. */
+const RESET_MEMORY_MS = 10_000
+
+/** One upstream of the table, with the states that the interface combines. */
+export class UpstreamRecord implements Upstream {
+  readonly id: string
+  service: string
+  address: string
+  failureDomain: string
+  incarnation: string
+  isLeaving = false
+  isDown = false
+  load?: LoadReport
+  loadReadAtMs?: number
+  outstanding = 0
+  outstandingLong = 0
+  outstandingAtReport?: number
+  peerOutstanding = 0
+  unitTimeMs = 0
+  limit = INITIAL_LIMIT
+  recoveredAtMs?: number
+  readonly inFlight = new Set<InFlightRequest>()
+  readonly times = new ServiceTimes()
+  downSinceMs = 0
+  failuresInRow = 0
+  pollFailuresInRow = 0
+  lastCompletionMs = -Infinity
+  private _bootId?: string
+  private _crashedBootId?: string
+  /** Incarnation whose leaving state ended with a newer boot id; the list may still show it for a while. */
+  private _endedIncarnation?: string
+  private _resets: Array<{ fingerprint: string, atMs: number }> = []
+
+  constructor (member: Member) {
+    this.id = member.id
+    this.service = member.service ?? ''
+    this.address = member.address
+    this.failureDomain = member.failure_domain
+    this.incarnation = member.incarnation
+    this.isLeaving = member.state === 'leaving'
+  }
+
+  get bootId (): string {
+    return this._bootId ?? `incarnation-${this.incarnation}`
+  }
+
+  /** Takes over the membership list's view; leaving stays until a new incarnation. */
+  updateMember (member: Member): void {
+    if (member.incarnation !== this.incarnation) {
+      this.incarnation = member.incarnation
+      this.isLeaving = false
+      this._endedIncarnation = undefined
+    }
+    if (member.state === 'live') {
+      this._endedIncarnation = undefined
+    }
+    this.service = member.service ?? ''
+    this.address = member.address
+    this.failureDomain = member.failure_domain
+    if (member.state === 'leaving') {
+      this.markLeaving(member.incarnation)
+    }
+  }
+
+  markLeaving (incarnation: string): void {
+    if (incarnation === this.incarnation && incarnation !== this._endedIncarnation) {
+      this.isLeaving = true
+    }
+  }
+
+  /** Takes over a load report; returns true when the boot id known so far has ended. */
+  updateLoad (report: LoadReport, nowMs: number): boolean {
+    const isNewBoot = this._bootId !== undefined && report.boot_id !== this._bootId
+    this.load = report
+    this.loadReadAtMs = nowMs
+    this.outstandingAtReport = this.outstanding
+    this.pollFailuresInRow = 0
+    if (!isNewBoot) {
+      this._bootId = report.boot_id
+      this.isLeaving ||= report.state === 'leaving'
+    }
+    return isNewBoot
+  }
+
+  /** Starts the state of a new boot; the old boot's leaving state ends with it. */
+  startBoot (report: LoadReport): void {
+    if (this.isLeaving) {
+      this._endedIncarnation = this.incarnation
+    }
+    this._bootId = report.boot_id
+    this._resets = []
+    this.isLeaving = report.state === 'leaving'
+  }
+
+  recover (nowMs: number): void {
+    this.isDown = false
+    this.failuresInRow = 0
+    this.recoveredAtMs = nowMs
+    this.limit = RECOVERY_LIMIT
+  }
+
+  recordReset (fingerprint: string, nowMs: number): void {
+    this._resets.push({ fingerprint, atMs: nowMs })
+    this._resets = this._resets.filter((reset) => nowMs - reset.atMs <= RESET_MEMORY_MS)
+  }
+
+  hasRecentReset (nowMs: number): boolean {
+    return this._resets.some((reset) => nowMs - reset.atMs <= RESET_MEMORY_MS)
+  }
+
+  /** Fingerprints to blame for the end of this boot, or `undefined` when it was reported already. */
+  takeCrash (nowMs: number): string[] | undefined {
+    if (this._crashedBootId === this.bootId) {
+      return undefined
+    }
+    this._crashedBootId = this.bootId
+    const recent = this._resets.filter((reset) => nowMs - reset.atMs <= RESET_MEMORY_MS)
+    const fingerprints = [...recent, ...this.inFlight].map((request) => request.fingerprint)
+    this._resets = []
+    // The platform may cut off what is left on an upstream that leaves; that is no crash.
+    return this.isLeaving ? [] : [...new Set(fingerprints)]
+  }
+}
--- /dev/null
+++ b/src/node/upstream/LoadPoller.ts
@@ -0,0 +1,128 @@
+import { Disposable } from '../../common/kernel/Disposable.js'
+import { toDisposable } from '../../common/kernel/toDisposable.js'
+import type { IMetrics } from '../../common/metrics/IMetrics.js'
+import { metricsId } from '../../common/metrics/metricsId.js'
+import { loadReportSchema } from '../../common/schema/loadReportSchema.js'
+import type { EntrySettings } from '../../common/settings/EntrySettings.js'
+import { entrySettingsId } from '../../common/settings/entrySettingsId.js'
+import type { IUpstreamClient } from '../../common/upstream/IUpstreamClient.js'
+import type { IUpstreamObserver } from '../../common/upstream/IUpstreamObserver.js'
+import type { IUpstreamTable } from '../../common/upstream/IUpstreamTable.js'
+import type { Upstream } from '../../common/upstream/Upstream.js'
+import { upstreamClientId } from '../../common/upstream/upstreamClientId.js'
+import { upstreamObserverId } from '../../common/upstream/upstreamObserverId.js'
+import { upstreamTableId } from '../../common/upstream/upstreamTableId.js'
+import { fetchJson } from './fetchJson.js'
+import { jittered } from './jittered.js'
+
+const MAX_TIMEOUT_MS = 1_000
+/** First interval of the probes of an upstream that is down; it doubles up to the poll interval. */
+const FIRST_PROBE_MS = 100
+
+interface Poll {
+  timer?: NodeJS.Timeout
+  isRunning: boolean
+  /** A probe was wanted while a poll that began before was running. */
+  isWantedAgain: boolean
+  probeMs: number
+}
+
+/** Polls the load report of each upstream, spread over time, and probes those whose state is in doubt at once. */
+export class LoadPoller extends Disposable {
+  private readonly _polls = new Map<string, Poll>()
+  private readonly _abort = new AbortController()
+
+  constructor (
+    @upstreamClientId private readonly _client: IUpstreamClient,
+    @upstreamTableId private readonly _table: IUpstreamTable,
+    @upstreamObserverId private readonly _observer: IUpstreamObserver,
+    @entrySettingsId private readonly _settings: EntrySettings,
+    @metricsId private readonly _metrics: IMetrics
+  ) {
+    super()
+    this._register(toDisposable(() => this._stop()))
+  }
+
+  start (): void {
+    this._register(this._table.onChange((upstream) => this._follow(upstream)))
+    this._register(this._observer.onProbeWanted((upstream) => this._probe(upstream)))
+    for (const upstream of this._table.all()) {
+      this._follow(upstream)
+    }
+  }
+
+  private _follow (upstream: Upstream): void {
+    if (this._abort.signal.aborted || this._polls.has(upstream.id) || this._table.get(upstream.id) === undefined) {
+      return
+    }
+    const poll: Poll = { isRunning: false, isWantedAgain: false, probeMs: FIRST_PROBE_MS }
+    this._polls.set(upstream.id, poll)
+    // A random first delay spreads the polls of a list that arrives at once.
+    this._schedule(upstream.id, poll, Math.random() * this._settings.loadPollMs)
+  }
+
+  private _probe (upstream: Upstream): void {
+    const poll = this._polls.get(upstream.id)
+    if (poll === undefined) {
+      return
+    }
+    if (poll.isRunning) {
+      poll.isWantedAgain = true
+    } else if (!upstream.isDown) {
+      this._schedule(upstream.id, poll, 0)
+    } else {
+      this._schedule(upstream.id, poll, jittered(poll.probeMs))
+    }
+  }
+
+  private _schedule (upstreamId: string, poll: Poll, delayMs: number): void {
+    clearTimeout(poll.timer)
+    poll.timer = setTimeout(() => {
+      poll.isRunning = true
+      this._run(upstreamId, poll).catch(() => this._metrics.count('load_poll_faults_total'))
+    }, delayMs)
+  }
+
+  private async _run (upstreamId: string, poll: Poll): Promise<void> {
+    const upstream = this._table.get(upstreamId)
+    if (upstream === undefined) {
+      this._polls.delete(upstreamId)
+      return
+    }
+    const startedAtMs = performance.now()
+    const timeoutMs = Math.min(MAX_TIMEOUT_MS, this._settings.loadPollMs)
+    const answer = await fetchJson(this._client, upstream.address, '/v1/load', timeoutMs, this._abort.signal)
+    poll.isRunning = false
+    if (this._abort.signal.aborted) {
+      return
+    }
+    const report = loadReportSchema.safeParse(answer.unwrapOr(undefined))
+    if (report.success) {
+      this._observer.updateLoad(upstreamId, report.data, startedAtMs)
+    } else {
+      this._metrics.count('load_poll_failures_total', { service: upstream.service })
+      this._observer.reportPollFailure(upstreamId, answer.isErr() && answer.error.isRefused)
+    }
+    this._schedule(upstreamId, poll, this._nextDelay(upstreamId, poll))
+  }
+
+  private _nextDelay (upstreamId: string, poll: Poll): number {
+    const isWantedAgain = poll.isWantedAgain
+    poll.isWantedAgain = false
+    if (this._table.get(upstreamId)?.isDown === true) {
+      const probeMs = poll.probeMs
+      poll.probeMs = Math.min(probeMs * 2, Math.max(FIRST_PROBE_MS, this._settings.loadPollMs))
+      return jittered(probeMs)
+    }
+    poll.probeMs = FIRST_PROBE_MS
+    return isWantedAgain ? 0 : jittered(this._settings.loadPollMs)
+  }
+
+  private _stop (): void {
+    this._abort.abort()
+    for (const poll of this._polls.values()) {
+      clearTimeout(poll.timer)
+    }
+    this._polls.clear()
+  }
+}
