Add suspect table that blocks requests proven to crash upstreams

Cause: a request that crashes each upstream that runs it must be refused, and innocent requests that died beside it must not. Change: SuspectTable merges the crash records of all entries by upstream and boot id and judges anew on each record. A second crash blocks only a sole suspect, after 1 s in which other entries' records can arrive; a third always. Completion clears. Conclusion: completions are known only to the entry that saw them, which delays clearing on others by up to the ten minutes of memory.

--- a/src/common/crash/ISuspectTable.ts
+++ b/src/common/crash/ISuspectTable.ts
@@ -8,4 +8,9 @@
   recordCompletion (fingerprint: string): void
   /** An upstream died with these requests of this entry in flight. */
   recordCrash (upstreamId: string, bootId: string, fingerprints: string[]): void
+  /**
+   * True for a short time after a crash that would block the request, until the crash records of
+   * other entries can have arrived; the request must wait until then.
+   */
+  isSettling (fingerprint: string): boolean
 }
--- /dev/null
+++ b/src/common/crash/SuspectTable.ts
@@ -0,0 +1,164 @@
+import { Disposable } from '../kernel/Disposable.js'
+import type { ILogFold } from '../log/ILogFold.js'
+import type { ILogHub } from '../log/ILogHub.js'
+import type { LogEntry } from '../log/LogEntry.js'
+import { logHubId } from '../log/logHubId.js'
+import type { ILogger } from '../metrics/ILogger.js'
+import { loggerId } from '../metrics/loggerId.js'
+import { claimRecordSchema } from '../schema/claimRecordSchema.js'
+import type { CrashEvent } from './CrashEvent.js'
+import type { ISuspectGossip } from './ISuspectGossip.js'
+import type { ISuspectTable } from './ISuspectTable.js'
+
+/** Time for which crashes are remembered. */
+const MEMORY_MS = 600_000
+/** Crashes that block a request whichever others were in flight. */
+const MAX_CRASHES = 3
+/** Crashes that block a request when it was the only suspect in flight at the last one. */
+const MAX_CRASHES_ALONE = 2
+/** Time for the crash records of other entries to arrive; appends are 50 ms apart and reads follow at once. */
+const SETTLE_MS = 1_000
+/** Time for which a peer's hint makes a request a suspect. */
+const PEER_HINT_MS = 10_000
+
+interface Verdict {
+  crashes: number
+  isSoleSuspect: boolean
+  lastAtMs: number
+}
+
+/** ISuspectTable on the `crash` records of the `claims` stream; add it to the log hub as a fold of that stream. */
+export class SuspectTable extends Disposable implements ISuspectTable, ISuspectGossip, ILogFold {
+  /** Events by upstream and boot id, in order of their first record. */
+  private readonly _events = new Map<string, CrashEvent>()
+  /** `Date.now()` of the last completion of requests that were suspects. */
+  private readonly _completedAtMs = new Map<string, number>()
+  private readonly _peerHintsAtMs = new Map<string, number>()
+  private _verdicts = new Map<string, Verdict>()
+
+  constructor (
+    @logHubId private readonly _log: ILogHub,
+    @loggerId private readonly _logger: ILogger
+  ) {
+    super()
+  }
+
+  isBlocked (fingerprint: string): boolean {
+    return this._isCondemned(fingerprint) && !this.isSettling(fingerprint)
+  }
+
+  isSettling (fingerprint: string): boolean {
+    const verdict = this._verdict(fingerprint)
+    return verdict !== undefined && this._isCondemned(fingerprint) && Date.now() - verdict.lastAtMs < SETTLE_MS
+  }
+
+  isSuspect (fingerprint: string): boolean {
+    const hintAtMs = this._peerHintsAtMs.get(fingerprint) ?? -Infinity
+    return this._verdict(fingerprint) !== undefined || Date.now() - hintAtMs < PEER_HINT_MS
+  }
+
+  recordCompletion (fingerprint: string): void {
+    if (!this.isSuspect(fingerprint)) {
+      return
+    }
+    this._peerHintsAtMs.delete(fingerprint)
+    this._completedAtMs.set(fingerprint, Date.now())
+    this._judge()
+  }
+
+  recordCrash (upstreamId: string, bootId: string, fingerprints: string[]): void {
+    if (fingerprints.length === 0) {
+      return
+    }
+    this._logger.warn({ upstream: upstreamId, bootId, requests: fingerprints.length }, 'suspects_recorded')
+    this._merge(upstreamId, bootId, fingerprints, Date.now())
+    this._log.appendEventually('claims', {
+      type: 'crash', id: crypto.randomUUID(), upstream: upstreamId, boot_id: bootId, fingerprints
+    } as { id: string })
+  }
+
+  apply (entry: LogEntry): void {
+    const record = claimRecordSchema.safeParse(entry.value)
+    if (record.success && record.data.type === 'crash') {
+      const { upstream, boot_id: bootId, fingerprints } = record.data
+      this._merge(upstream, bootId, fingerprints, Math.min(Date.now(), entry.timeMs))
+    }
+  }
+
+  /** Crash records older than retention are older than the time for which they are remembered. */
+  onGap (): void {}
+
+  suspects (): string[] {
+    return [...this._verdicts.entries()]
+      .sort(([, left], [, right]) => right.lastAtMs - left.lastAtMs)
+      .map(([fingerprint]) => fingerprint)
+      .filter((fingerprint) => this._verdict(fingerprint) !== undefined)
+  }
+
+  noteSuspects (fingerprints: string[]): void {
+    const nowMs = Date.now()
+    for (const fingerprint of fingerprints) {
+      const completedAtMs = this._completedAtMs.get(fingerprint) ?? -Infinity
+      // A peer goes on naming a request for a while after it completed here.
+      if (nowMs - completedAtMs > MEMORY_MS) {
+        this._peerHintsAtMs.set(fingerprint, nowMs)
+      }
+    }
+    forget(this._peerHintsAtMs, nowMs - PEER_HINT_MS)
+  }
+
+  private _verdict (fingerprint: string): Verdict | undefined {
+    const verdict = this._verdicts.get(fingerprint)
+    return verdict !== undefined && Date.now() - verdict.lastAtMs < MEMORY_MS ? verdict : undefined
+  }
+
+  private _isCondemned (fingerprint: string): boolean {
+    const verdict = this._verdict(fingerprint)
+    if (verdict === undefined) {
+      return false
+    }
+    return verdict.crashes >= MAX_CRASHES || (verdict.crashes >= MAX_CRASHES_ALONE && verdict.isSoleSuspect)
+  }
+
+  private _merge (upstreamId: string, bootId: string, fingerprints: string[], atMs: number): void {
+    if (Date.now() - atMs >= MEMORY_MS) {
+      return
+    }
+    const key = `${upstreamId}/${bootId}`
+    const event = this._events.get(key) ?? { atMs, fingerprints: new Set() }
+    event.atMs = Math.min(event.atMs, atMs)
+    fingerprints.forEach((fingerprint) => event.fingerprints.add(fingerprint))
+    this._events.set(key, event)
+    this._judge()
+  }
+
+  /** Judges all requests anew, because a late record may add suspects to an event that is known already. */
+  private _judge (): void {
+    const nowMs = Date.now()
+    const verdicts = new Map<string, Verdict>()
+    for (const [key, event] of this._events) {
+      if (nowMs - event.atMs >= MEMORY_MS) this._events.delete(key)
+    }
+    forget(this._completedAtMs, nowMs - MEMORY_MS)
+    for (const event of [...this._events.values()].sort((left, right) => left.atMs - right.atMs)) {
+      const blamed = [...event.fingerprints].filter((item) => event.atMs > (this._completedAtMs.get(item) ?? -Infinity))
+      const suspects = [...event.fingerprints].filter((item) => verdicts.has(item))
+      for (const fingerprint of blamed) {
+        const before = verdicts.get(fingerprint)
+        const isSole = suspects.length === 1 && suspects[0] === fingerprint
+        verdicts.set(fingerprint, {
+          crashes: (before?.crashes ?? 0) + 1,
+          isSoleSuspect: isSole || before?.isSoleSuspect === true,
+          lastAtMs: event.atMs
+        })
+      }
+    }
+    this._verdicts = verdicts
+  }
+}
+
+function forget (times: Map<string, number>, beforeMs: number): void {
+  for (const [key, atMs] of times) {
+    if (atMs < beforeMs) times.delete(key)
+  }
+}
