Add admission with adaptive limits, fair queues and suspect handling

Cause: short work must not wait behind long work, customers share places by contract, and work that cannot meet its deadline must be refused at once. Change: per service and size a fair queue by share and deadline, a limit per upstream that follows smoothed time per unit (AIMD), a part of the places kept for short work, and a gate on the estimated load of all entries. Conclusion: the deadline estimate uses the shortest time, not the average, because calls of differing length share a size.

--- /dev/null
+++ b/src/common/admission/Admission.ts
@@ -0,0 +1,287 @@
+import { err, ok, ResultAsync, type Result } from 'neverthrow'
+import type { IContractStore } from '../contract/IContractStore.js'
+import { contractStoreId } from '../contract/contractStoreId.js'
+import type { ISuspectTable } from '../crash/ISuspectTable.js'
+import { suspectTableId } from '../crash/suspectTableId.js'
+import { Disposable } from '../kernel/Disposable.js'
+import { toDisposable } from '../kernel/toDisposable.js'
+import type { IMetrics } from '../metrics/IMetrics.js'
+import { metricsId } from '../metrics/metricsId.js'
+import type { Contract } from '../schema/Contract.js'
+import type { EntrySettings } from '../settings/EntrySettings.js'
+import { entrySettingsId } from '../settings/entrySettingsId.js'
+import { createBalancer } from '../upstream/createBalancer.js'
+import { hasherId } from '../upstream/hasherId.js'
+import type { IHasher } from '../upstream/IHasher.js'
+import type { IUpstreamTable } from '../upstream/IUpstreamTable.js'
+import type { IUpstreamUsage } from '../upstream/IUpstreamUsage.js'
+import { pickByHash } from '../upstream/pickByHash.js'
+import type { Upstream } from '../upstream/Upstream.js'
+import { upstreamTableId } from '../upstream/upstreamTableId.js'
+import { upstreamUsageId } from '../upstream/upstreamUsageId.js'
+import type { AdmissionError } from './AdmissionError.js'
+import type { AdmissionRequest } from './AdmissionRequest.js'
+import { CustomerCounts } from './CustomerCounts.js'
+import { estimateService } from './estimateService.js'
+import { hasRoom } from './hasRoom.js'
+import type { IAdmission } from './IAdmission.js'
+import type { ISlot } from './ISlot.js'
+import { LimitController } from './LimitController.js'
+import { ServiceQueue } from './ServiceQueue.js'
+import { Slot } from './Slot.js'
+import type { SlotResult } from './SlotResult.js'
+import { SuspectGuard } from './SuspectGuard.js'
+import type { Waiter } from './Waiter.js'
+import { withoutRecovering } from './withoutRecovering.js'
+
+/** Interval at which queues are examined without an event: estimates of other entries' load fall with time. */
+const PUMP_INTERVAL_MS = 50
+/** Time for which requests wait while all upstreams of their service are down; restarts are often shorter. */
+const MAX_UNUSABLE_MS = 2_000
+const MIN_RETRY_AFTER_MS = 50
+const MAX_RETRY_AFTER_MS = 5_000
+const DEFAULT_LIMITS: Contract['limits'] = { share: 1, max_in_flight: 256, max_queue: 1024, key_window_s: 3600 }
+
+/** IAdmission per entry; see section 5.13 of the design page. */
+export class Admission extends Disposable implements IAdmission {
+  private readonly _services = new Map<string, ServiceQueue>()
+  private readonly _counts = new CustomerCounts()
+  private readonly _limits = new LimitController()
+  private readonly _guard: SuspectGuard
+  private _timer?: ReturnType<typeof setInterval>
+  private _isPumping = false
+
+  /** `_random` returns numbers from 0 up to, not including, 1. */
+  constructor (
+    private readonly _random: () => number,
+    @upstreamTableId private readonly _table: IUpstreamTable,
+    @upstreamUsageId private readonly _usage: IUpstreamUsage,
+    @contractStoreId private readonly _contracts: IContractStore,
+    @suspectTableId private readonly _suspects: ISuspectTable,
+    @hasherId private readonly _hasher: IHasher,
+    @entrySettingsId private readonly _settings: EntrySettings,
+    @metricsId private readonly _metrics: IMetrics
+  ) {
+    super()
+    this._guard = new SuspectGuard(_suspects)
+    this._register(_table.onCrash((crash) => _suspects.recordCrash(crash.upstream.id, crash.bootId, crash.fingerprints)))
+    this._register(_table.onChange(() => this._pumpAll()))
+    this._register(toDisposable(() => clearInterval(this._timer)))
+  }
+
+  acquire (request: AdmissionRequest): ResultAsync<ISlot, AdmissionError> {
+    return new ResultAsync(new Promise<Result<ISlot, AdmissionError>>((resolve) => {
+      const queue = this._serviceQueue(request.service)
+      const refusal = this._refusal(request, queue)
+      if (refusal !== undefined) {
+        this._countRefusal(request, refusal)
+        resolve(err(refusal))
+        return
+      }
+      this._enqueue(request, queue, resolve)
+    }))
+  }
+
+  queued (service: string): number {
+    return this._services.get(service)?.size ?? 0
+  }
+
+  private _refusal (request: AdmissionRequest, queue: ServiceQueue): AdmissionError | undefined {
+    if (request.signal?.aborted === true) {
+      return { kind: 'caller_gone', message: 'caller went away' }
+    }
+    if (this._suspects.isBlocked(request.fingerprint)) {
+      return { kind: 'request_blocked', message: 'this request crashed the upstreams that ran it' }
+    }
+    const isCandidate = (item: Upstream): boolean => !item.isLeaving && request.excluded?.has(item.id) !== true
+    if (!this._table.all(request.service).some(isCandidate)) {
+      return { kind: 'no_upstream', message: `service ${request.service} has no upstream for this request` }
+    }
+    const { leastMs, turnMs } = estimateService(this._table.available(request.service), request)
+    const queueOfSize = queue.queueOf(request.size)
+    const waitMs = queueOfSize.size === 0 ? 0 : queueOfSize.countAhead(request.customer, request.deadlineAtMs) * turnMs
+    if (performance.now() + waitMs + leastMs >= request.deadlineAtMs) {
+      return { kind: 'deadline_unreachable', message: `expected to take ${Math.round(waitMs + leastMs)} ms, which exceeds the deadline` }
+    }
+    return undefined
+  }
+
+  private _enqueue (request: AdmissionRequest, queue: ServiceQueue, resolve: (result: Result<ISlot, AdmissionError>) => void): void {
+    const nowMs = performance.now()
+    const onAbort = (): void => this._drop(queue, waiter, { kind: 'caller_gone', message: 'caller went away' })
+    const timer = setTimeout(() => {
+      this._drop(queue, waiter, { kind: 'deadline_unreachable', message: 'deadline passed in the queue' })
+    }, request.deadlineAtMs - nowMs)
+    const waiter: Waiter = {
+      request,
+      enqueuedAtMs: nowMs,
+      settle: (result) => {
+        clearTimeout(timer)
+        request.signal?.removeEventListener('abort', onAbort)
+        this._counts.addQueued(request.customer, -1)
+        resolve(result)
+      }
+    }
+    request.signal?.addEventListener('abort', onAbort)
+    queue.noteArrival(request.size, nowMs)
+    queue.queueOf(request.size).add(waiter)
+    this._counts.addQueued(request.customer, 1)
+    this._pump(queue)
+    if (this._counts.queued(request.customer) > this._limitsOf(request.customer).max_queue) {
+      const { turnMs } = estimateService(this._table.available(request.service), request)
+      const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, Math.round(queue.size * turnMs)))
+      this._drop(queue, waiter, { kind: 'queue_full', message: `customer ${request.customer} has too many requests in the queue`, retryAfterMs })
+    }
+    this._keepTime()
+  }
+
+  private _drop (queue: ServiceQueue, waiter: Waiter, error: AdmissionError): void {
+    if (queue.queueOf(waiter.request.size).remove(waiter)) {
+      this._countRefusal(waiter.request, error)
+      waiter.settle(err(error))
+    }
+  }
+
+  private _pumpAll (): void {
+    if (this._isPumping) {
+      return
+    }
+    for (const queue of this._services.values()) {
+      if (queue.size > 0) this._pump(queue)
+    }
+    this._keepTime()
+  }
+
+  private _pump (queue: ServiceQueue): void {
+    this._isPumping = true
+    try {
+      this._dropUnusable(queue, performance.now())
+      while (queue.size > 0 && this._dispatchNext(queue)) {
+        // Each dispatch changes what has room.
+      }
+    } finally {
+      this._isPumping = false
+    }
+  }
+
+  private _dispatchNext (queue: ServiceQueue): boolean {
+    const nowMs = performance.now()
+    const room = {
+      short: this._withRoom(queue, 'short', nowMs),
+      long: this._withRoom(queue, 'long', nowMs)
+    }
+    if (room.short.length === 0 && room.long.length === 0) {
+      return false
+    }
+    const taken = queue.take((waiter) => this._place(queue, waiter, room[waiter.request.size], nowMs))
+    if (taken === undefined) {
+      return false
+    }
+    taken.waiter.settle(ok(this._open(taken.waiter, taken.placed, nowMs)))
+    return true
+  }
+
+  private _withRoom (queue: ServiceQueue, size: 'short' | 'long', nowMs: number): Upstream[] {
+    if (queue.queueOf(size).size === 0) {
+      return []
+    }
+    const isReserving = queue.isReserving(nowMs)
+    return this._table.available(queue.service).filter((upstream) => hasRoom(upstream, size, isReserving, nowMs))
+  }
+
+  private _place (queue: ServiceQueue, waiter: Waiter, room: Upstream[], nowMs: number): Upstream | undefined {
+    const { request } = waiter
+    const { customer, fingerprint, excluded } = request
+    if (this._suspects.isBlocked(fingerprint)) {
+      this._drop(queue, waiter, { kind: 'request_blocked', message: 'this request crashed the upstreams that ran it' })
+      return undefined
+    }
+    const isFull = this._counts.inFlight(customer) >= this._limitsOf(customer).max_in_flight
+    if (isFull || this._guard.mustWait(request.service, fingerprint)) {
+      return undefined
+    }
+    const candidates = excluded === undefined ? room : room.filter((upstream) => !excluded.has(upstream.id))
+    if (candidates.length === 0) {
+      return undefined
+    }
+    if (this._guard.isSuspect(fingerprint)) {
+      // All entries send a suspect to the same upstream, so that repeats of it endanger no second one.
+      return pickByHash(this._hasher, fingerprint, candidates)
+    }
+    return queue.balancer.pick(withoutRecovering(candidates, nowMs, this._random), request)
+  }
+
+  private _open (waiter: Waiter, upstream: Upstream, nowMs: number): ISlot {
+    const { request } = waiter
+    const { customer, service, size, units, fingerprint } = request
+    const endSuspect = this._guard.isSuspect(fingerprint) ? this._guard.begin(service) : undefined
+    const inFlight = this._usage.begin(upstream.id, { size, units, fingerprint })
+    this._counts.addInFlight(customer, 1)
+    const queuedMs = nowMs - waiter.enqueuedAtMs
+    this._metrics.duration('queue_wait_ms', queuedMs, { service, size })
+    return new Slot(upstream, queuedMs, (result) => {
+      const outstanding = upstream.outstanding
+      this._counts.addInFlight(customer, -1)
+      endSuspect?.()
+      this._learn(upstream, request, result)
+      this._usage.end(upstream.id, inFlight, result)
+      if (result.kind === 'completed') {
+        this._limits.onCompleted(upstream, size, outstanding, result.durationMs, performance.now())
+      }
+      this._pumpAll()
+    })
+  }
+
+  private _learn (upstream: Upstream, request: AdmissionRequest, result: SlotResult): void {
+    if (result.kind === 'completed') {
+      this._guard.onCompleted(request.fingerprint)
+    } else if (result.kind === 'failed' && result.sent) {
+      this._guard.onReset(request.fingerprint)
+    } else if (result.kind === 'timeout') {
+      this._limits.onTimeout(upstream, performance.now())
+    }
+  }
+
+  /** Refuses what waits for a service whose upstreams have all been down or leaving for too long. */
+  private _dropUnusable (queue: ServiceQueue, nowMs: number): void {
+    if (this._table.available(queue.service).length > 0 || queue.size === 0) {
+      queue.unusableSinceMs = undefined
+      return
+    }
+    queue.unusableSinceMs ??= nowMs
+    if (nowMs - queue.unusableSinceMs >= MAX_UNUSABLE_MS) {
+      for (const waiter of queue.all()) {
+        this._drop(queue, waiter, { kind: 'no_upstream', message: `no upstream of service ${queue.service} can be reached` })
+      }
+    }
+  }
+
+  private _keepTime (): void {
+    const isWaiting = [...this._services.values()].some((queue) => queue.size > 0)
+    if (isWaiting && this._timer === undefined) {
+      this._timer = setInterval(() => this._pumpAll(), PUMP_INTERVAL_MS)
+    } else if (!isWaiting && this._timer !== undefined) {
+      clearInterval(this._timer)
+      this._timer = undefined
+    }
+  }
+
+  private _countRefusal (request: AdmissionRequest, error: AdmissionError): void {
+    this._metrics.count('admission_refused_total', { service: request.service, kind: error.kind })
+  }
+
+  private _limitsOf (customer: string): Contract['limits'] {
+    return this._contracts.current(customer)?.contract.limits ?? DEFAULT_LIMITS
+  }
+
+  private _serviceQueue (service: string): ServiceQueue {
+    let queue = this._services.get(service)
+    if (queue === undefined) {
+      const policy = this._settings.services.find((item) => item.name === service)?.balancer ?? 'expected-wait'
+      const balancer = createBalancer(policy, this._random, this._hasher)
+      queue = new ServiceQueue(service, balancer, (customer) => this._limitsOf(customer).share)
+      this._services.set(service, queue)
+    }
+    return queue
+  }
+}
--- a/src/common/upstream/IServiceTimes.ts
+++ b/src/common/upstream/IServiceTimes.ts
@@ -10,6 +10,8 @@
   estimate (size: 'short' | 'long', nowMs: number, inFlight: Iterable<InFlightRequest>): number | undefined
   /** Smoothed time of completed requests. */
   smoothed (size: 'short' | 'long'): number | undefined
+  /** Shortest single time of the recent past. */
+  least (size: 'short' | 'long'): number | undefined
   /** Lowest smoothed time of the recent past. */
   best (size: 'short' | 'long'): number | undefined
 }
--- a/src/common/upstream/ServiceTimes.ts
+++ b/src/common/upstream/ServiceTimes.ts
@@ -21,6 +21,7 @@
   fastMs: number
   slowMs: number
   bestMs: number
+  leastMs: number
   samples: number
   updatedAtMs: number
   /** Latest start of a completed request. */
@@ -35,7 +36,13 @@
     const times = this._sizes[size]
     if (times === undefined) {
       this._sizes[size] = {
-        fastMs: unitMs, slowMs: unitMs, bestMs: unitMs, samples: 1, updatedAtMs: nowMs, overtakenBeforeMs: startedAtMs
+        fastMs: unitMs,
+        slowMs: unitMs,
+        bestMs: unitMs,
+        leastMs: unitMs,
+        samples: 1,
+        updatedAtMs: nowMs,
+        overtakenBeforeMs: startedAtMs
       }
       return
     }
@@ -80,6 +87,10 @@
     return this._sizes[size]?.slowMs
   }
 
+  least (size: 'short' | 'long'): number | undefined {
+    return this._sizes[size]?.leastMs
+  }
+
   best (size: 'short' | 'long'): number | undefined {
     return this._sizes[size]?.bestMs
   }
@@ -89,6 +100,7 @@
     times.fastMs += FAST_WEIGHT * (Math.min(unitMs, times.fastMs * MAX_SAMPLE_FACTOR) - times.fastMs)
     times.slowMs += SLOW_WEIGHT * (Math.min(unitMs, times.slowMs * MAX_SAMPLE_FACTOR) - times.slowMs)
     times.bestMs += Math.max(0, times.slowMs - times.bestMs) * rise
+    times.leastMs = Math.min(unitMs, times.leastMs + Math.max(0, times.slowMs - times.leastMs) * rise)
     times.samples++
     times.updatedAtMs = nowMs
     if (times.samples >= MIN_SAMPLES_FOR_BEST) {
