Add forwarder with retry, hedging and at-most-once calls

Cause: callers need the whole answer to their request or a truthful outcome, and tail latency must not follow one slow upstream. Never-repeat calls run under a claim, are sent once and settle the claim in every case; only a refused connection is tried again. not_run is reported only when no attempt sent a byte. A request whose deadline passed during a pause is not written. The check of the deadline after a pause has no test.

--- /dev/null
+++ b/src/common/forward/AttemptFailure.ts
@@ -0,0 +1,8 @@
+import type { AdmissionError } from '../admission/AdmissionError.js'
+import type { UpstreamError } from '../upstream/UpstreamError.js'
+
+/** Why one attempt of a call brought no answer. */
+export type AttemptFailure =
+  | { stage: 'admission', error: AdmissionError }
+  | { stage: 'stopped', message: string }
+  | { stage: 'upstream', error: UpstreamError, upstreamId: string }
--- /dev/null
+++ b/src/common/forward/AttemptRunner.ts
@@ -0,0 +1,81 @@
+import { err, ok, type Result } from 'neverthrow'
+import type { IAdmission } from '../admission/IAdmission.js'
+import type { ISlot } from '../admission/ISlot.js'
+import type { SlotResult } from '../admission/SlotResult.js'
+import type { ISuspectTable } from '../crash/ISuspectTable.js'
+import type { IUpstreamClient } from '../upstream/IUpstreamClient.js'
+import type { UpstreamAnswer } from '../upstream/UpstreamAnswer.js'
+import type { UpstreamError } from '../upstream/UpstreamError.js'
+import type { AttemptFailure } from './AttemptFailure.js'
+import type { AttemptOptions } from './AttemptOptions.js'
+import type { CallRequest } from './CallRequest.js'
+
+/** A call is one unit of work. */
+const CALL_UNITS = 1
+/** First status of the class that reports faults of the upstream. */
+const SERVER_ERROR = 500
+
+/** Makes one attempt of a call: waits for a place, sends the request once and returns the place. */
+export class AttemptRunner {
+  constructor (
+    private readonly _admission: IAdmission,
+    private readonly _client: IUpstreamClient,
+    private readonly _suspects: ISuspectTable
+  ) {}
+
+  async run (request: CallRequest, options: AttemptOptions): Promise<Result<UpstreamAnswer, AttemptFailure>> {
+    const { service, size } = request.workClass
+    const admitted = await this._admission.acquire({
+      customer: request.customer,
+      service,
+      workClass: request.workClassName,
+      size,
+      units: CALL_UNITS,
+      deadlineAtMs: request.deadlineAtMs,
+      fingerprint: options.fingerprint,
+      excluded: options.excluded,
+      signal: options.queueSignal
+    })
+    if (admitted.isErr()) {
+      return err({ stage: 'admission', error: admitted.error })
+    }
+    return await this._send(request, options, admitted.value)
+  }
+
+  private async _send (request: CallRequest, options: AttemptOptions, slot: ISlot): Promise<Result<UpstreamAnswer, AttemptFailure>> {
+    const refusal = options.checkBeforeSend?.()
+    if (refusal !== undefined) {
+      slot.release({ kind: 'cancelled' })
+      return err({ stage: 'stopped', message: refusal })
+    }
+    options.onDispatched?.(slot.upstream.id)
+    const startedAtMs = performance.now()
+    const { method, path, headers, body, deadlineAtMs } = request
+    const sent = { requestId: options.requestId, method, path, headers, deadlineAtMs, ...(body.length > 0 ? { body } : {}) }
+    const answer = await this._client.call(slot.upstream.address, sent, options.callSignal)
+    if (answer.isErr()) {
+      slot.release(toSlotResult(answer.error))
+      return err({ stage: 'upstream', error: answer.error, upstreamId: slot.upstream.id })
+    }
+    if (answer.value.status >= SERVER_ERROR) {
+      // An upstream that fails fast must not look fast, or it would draw all requests.
+      slot.release({ kind: 'cancelled' })
+      this._suspects.recordCompletion(options.fingerprint)
+    } else {
+      slot.release({ kind: 'completed', durationMs: performance.now() - startedAtMs, units: CALL_UNITS })
+    }
+    return ok(answer.value)
+  }
+}
+
+function toSlotResult (error: UpstreamError): SlotResult {
+  switch (error.kind) {
+    case 'connect_failed': return { kind: 'failed', sent: false }
+    case 'reset':
+    case 'truncated': return { kind: 'failed', sent: true }
+    case 'timeout': return { kind: 'timeout' }
+    case 'mismatched':
+    case 'cancelled':
+    case 'deadline_before_send': return { kind: 'cancelled' }
+  }
+}
--- /dev/null
+++ b/src/common/forward/OnceCall.test.ts
@@ -0,0 +1,88 @@
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import { expect } from 'earl'
+import { err, ok } from 'neverthrow'
+import type { UpstreamError } from '../upstream/UpstreamError.js'
+import { ForwarderHarness } from './testing/ForwarderHarness.js'
+
+const refused: UpstreamError = { kind: 'connect_failed', message: '', sent: false }
+const reset: UpstreamError = { kind: 'reset', message: '', sent: true }
+
+describe('OnceCall', () => {
+  let h: ForwarderHarness
+
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'], now: 1000 })
+    mock.method(performance, 'now', () => Date.now())
+    h = new ForwarderHarness((ms) => mock.timers.tick(ms))
+  })
+
+  afterEach(() => {
+    mock.timers.reset()
+    mock.restoreAll()
+  })
+
+  it('sends a never-repeat call once and stores its answer', async () => {
+    await h.warmUp(40)
+    const outcome = await h.start({}, 'never')
+    mock.timers.tick(5000)
+    await h.flush()
+    h.sent[0]!.answer('done')
+    expect(await outcome()).toEqual('done')
+    expect([h.sent.length, h.settled]).toEqual([1, ['complete false ZG9uZQ==']])
+  })
+
+  it('does not repeat a never-repeat call after it was sent, and leaves its claim unknown', async () => {
+    const outcome = await h.start({}, 'never')
+    h.sent[0]!.fail(reset)
+    expect(await outcome()).toEqual('reset unknown 502')
+    expect([h.sent.length, h.settled]).toEqual([1, ['abandon']])
+  })
+
+  it('tries another upstream when the connection of a never-repeat call was refused', async () => {
+    const outcome = await h.start({}, 'never')
+    h.sent[0]!.fail(refused)
+    await h.flush()
+    h.sent[1]!.answer('done')
+    expect(await outcome()).toEqual('done')
+    expect(h.sent.map((item) => item.address)).toEqual(['a', 'b'])
+  })
+
+  it('releases the claim when nothing was sent', async () => {
+    h.mayStart = false
+    expect(await (await h.start({}, 'never'))()).toEqual('deadline_unreachable not_run 503')
+    h.mayStart = true
+    expect(await (await h.start({ deadlineAtMs: performance.now() }, 'never'))()).toEqual('deadline_unreachable not_run 503')
+    expect(await (await h.start({ signal: AbortSignal.abort() }, 'never'))()).toEqual('deadline_unreachable not_run 503')
+    h.refusal = { kind: 'queue_full', message: '', retryAfterMs: 50 }
+    expect(await (await h.start({}, 'never'))()).toEqual('queue_full not_run 429')
+    expect([h.sent.length, h.settled]).toEqual([0, ['release', 'release', 'release', 'release']])
+  })
+
+  it('lets a never-repeat call finish when its caller leaves, for the repeat of the request', async () => {
+    const controller = new AbortController()
+    const outcome = await h.start({ signal: controller.signal }, 'never')
+    controller.abort()
+    await h.flush()
+    h.sent[0]!.answer('done')
+    await outcome()
+    expect(h.settled).toEqual(['complete false ZG9uZQ=='])
+  })
+
+  it('answers a repeat from the log, or tells that the answer was too large', async () => {
+    h.claim = ok({ kind: 'answered', answer: { status: 200, headers: {}, body_base64: 'ZG9uZQ==', body_omitted: false } })
+    expect(await (await h.start({}, 'never'))()).toEqual('done')
+    h.claim = ok({ kind: 'answered', answer: { status: 200, headers: {}, body_base64: '', body_omitted: true } })
+    expect(await (await h.start({}, 'never'))()).toEqual('answer_not_kept unknown 409')
+    h.claim = err({ kind: 'claim_unavailable', message: '', outcome: 'not_run' })
+    expect(await (await h.start({}, 'never'))()).toEqual('claim_unavailable not_run 503')
+    expect(await (await h.start({ idempotencyKey: undefined }, 'never'))()).toEqual('idempotency_key_required not_run 400')
+    expect(h.sent.length).toEqual(0)
+  })
+
+  it('leaves a body over 64 KiB out of the log', async () => {
+    const outcome = await h.start({}, 'never')
+    h.sent[0]!.answer('x'.repeat(65_537))
+    expect((await outcome()).length).toEqual(65_537)
+    expect(h.settled).toEqual(['complete true '])
+  })
+})
--- /dev/null
+++ b/src/common/forward/OnceCall.ts
@@ -0,0 +1,91 @@
+import { err, ok, type Result } from 'neverthrow'
+import type { ClaimTicket } from '../claim/ClaimTicket.js'
+import type { StoredAnswer } from '../schema/StoredAnswer.js'
+import type { UpstreamAnswer } from '../upstream/UpstreamAnswer.js'
+import type { AttemptFailure } from './AttemptFailure.js'
+import type { AttemptRunner } from './AttemptRunner.js'
+import type { CallError } from './CallError.js'
+import type { CallRequest } from './CallRequest.js'
+import { toBase64 } from './toBase64.js'
+import { toCallError } from './toCallError.js'
+
+/** Largest body that is kept in the log for repeats of the request. */
+const MAX_STORED_BODY_BYTES = 65_536
+
+/** One call under a claim that was won: sent at most once, and the claim is settled in every case. */
+export class OnceCall {
+  private readonly _refused = new Set<string>()
+  /** The call goes on when its caller leaves, so that a repeat of the request gets the answer. */
+  private readonly _callSignal = new AbortController().signal
+
+  constructor (
+    private readonly _runner: AttemptRunner,
+    private readonly _request: CallRequest,
+    private readonly _fingerprint: string,
+    private readonly _ticket: ClaimTicket
+  ) {}
+
+  async run (): Promise<Result<UpstreamAnswer, CallError>> {
+    for (;;) {
+      const result = await this._attempt()
+      if (result.isOk()) {
+        this._ticket.complete(toStoredAnswer(result.value))
+        return ok(result.value)
+      }
+      const failure = result.error
+      const wasSent = failure.stage === 'upstream' && failure.error.sent
+      if (wasSent) {
+        this._ticket.abandon()
+        return err(toCallError(failure, true))
+      }
+      if (!this._mayRetry(failure)) {
+        this._ticket.release()
+        return err(toCallError(failure, false))
+      }
+    }
+  }
+
+  private async _attempt (): Promise<Result<UpstreamAnswer, AttemptFailure>> {
+    return await this._runner.run(this._request, {
+      requestId: this._request.requestId,
+      excluded: new Set(this._refused),
+      fingerprint: this._fingerprint,
+      queueSignal: this._request.signal,
+      callSignal: this._callSignal,
+      checkBeforeSend: () => this._checkBeforeSend()
+    })
+  }
+
+  private _checkBeforeSend (): string | undefined {
+    if (this._request.signal.aborted) {
+      return 'caller went away before the call was sent'
+    }
+    if (performance.now() >= this._request.deadlineAtMs) {
+      return 'deadline passed before the call was sent'
+    }
+    return this._ticket.mayStart() ? undefined : 'claim is too old to act on'
+  }
+
+  /** Only a refused connection is tried again: nothing was written. */
+  private _mayRetry (failure: AttemptFailure): boolean {
+    if (failure.stage === 'upstream' && failure.error.kind === 'connect_failed') {
+      this._refused.add(failure.upstreamId)
+      return performance.now() < this._request.deadlineAtMs
+    }
+    if (failure.stage === 'admission' && failure.error.kind === 'no_upstream' && this._refused.size > 0) {
+      this._refused.clear()
+      return performance.now() < this._request.deadlineAtMs
+    }
+    return false
+  }
+}
+
+function toStoredAnswer (answer: UpstreamAnswer): StoredAnswer {
+  const isOmitted = answer.body.length > MAX_STORED_BODY_BYTES
+  return {
+    status: answer.status,
+    headers: answer.headers,
+    body_base64: isOmitted ? '' : toBase64(answer.body),
+    body_omitted: isOmitted
+  }
+}
--- /dev/null
+++ b/src/common/forward/RepeatableCall.ts
@@ -0,0 +1,140 @@
+import { err, ok, type Result } from 'neverthrow'
+import type { UpstreamAnswer } from '../upstream/UpstreamAnswer.js'
+import type { AttemptFailure } from './AttemptFailure.js'
+import type { AttemptRunner } from './AttemptRunner.js'
+import type { CallError } from './CallError.js'
+import type { CallRequest } from './CallRequest.js'
+import type { LatencyWindow } from './LatencyWindow.js'
+import { toCallError } from './toCallError.js'
+
+/** Attempts of one call, the hedge included. */
+const MAX_ATTEMPTS = 4
+const HEDGE_PERCENTILE = 95
+
+type Outcome = Result<UpstreamAnswer, CallError>
+
+/** One call that may be repeated: retried on other upstreams and hedged; the first whole answer wins. */
+export class RepeatableCall {
+  private readonly _running = new Set<AbortController>()
+  private readonly _failedUpstreams = new Set<string>()
+  private _attempts = 0
+  private _wasSent = false
+  private _hedgeTimer?: ReturnType<typeof setTimeout>
+  private _resolve: (outcome: Outcome) => void = () => undefined
+  private readonly _onAbort = (): void => this._abortAll()
+
+  /** `_mayHedge` is asked when a hedge is due and takes it from the budget. */
+  constructor (
+    private readonly _runner: AttemptRunner,
+    private readonly _request: CallRequest,
+    private readonly _fingerprint: string,
+    private readonly _latency: LatencyWindow,
+    private readonly _mayHedge: () => boolean
+  ) {}
+
+  async run (): Promise<Outcome> {
+    this._request.signal.addEventListener('abort', this._onAbort)
+    const outcome = await new Promise<Outcome>((resolve) => {
+      this._resolve = resolve
+      this._start(this._failedUpstreams, (upstreamId) => this._planHedge(upstreamId))
+    })
+    this._request.signal.removeEventListener('abort', this._onAbort)
+    clearTimeout(this._hedgeTimer)
+    this._abortAll()
+    return outcome
+  }
+
+  private _start (excluded: ReadonlySet<string>, onDispatched?: (upstreamId: string) => void): void {
+    this._attempts++
+    const controller = new AbortController()
+    if (this._request.signal.aborted) {
+      controller.abort()
+    }
+    this._running.add(controller)
+    let startedAtMs: number | undefined
+    const { requestId } = this._request
+    this._runner.run(this._request, {
+      requestId: this._attempts === 1 ? requestId : `${requestId}.${this._attempts}`,
+      excluded: new Set(excluded),
+      fingerprint: this._fingerprint,
+      queueSignal: controller.signal,
+      callSignal: controller.signal,
+      onDispatched: (upstreamId) => {
+        startedAtMs = performance.now()
+        onDispatched?.(upstreamId)
+      }
+    }).then((result) => {
+      if (startedAtMs !== undefined) {
+        this._recordLatency(result, performance.now() - startedAtMs)
+      }
+      this._running.delete(controller)
+      this._onResult(result)
+    }, (error: unknown) => {
+      this._running.delete(controller)
+      this._resolve(err({ kind: 'internal', message: String(error), outcome: 'unknown', status: 500 }))
+    })
+  }
+
+  /** The time of a lost attempt counts too, or hedges would make the percentile fall. */
+  private _recordLatency (result: Result<UpstreamAnswer, AttemptFailure>, durationMs: number): void {
+    const kind = result.isErr() && result.error.stage === 'upstream' ? result.error.error.kind : undefined
+    const isCut = kind === 'cancelled' || kind === 'timeout'
+    if (result.isOk() || (isCut && durationMs > (this._latency.percentile(HEDGE_PERCENTILE) ?? Infinity))) {
+      this._latency.record(durationMs)
+    }
+  }
+
+  private _onResult (result: Result<UpstreamAnswer, AttemptFailure>): void {
+    if (result.isOk()) {
+      this._resolve(ok(result.value))
+      return
+    }
+    const failure = result.error
+    if (failure.stage === 'upstream') {
+      this._wasSent ||= failure.error.sent
+      this._failedUpstreams.add(failure.upstreamId)
+    }
+    if (this._running.size > 0) {
+      return
+    }
+    if (this._mayRetry(failure)) {
+      this._start(this._failedUpstreams)
+    } else {
+      this._resolve(err(toCallError(failure, this._wasSent)))
+    }
+  }
+
+  private _mayRetry (failure: AttemptFailure): boolean {
+    const { signal, deadlineAtMs } = this._request
+    if (signal.aborted || this._attempts >= MAX_ATTEMPTS || performance.now() >= deadlineAtMs) {
+      return false
+    }
+    if (failure.stage === 'upstream') {
+      return true
+    }
+    if (failure.stage === 'admission' && failure.error.kind === 'no_upstream' && this._failedUpstreams.size > 0) {
+      // No other upstream is left: those that failed are better than none.
+      this._failedUpstreams.clear()
+      return true
+    }
+    return false
+  }
+
+  private _planHedge (firstUpstreamId: string): void {
+    const delayMs = this._latency.percentile(HEDGE_PERCENTILE)
+    if (delayMs === undefined || performance.now() + delayMs >= this._request.deadlineAtMs) {
+      return
+    }
+    this._hedgeTimer = setTimeout(() => {
+      if (this._attempts === 1 && this._running.size === 1 && this._mayHedge()) {
+        this._start(new Set([firstUpstreamId]))
+      }
+    }, delayMs)
+  }
+
+  private _abortAll (): void {
+    for (const controller of this._running) {
+      controller.abort()
+    }
+  }
+}
--- /dev/null
+++ b/src/common/forward/testing/ForwarderHarness.ts
@@ -0,0 +1,131 @@
+import { err, errAsync, ok, okAsync, ResultAsync, type Result } from 'neverthrow'
+import type { AdmissionError } from '../../admission/AdmissionError.js'
+import type { AdmissionRequest } from '../../admission/AdmissionRequest.js'
+import type { IAdmission } from '../../admission/IAdmission.js'
+import type { SlotResult } from '../../admission/SlotResult.js'
+import type { ClaimError } from '../../claim/ClaimError.js'
+import type { ClaimOutcome } from '../../claim/ClaimOutcome.js'
+import type { ISuspectTable } from '../../crash/ISuspectTable.js'
+import type { StoredAnswer } from '../../schema/StoredAnswer.js'
+import type { IUpstreamClient } from '../../upstream/IUpstreamClient.js'
+import type { Upstream } from '../../upstream/Upstream.js'
+import type { UpstreamAnswer } from '../../upstream/UpstreamAnswer.js'
+import type { UpstreamError } from '../../upstream/UpstreamError.js'
+import type { UpstreamRequest } from '../../upstream/UpstreamRequest.js'
+import type { CallRequest } from '../CallRequest.js'
+import { Forwarder } from '../Forwarder.js'
+
+const silent = { info () {}, warn () {}, error () {}, debug () {}, count () {}, gauge () {}, duration () {} }
+const digest = { sha256Hex: (...parts: Array<string | Uint8Array>) => parts.map(String).join(' ') }
+
+interface Sent {
+  address: string
+  request: UpstreamRequest
+  signal: AbortSignal
+  answer (body: string, status?: number): void
+  fail (error: UpstreamError): void
+}
+
+/** For tests: a forwarder over two upstreams, `a` and `b`, whose answers the test decides. Needs mocked timers. */
+export class ForwarderHarness {
+  sent: Sent[] = []
+  admitted: AdmissionRequest[] = []
+  released: SlotResult[] = []
+  settled: string[] = []
+  isSuspected = false
+  mayStart = true
+  refusal?: AdmissionError
+  claim: Result<ClaimOutcome, ClaimError>
+  readonly forwarder: Forwarder
+
+  constructor (private readonly _tick: (ms: number) => void) {
+    this.claim = ok({
+      kind: 'won',
+      ticket: {
+        claimId: 'c',
+        mayStart: () => this.mayStart,
+        complete: (answer: StoredAnswer) => { this.settled.push(`complete ${answer.body_omitted} ${answer.body_base64}`) },
+        release: () => { this.settled.push('release') },
+        abandon: () => { this.settled.push('abandon') }
+      }
+    })
+    const claims = { claim: () => this.claim.isOk() ? okAsync(this.claim.value) : errAsync(this.claim.error) }
+    const suspects = { isSuspect: () => this.isSuspected, recordCompletion () {} } as unknown as ISuspectTable
+    this.forwarder = new Forwarder(this._admission(), this._client(), claims, suspects, digest, silent, silent)
+  }
+
+  /** Forwards a call and returns a function that reads its outcome. */
+  async start (patch: Partial<CallRequest> = {}, repeat: 'allowed' | 'never' = 'allowed'): Promise<() => Promise<string>> {
+    const result = this.forwarder.forward({
+      requestId: 'r',
+      customer: 'c',
+      revision: 1,
+      workClassName: 'w',
+      workClass: { service: 's', kind: 'call', methods: [], path: '/', deadline_ms: 1000, repeat, size: 'short', max_tokens: 1 },
+      method: 'POST',
+      path: '/x',
+      headers: {},
+      body: new Uint8Array([1]),
+      idempotencyKey: repeat === 'never' ? 'k' : undefined,
+      deadlineAtMs: performance.now() + 10_000,
+      signal: new AbortController().signal,
+      ...patch
+    })
+    await this.flush()
+    return async () => await result.match(
+      (answer) => new TextDecoder().decode(answer.body),
+      (error) => `${error.kind} ${error.outcome} ${error.status}`)
+  }
+
+  async flush (): Promise<void> {
+    for (let turn = 0; turn < 30; turn++) await Promise.resolve()
+  }
+
+  /** Completes calls of 10 ms each, so that hedges are possible; as suspects, they take no hedge themselves. */
+  async warmUp (count: number): Promise<void> {
+    this.isSuspected = true
+    for (let index = 0; index < count; index++) {
+      const outcome = await this.start()
+      this._tick(10)
+      this.sent.at(-1)!.answer('warm')
+      await outcome()
+    }
+    this.isSuspected = false
+    this.sent = []
+    this.released = []
+  }
+
+  private _admission (): IAdmission {
+    return {
+      queued: () => 0,
+      acquire: (request) => {
+        this.admitted.push(request)
+        if (this.refusal !== undefined) return errAsync(this.refusal)
+        const id = ['a', 'b'].find((item) => !request.excluded?.has(item))
+        if (id === undefined) return errAsync({ kind: 'no_upstream', message: '' })
+        const release = (result: SlotResult): void => { this.released.push(result) }
+        return okAsync({ upstream: { id, address: id } as Upstream, queuedMs: 0, release })
+      }
+    }
+  }
+
+  private _client (): IUpstreamClient {
+    const call: IUpstreamClient['call'] = (address, request, signal) => {
+      return new ResultAsync(new Promise<Result<UpstreamAnswer, UpstreamError>>((resolve) => {
+        if (signal.aborted) {
+          resolve(err({ kind: 'cancelled', message: '', sent: false }))
+          return
+        }
+        signal.addEventListener('abort', () => resolve(err({ kind: 'cancelled', message: '', sent: true })))
+        this.sent.push({
+          address,
+          request,
+          signal,
+          answer: (body, status = 200) => resolve(ok({ status, headers: {}, body: new TextEncoder().encode(body) })),
+          fail: (error) => resolve(err(error))
+        })
+      }))
+    }
+    return { call } as IUpstreamClient
+  }
+}
--- a/src/node/upstream/Exchange.ts
+++ b/src/node/upstream/Exchange.ts
@@ -31,6 +31,10 @@
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
+    if (performance.now() >= this._request.deadlineAtMs && !this._isSent) {
+      // After a pause of the process this may run before the timer of the deadline.
+      this._onDeadline()
+    }
     if (this._isOver) {
       // The deadline passed or the caller left while the connection was being opened: nothing is written.
       controller.abort(new Error('request is over'))
