--- a/src/node/upstream/LoadPoller.ts
+++ b/src/node/upstream/LoadPoller.ts
@@ -18,6 +18,8 @@
 const MAX_TIMEOUT_MS = 1_000
 /** First interval of the probes of an upstream that is down; it doubles up to the poll interval. */
 const FIRST_PROBE_MS = 100
+/** Least time between two probes of an upstream that is not down, however many of its calls fail. */
+const MIN_PROBE_MS = 20
 
 interface Poll {
   timer?: NodeJS.Timeout
@@ -25,6 +27,8 @@
   /** A probe was wanted while a poll that began before was running. */
   isWantedAgain: boolean
   probeMs: number
+  /** `performance.now()` of the last poll. */
+  startedAtMs: number
 }
 
 /** Polls the load report of each upstream, spread over time, and probes those whose state is in doubt at once. */
@@ -55,7 +59,7 @@
     if (this._abort.signal.aborted || this._polls.has(upstream.id) || this._table.get(upstream.id) === undefined) {
       return
     }
-    const poll: Poll = { isRunning: false, isWantedAgain: false, probeMs: FIRST_PROBE_MS }
+    const poll: Poll = { isRunning: false, isWantedAgain: false, probeMs: FIRST_PROBE_MS, startedAtMs: -Infinity }
     this._polls.set(upstream.id, poll)
     // A random first delay spreads the polls of a list that arrives at once.
     this._schedule(upstream.id, poll, Math.random() * this._settings.loadPollMs)
@@ -69,7 +73,7 @@
     if (poll.isRunning) {
       poll.isWantedAgain = true
     } else if (!upstream.isDown) {
-      this._schedule(upstream.id, poll, 0)
+      this._schedule(upstream.id, poll, Math.max(0, poll.startedAtMs + MIN_PROBE_MS - performance.now()))
     } else {
       this._schedule(upstream.id, poll, jittered(poll.probeMs))
     }
@@ -90,6 +94,7 @@
       return
     }
     const startedAtMs = performance.now()
+    poll.startedAtMs = startedAtMs
     const timeoutMs = Math.min(MAX_TIMEOUT_MS, this._settings.loadPollMs)
     const answer = await fetchJson(this._client, upstream.address, '/v1/load', timeoutMs, this._abort.signal)
     poll.isRunning = false
@@ -115,7 +120,7 @@
       return jittered(probeMs)
     }
     poll.probeMs = FIRST_PROBE_MS
-    return isWantedAgain ? 0 : jittered(this._settings.loadPollMs)
+    return isWantedAgain ? MIN_PROBE_MS : jittered(this._settings.loadPollMs)
   }
 
   private _stop (): void {
