Give each load poll its own abort signal

Cause: all polls shared one signal, and the runtime warned of a listener leak from the eleventh poll in flight on. Change: LoadPoller holds an AbortController for each upstream.

--- a/src/node/upstream/LoadPoller.ts
+++ b/src/node/upstream/LoadPoller.ts
@@ -23,6 +23,8 @@
 
 interface Poll {
   timer?: NodeJS.Timeout
+  /** Ends the running poll; one for each upstream, because a signal warns about more than ten listeners. */
+  readonly abort: AbortController
   isRunning: boolean
   /** A probe was wanted while a poll that began before was running. */
   isWantedAgain: boolean
@@ -34,7 +36,7 @@
 /** Polls the load report of each upstream, spread over time, and probes those whose state is in doubt at once. */
 export class LoadPoller extends Disposable {
   private readonly _polls = new Map<string, Poll>()
-  private readonly _abort = new AbortController()
+  private _isStopped = false
 
   constructor (
     @upstreamClientId private readonly _client: IUpstreamClient,
@@ -56,10 +58,16 @@
   }
 
   private _follow (upstream: Upstream): void {
-    if (this._abort.signal.aborted || this._polls.has(upstream.id) || this._table.get(upstream.id) === undefined) {
+    if (this._isStopped || this._polls.has(upstream.id) || this._table.get(upstream.id) === undefined) {
       return
     }
-    const poll: Poll = { isRunning: false, isWantedAgain: false, probeMs: FIRST_PROBE_MS, startedAtMs: -Infinity }
+    const poll: Poll = {
+      abort: new AbortController(),
+      isRunning: false,
+      isWantedAgain: false,
+      probeMs: FIRST_PROBE_MS,
+      startedAtMs: -Infinity
+    }
     this._polls.set(upstream.id, poll)
     // A random first delay spreads the polls of a list that arrives at once.
     this._schedule(upstream.id, poll, Math.random() * this._settings.loadPollMs)
@@ -96,9 +104,9 @@
     const startedAtMs = performance.now()
     poll.startedAtMs = startedAtMs
     const timeoutMs = Math.min(MAX_TIMEOUT_MS, this._settings.loadPollMs)
-    const answer = await fetchJson(this._client, upstream.address, '/v1/load', timeoutMs, this._abort.signal)
+    const answer = await fetchJson(this._client, upstream.address, '/v1/load', timeoutMs, poll.abort.signal)
     poll.isRunning = false
-    if (this._abort.signal.aborted) {
+    if (this._isStopped) {
       return
     }
     const report = loadReportSchema.safeParse(answer.unwrapOr(undefined))
@@ -124,8 +132,9 @@
   }
 
   private _stop (): void {
-    this._abort.abort()
+    this._isStopped = true
     for (const poll of this._polls.values()) {
+      poll.abort.abort()
       clearTimeout(poll.timer)
     }
     this._polls.clear()
--- a/src/node/upstream/pollers.test.ts
+++ b/src/node/upstream/pollers.test.ts
@@ -80,6 +80,23 @@
     poller.dispose()
   })
 
+  it('polls many upstreams at once without a warning about listeners', async () => {
+    const warnings: string[] = []
+    const onWarning = (warning: Error): void => { warnings.push(warning.name) }
+    process.on('warning', onWarning)
+    settings.loadPollMs = 50
+    const { address } = (bodies['/v1/members'] as { members: Array<{ address: string }> }).members[0]!
+    const ids = Array.from({ length: 40 }, (_, index) => `u${index}`)
+    table.updateMembers(ids.map((id) => member(id, address)) as never[])
+    const poller = new LoadPoller(client, table, table, settings, silent)
+    poller.start()
+    ids.forEach((id) => table.reportFailure(id))
+    await until(() => ids.every((id) => table.get(id)?.load !== undefined))
+    poller.dispose()
+    process.off('warning', onWarning)
+    expect(warnings).toEqual([])
+  })
+
   it('reads load reports and probes a refused upstream quickly until it is back', async () => {
     settings.loadPollMs = 3_600_000
     table.updateMembers((bodies['/v1/members'] as { members: never[] }).members)
