Keep long work from filling upstreams across entries

Cause: each entry could always place one long request on each upstream, so six entries together filled all places, and the balancer took a long request in flight for no more work than a short one. Change: long work respects the estimated load of all entries unless it has waited 1 s; expected wait weighs long requests in flight by their own time.

--- a/src/common/admission/Admission.test.ts
+++ b/src/common/admission/Admission.test.ts
@@ -241,23 +241,18 @@
     expect(await taken()).toEqual(['b'])
   })
 
-  it('lowers the limit when the time per unit rises, not when requests have more units', async () => {
-    setUp(['u'], 4)
-    async function run (durationMs: number, units: number): Promise<number> {
-      for (let index = 0; index < 40; index++) {
-        ask('r', { units })
-        await taken()
-        mock.timers.tick(200)
-        await release('r', { kind: 'completed', durationMs, units })
-      }
-      return table.get('u')!.limit
-    }
-    expect(await run(10, 1)).toEqual(4)
-    expect(await run(1000, 100)).toEqual(4)
-    expect(await run(50, 1) < 3).toEqual(true)
+  it('holds long work back while other entries fill the upstream, but not for long', async () => {
+    setUp(['u'], 8)
+    ask('short')
+    table.updatePeerOutstanding('u', 3)
+    table.updateLoad('u', { boot_id: 'b1', state: 'serving', running: 3, waiting: 0, capacity: 4, reported_at_ms: 0 }, 0)
+    ask('long', { size: 'long' })
+    expect(await taken()).toEqual(['short'])
+    mock.timers.tick(1_100)
+    expect(await taken()).toEqual(['long'])
   })
 
-  it('raises the limit while it is used up and requests stay fast', async () => {
+  it('raises the limit of an upstream while it is used up', async () => {
     setUp(['u'], 1)
     ask('a')
     await taken()
--- a/src/common/admission/Admission.ts
+++ b/src/common/admission/Admission.ts
@@ -186,7 +186,8 @@
       return []
     }
     const isReserving = queue.isReserving(nowMs)
-    return this._table.available(queue.service).filter((upstream) => hasRoom(upstream, size, isReserving, nowMs))
+    const isOverdue = queue.isLongOverdue(nowMs)
+    return this._table.available(queue.service).filter((upstream) => hasRoom(upstream, size, isReserving, isOverdue, nowMs))
   }
 
   private _place (queue: ServiceQueue, waiter: Waiter, room: Upstream[], nowMs: number): Upstream | undefined {
--- a/src/common/admission/ServiceQueue.ts
+++ b/src/common/admission/ServiceQueue.ts
@@ -4,6 +4,8 @@
 
 /** Short requests after which a long one gets a turn. */
 const MAX_SHORT_IN_ROW = 8
+/** Wait after which long work may pass the estimate of other entries' load. */
+const OVERDUE_MS = 1_000
 /** Time after the last short request for which places are kept free of long work. */
 const SHORT_MEMORY_MS = 30_000
 
@@ -40,6 +42,11 @@
     return nowMs - this._shortSeenAtMs < SHORT_MEMORY_MS
   }
 
+  /** True when the oldest long request has waited for too long. */
+  isLongOverdue (nowMs: number): boolean {
+    return this.long.size > 0 && this.long.all().some((waiter) => nowMs - waiter.enqueuedAtMs >= OVERDUE_MS)
+  }
+
   /** Takes the next waiter that finds a place. */
   take<T> (place: (waiter: Waiter) => T | undefined): { waiter: Waiter, placed: T } | undefined {
     const isLongDue = this._shortInRow >= MAX_SHORT_IN_ROW && this.long.size > 0
--- a/src/common/admission/hasRoom.ts
+++ b/src/common/admission/hasRoom.ts
@@ -8,9 +8,10 @@
 
 /**
  * True when this entry may send one more request of this size. `isReserving` tells whether short work
- * was seen lately; without it long work leaves only one place free.
+ * was seen lately; without it long work leaves only one place free. `isOverdue` lets the first request of
+ * this entry pass the estimate of the others' load, which must not hold it up for long.
  */
-export function hasRoom (upstream: Upstream, size: 'short' | 'long', isReserving: boolean, nowMs: number): boolean {
+export function hasRoom (upstream: Upstream, size: 'short' | 'long', isReserving: boolean, isOverdue: boolean, nowMs: number): boolean {
   const limit = Math.floor(upstream.limit)
   if (upstream.outstanding >= limit) {
     return false
@@ -21,9 +22,11 @@
       return false
     }
   }
-  // One request of each size may always run: the others' load is an estimate and must not stop this entry.
-  const own = size === 'long' ? upstream.outstandingLong : upstream.outstanding
-  if (upstream.load === undefined || own === 0) {
+  if (upstream.load === undefined) {
+    return true
+  }
+  const isFirst = size === 'long' ? upstream.outstandingLong === 0 : upstream.outstanding === 0
+  if (isFirst && (size === 'short' || isOverdue)) {
     return true
   }
   const fill = size === 'long' ? (isReserving ? LONG_PART : 1) : FILL
--- a/src/common/upstream/ExpectedWaitBalancer.ts
+++ b/src/common/upstream/ExpectedWaitBalancer.ts
@@ -48,10 +48,28 @@
   }
 }
 
+/** Time of the request itself, and its part of the work that the upstream holds already. */
 function expectedWait (upstream: Upstream, query: BalancerQuery, nowMs: number, fallbackMs: number): number {
   const unitMs = unitTime(upstream, query, nowMs) ?? fallbackMs
   const parallel = Math.max(1, upstream.load?.capacity ?? upstream.limit)
-  return unitMs * query.units * (1 + estimateOutstanding(upstream, nowMs) / parallel)
+  const others = Math.max(0, estimateOutstanding(upstream, nowMs) - upstream.outstanding)
+  const serviceMs = unitMs * query.units
+  return serviceMs + (others * serviceMs + ownWork(upstream, query, serviceMs, nowMs)) / parallel
+}
+
+/** Long requests in flight weigh by their own time: a short request behind them waits that long. */
+function ownWork (upstream: Upstream, query: BalancerQuery, serviceMs: number, nowMs: number): number {
+  if (query.size === 'long' || upstream.outstandingLong === 0) {
+    return upstream.outstanding * serviceMs
+  }
+  const inFlight = upstream.inFlight ?? []
+  const longUnitMs = upstream.times?.estimate('long', nowMs, inFlight)
+  let workMs = 0
+  for (const request of inFlight) {
+    const isLong = request.size === 'long' && longUnitMs !== undefined
+    workMs += isLong ? longUnitMs * request.units : serviceMs
+  }
+  return workMs
 }
 
 function unitTime (upstream: Upstream, query: BalancerQuery, nowMs: number): number | undefined {
--- a/src/common/upstream/UpstreamTable.test.ts
+++ b/src/common/upstream/UpstreamTable.test.ts
@@ -111,6 +111,15 @@
     expect([isAvailable(), table.get('u')!.limit]).toEqual([true, 2])
   })
 
+  it('measures time per unit of work, and leaves times of failed requests out', () => {
+    const request = table.begin('u', { ...work('f'), size: 'long', units: 200 })
+    expect([table.get('u')!.outstanding, table.get('u')!.outstandingLong]).toEqual([1, 1])
+    table.end('u', request, { kind: 'completed', durationMs: 1000, units: 100 })
+    table.end('u', table.begin('u', work('g')), { kind: 'failed', sent: true })
+    expect([table.get('u')!.times!.smoothed('long'), table.get('u')!.outstanding]).toEqual([10, 0])
+    expect(table.get('u')!.times!.smoothed('short')).toEqual(undefined)
+  })
+
   it('takes poll timeouts for down only while nothing completes', () => {
     for (let poll = 0; poll < 3; poll++) {
       table.end('u', table.begin('u', work('f')), { kind: 'completed', durationMs: 1, units: 1 })
--- a/src/common/upstream/balancers.test.ts
+++ b/src/common/upstream/balancers.test.ts
@@ -86,6 +86,17 @@
     expect(shares(balancer, [stalled, other])).toEqual({ other: 200 })
   })
 
+  it('expected-wait sends short work where no long work runs, although more requests run there', () => {
+    const [busy, long] = [upstream('busy', 10), upstream('long', 10)]
+    begin(busy)
+    begin(busy)
+    long.times.record('long', 500, performance.now(), performance.now())
+    long.inFlight.add({ size: 'long', units: 1, fingerprint: 'f', startedAtMs: performance.now() })
+    long.outstanding = 1
+    long.outstandingLong = 1
+    expect(shares(createBalancer('expected-wait', seeded(), hasher), [busy, long])).toEqual({ busy: 200 })
+  })
+
   it('expected-wait tries a slow upstream again after it was idle', () => {
     const times = new ServiceTimes()
     const record = (unitMs: number): void => {
