--- a/src/common/peer/Gossip.ts
+++ b/src/common/peer/Gossip.ts
@@ -1,8 +1,8 @@
 import type { Gossip as GossipMessage } from '../../gen/peer_pb.js'
 import type { IContractStore } from '../contract/IContractStore.js'
 import { contractStoreId } from '../contract/contractStoreId.js'
-import type { ISuspectTable } from '../crash/ISuspectTable.js'
-import { suspectTableId } from '../crash/suspectTableId.js'
+import type { ISuspectGossip } from '../crash/ISuspectGossip.js'
+import { suspectGossipId } from '../crash/suspectGossipId.js'
 import { Disposable } from '../kernel/Disposable.js'
 import { toDisposable } from '../kernel/toDisposable.js'
 import type { EntrySettings } from '../settings/EntrySettings.js'
@@ -35,7 +35,7 @@
     @contractStoreId private readonly _contracts: IContractStore,
     @contractSyncId private readonly _sync: IContractSync,
     @upstreamTableId private readonly _upstreams: IUpstreamTable,
-    @suspectTableId private readonly _suspects: ISuspectTable
+    @suspectGossipId private readonly _suspects: ISuspectGossip
   ) {
     super()
     this._loads = new PeerLoads(_settings.heartbeatTimeoutMs)
@@ -77,7 +77,7 @@
       upstreams: this._upstreams.all().map(upstream => ({
         id: upstream.id, incarnation: upstream.incarnation, outstanding: upstream.outstanding, isLeaving: upstream.isLeaving
       })),
-      suspects: this._suspects.suspects?.() ?? []
+      suspects: this._suspects.suspects()
     }
   }
 
@@ -93,7 +93,7 @@
       this._loads.record(hint.id, message.sender, hint.outstanding)
       if (hint.leaving) this._upstreams.markLeaving(hint.id, hint.incarnation)
     }
-    for (const suspect of message.suspects) this._suspects.recordPeerSuspect?.(suspect)
+    this._suspects.noteSuspects(message.suspects)
     const isBehind = message.contractHeads.some(head => Number(head.revision) > (this._contracts.current(head.customer)?.revision ?? 0))
     if (isBehind) this._sync.fetchFrom(message.sender)
   }
