Fold the steps stream and carry it past retention

Cause: trainers need the same ready order on every entry, also on entries that start after retention removed the original records. Change: StepTable folds submit, sample, expire, move, ack, weights and carry records; CarryRenewer repeats the state of each trainer as one head and one record per group before a third of retention, and asks other entries for it after a gap (record 'want'). A carried state names the offset that it covers, so that buffered records are replayed exactly once on it. A group keeps its past positions, from which a stated cursor tells whether a reopened group had been received. Steps are remembered by digest (newest 128), older ones are refused. Conclusion: the fold gives one state with and without a gap in 200 random histories.

--- a/src/common/schema/stepRecordSchema.ts
+++ b/src/common/schema/stepRecordSchema.ts
@@ -26,23 +26,44 @@
   z.object({ type: z.literal('ack'), ...trainerFields, cursor: z.int() }),
   z.object({ type: z.literal('weights'), ...trainerFields, version: z.int().min(0) }),
   z.object({
+    /** Gives a ready group a later position, so that a trainer's cursor can stop between groups after an expiry. */
+    type: z.literal('move'),
+    ...trainerFields,
+    ...sampleFields,
+    from: z.int()
+  }),
+  z.object({
+    /** Head of a carried state; `groups` records of type `carry_group` with the same `set` complete it. */
     type: z.literal('carry'),
     ...trainerFields,
+    set: z.string(),
+    /** The state covers every record below this offset. */
+    as_of: z.int(),
     /** Newest version the trainer has announced. */
     version: z.int().min(0),
     /** Position up to which the trainer has acknowledged groups. */
     cursor: z.int(),
-    /** Newest step accepted, so that an old submission is not accepted again. */
-    last_step: z.int(),
-    /** Groups not acknowledged yet, with their samples so far. */
-    groups: z.array(z.object({
-      step: z.int().min(0),
-      spec: groupSpecSchema,
-      submitted_at_ms: z.number(),
-      /** Original position of the completing record; absent while the group is not whole. */
-      position: z.int().optional(),
-      attempts: z.array(z.int().min(0)),
-      samples: z.array(sampleSchema)
-    }))
-  })
+    /** Steps up to this one are no longer accepted. */
+    floor_step: z.int(),
+    /** Steps accepted above the floor, with the digest of their groups. */
+    steps: z.array(z.object({ step: z.int().min(0), digest: z.string() })),
+    groups: z.int().min(0)
+  }),
+  z.object({
+    /** One group that is not acknowledged yet, with its samples so far. */
+    type: z.literal('carry_group'),
+    ...trainerFields,
+    set: z.string(),
+    step: z.int().min(0),
+    spec: groupSpecSchema,
+    submitted_at_ms: z.number(),
+    /** Original position of the completing record; absent while the group is not whole. */
+    position: z.int().optional(),
+    /** Positions that the group has had, each with the offset of the record that ended it. */
+    past: z.array(z.object({ from: z.int(), to: z.int() })),
+    attempts: z.array(z.int().min(0)),
+    samples: z.array(sampleSchema)
+  }),
+  /** An entry whose read position fell out of retention asks for `carry` records of all trainers. */
+  z.object({ type: z.literal('want'), id: z.string(), entry: z.string() })
 ])
--- /dev/null
+++ b/src/common/training/IStepTable.ts
@@ -0,0 +1,25 @@
+import type { IEvent } from '../kernel/IEvent.js'
+import type { ILogFold } from '../log/ILogFold.js'
+import type { GroupSpec } from '../schema/GroupSpec.js'
+import type { TrainerState } from './TrainerState.js'
+
+/** State of all trainers, folded from the `steps` stream. */
+export interface IStepTable extends ILogFold {
+  /** Fires with the customer and trainer whose state may have changed. */
+  readonly onChange: IEvent<{ customer: string, trainer: string }>
+  /** Fires when an entry asks for `carry` records, with the offset of its record. */
+  readonly onWant: IEvent<number>
+  /** Offset after the last applied record. */
+  readonly nextOffset: number
+  /** True after a retention gap until `declareComplete`. */
+  readonly isGapped: boolean
+  /** False while records of the trainer may be missing. */
+  isComplete (customer: string, trainer: string): boolean
+  /** State of a trainer; undefined when it is unknown or incomplete. */
+  get (customer: string, trainer: string): TrainerState | undefined
+  /** All trainers with complete state, and the log time since which their records are needed. */
+  all (): { state: TrainerState, neededSinceMs: number, carriedAsOf: number }[]
+  digest (groups: GroupSpec[]): string
+  /** Ends the wait for `carry` records: trainers without one consist of the records that were read. */
+  declareComplete (): void
+}
--- /dev/null
+++ b/src/common/training/StepTable.test.ts
@@ -0,0 +1,160 @@
+import { describe, it, mock, beforeEach, afterEach } from 'node:test'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import type { GroupSpec } from '../schema/GroupSpec.js'
+import { CarryRenewer } from './CarryRenewer.js'
+import { StepTable } from './StepTable.js'
+import { MemoryLog } from './test/MemoryLog.js'
+import { fakes } from './test/fakes.js'
+
+const base = { customer: 'felt', trainer: 'brim' }
+let nextId = 0
+const submit = (step: number, groups: GroupSpec[]) => ({ type: 'submit', id: `r${nextId++}`, ...base, step, groups, at_ms: 0 })
+const sample = (group: string, index = 0, attempt = 0, text = '', step = 1) => ({
+  type: 'sample',
+  id: `r${nextId++}`,
+  ...base,
+  step,
+  group,
+  sample: { index, attempt, text, token_ids: [1], origin: [{ from: 0, to: 1, version: 0, kv_version: 0 }] }
+})
+const expire = (group: string, index = 0, attempt = 0) => ({ type: 'expire', id: `r${nextId++}`, ...base, step: 1, group, index, attempt })
+const ack = (cursor: number) => ({ type: 'ack', id: `r${nextId++}`, ...base, cursor })
+
+function table (log: MemoryLog) {
+  const hub = log.hub()
+  const result = new StepTable(fakes.hash, hub)
+  hub.follow()
+  return { hub, table: result }
+}
+
+function view (from: StepTable): unknown {
+  const state = from.get('felt', 'brim')
+  return state === undefined
+    ? undefined
+    : { version: state.version, cursor: state.cursor, steps: [...state.steps], groups: [...state.groups].sort() }
+}
+
+describe('StepTable', () => {
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'] })
+    mock.method(performance, 'now', () => Date.now())
+  })
+  afterEach(() => {
+    mock.timers.reset()
+    mock.restoreAll()
+  })
+
+  it('accepts the first sample of an attempt only, so that a second runner cannot replace content', () => {
+    const log = new MemoryLog()
+    const { table: a } = table(log)
+    const records = [submit(1, [fakes.group('g', 2)]), sample('g', 0, 0, 'first'), sample('g', 0, 0, 'second'), sample('g', 1, 1), sample('g', 1)]
+    records.forEach((record) => log.push(record))
+    const group = a.get('felt', 'brim')?.group(1, 'g')
+    expect(group?.samples.map((item) => item?.text)).toEqual(['first', ''])
+    expect(group?.position).toEqual(5)
+  })
+
+  it('keeps the first groups of a step and refuses steps older than those remembered', () => {
+    const log = new MemoryLog()
+    const { table: a } = table(log)
+    for (let step = 1; step <= 130; step++) log.push(submit(step, [fakes.group('g')]))
+    log.push(submit(130, [fakes.group('other')]))
+    log.push(submit(2, [fakes.group('late')]))
+    const state = a.get('felt', 'brim')
+    expect(state?.floorStep).toEqual(2)
+    expect(state?.group(130, 'other')).toEqual(undefined)
+    expect(state?.group(2, 'late')).toEqual(undefined)
+  })
+
+  it('removes a reopened group when a cursor shows that the trainer received it before the expiry', () => {
+    const log = new MemoryLog()
+    const { table: a } = table(log)
+    const early = [submit(1, [fakes.group('g'), fakes.group('h')]), sample('g'), sample('h'), expire('g'), sample('g', 0, 1)]
+    early.forEach((record) => log.push(record))
+    log.push(ack(3))
+    expect([...a.get('felt', 'brim')!.groups.keys()]).toEqual([])
+  })
+
+  it('is incomplete after a gap until a carry covers it, and then equals a table without a gap', () => {
+    const log = new MemoryLog()
+    const { table: whole, hub } = table(log)
+    const renewer = new CarryRenewer(whole, hub, fakes.settings, fakes.logger, fakes.metrics)
+    renewer.start()
+    log.push(submit(1, [fakes.group('g', 2), fakes.group('h')]))
+    log.push(sample('g'))
+    const late = table(log)
+    late.hub.isFollowing = false
+    log.push(sample('h'))
+    late.hub.gap(4)
+    expect(late.table.get('felt', 'brim')).toEqual(undefined)
+    mock.timers.tick(100_000)
+    log.push(sample('g', 1))
+    late.hub.follow()
+    expect(log.entries.filter(({ value }) => (value as { type: string }).type === 'carry').length).toEqual(1)
+    expect(view(late.table)).toEqual(view(whole))
+    expect(late.table.get('felt', 'brim')?.group(1, 'h')?.position).toEqual(3)
+    renewer.dispose()
+  })
+
+  it('does not use a carry of a state from before the gap, which misses lost records', () => {
+    const log = new MemoryLog()
+    log.push(submit(1, [fakes.group('g')]))
+    const late = table(log)
+    late.hub.isFollowing = false
+    log.push(sample('g'))
+    late.hub.gap(3)
+    log.push(submit(2, [fakes.group('g')]))
+    log.push({ type: 'carry', id: 'c', ...base, set: 'c', as_of: 2, version: 0, cursor: 0, floor_step: 0, steps: [], groups: 0 })
+    late.hub.follow()
+    expect(late.table.get('felt', 'brim')).toEqual(undefined)
+    late.table.declareComplete()
+    expect([...late.table.get('felt', 'brim')!.groups.keys()]).toEqual(['2/g'])
+  })
+
+  it('asks other entries for the state after a gap, and only one of two carries it', () => {
+    const log = new MemoryLog()
+    const followers = [table(log), table(log)]
+    const renewers = followers.map(({ hub, table }) => new CarryRenewer(table, hub, fakes.settings, fakes.logger, fakes.metrics))
+    log.push(submit(1, [fakes.group('g')]))
+    log.push(sample('g'))
+    const late = table(log)
+    late.hub.gap(3)
+    renewers.push(new CarryRenewer(late.table, late.hub, fakes.settings, fakes.logger, fakes.metrics))
+    renewers.forEach((renewer) => renewer.start())
+    for (let elapsed = 0; elapsed < 3000; elapsed += 10) mock.timers.tick(10)
+    expect(log.entries.filter(({ value }) => (value as { type: string }).type === 'carry').length).toEqual(1)
+    expect(late.table.get('felt', 'brim')?.group(1, 'g')?.position).toEqual(2)
+    renewers.forEach((renewer) => renewer.dispose())
+  })
+
+  it('gives the same state for every interleaving of two runners, read with or without a carried state', () => {
+    const action = fc.oneof(
+      fc.record({ kind: fc.constant('sample'), group: fc.constantFrom('g', 'h'), index: fc.nat(1), attempt: fc.nat(2) }),
+      fc.record({ kind: fc.constant('expire'), group: fc.constantFrom('g', 'h'), index: fc.nat(1), attempt: fc.nat(2) }),
+      fc.record({ kind: fc.constant('ack'), cursor: fc.nat(20) })
+    )
+    fc.assert(fc.property(fc.array(action, { maxLength: 30 }), fc.nat(20), (actions, gapAt) => {
+      const log = new MemoryLog()
+      const { table: whole, hub } = table(log)
+      const renewer = new CarryRenewer(whole, hub, fakes.settings, fakes.logger, fakes.metrics)
+      renewer.start()
+      log.push(submit(1, [fakes.group('g', 2), fakes.group('h', 2)]))
+      for (const item of actions) {
+        if (item.kind === 'ack') log.push(ack((item as { cursor: number }).cursor))
+        else {
+          const { group, index, attempt } = item as { group: string, index: number, attempt: number }
+          log.push(item.kind === 'sample' ? sample(group, index, attempt, `${nextId}`) : expire(group, index, attempt))
+        }
+      }
+      const late = table(log)
+      late.hub.gap(Math.min(gapAt + 1, log.entries.length))
+      late.hub.isFollowing = false
+      mock.timers.tick(100_000)
+      late.hub.follow()
+      expect(view(late.table)).toEqual(view(whole))
+      expect(view(table(log).table)).toEqual(view(whole))
+      renewer.dispose()
+    }), { numRuns: 200 })
+  })
+})
--- /dev/null
+++ b/src/common/training/TrainerState.ts
@@ -0,0 +1,120 @@
+import type { GroupSpec } from '../schema/GroupSpec.js'
+import type { StepRecord } from '../schema/StepRecord.js'
+import type { GroupState } from './GroupState.js'
+
+// Steps remembered by digest for resubmissions; bounds the head of a carried state to a few KiB.
+const STEPS_REMEMBERED = 128
+
+type RecordOf<T extends StepRecord['type']> = Extract<StepRecord, { type: T }>
+
+/** Fold of the records of one trainer. */
+export class TrainerState {
+  version = 0
+  cursor = 0
+  /** Steps up to this one are no longer accepted, because their digests are forgotten. */
+  floorStep = -1
+  /** Digest of the groups by accepted step above the floor. */
+  readonly steps = new Map<number, string>()
+  readonly groups = new Map<string, GroupState>()
+
+  constructor (readonly customer: string, readonly trainer: string, private readonly _digest: (groups: GroupSpec[]) => string) {}
+
+  group (step: number, group: string): GroupState | undefined {
+    return this.groups.get(`${step}/${group}`)
+  }
+
+  /** Whole groups above a cursor, in order of position. */
+  readyAbove (cursor: number): GroupState[] {
+    return [...this.groups.values()]
+      .filter((group) => group.position !== undefined && group.position > cursor)
+      .sort((a, b) => (a.position ?? 0) - (b.position ?? 0))
+  }
+
+  apply (record: StepRecord, offset: number): void {
+    switch (record.type) {
+      case 'submit': return this._submit(record)
+      case 'sample': return this._sample(record, offset)
+      case 'expire': return this._expire(record, offset)
+      case 'move': return this._move(record, offset)
+      case 'ack': return this._acknowledge(record.cursor)
+      case 'weights':
+        this.version = Math.max(this.version, record.version)
+    }
+  }
+
+  restore (head: RecordOf<'carry'>, groups: RecordOf<'carry_group'>[]): void {
+    this.version = head.version
+    this.cursor = head.cursor
+    this.floorStep = head.floor_step
+    for (const { step, digest } of head.steps) {
+      this.steps.set(step, digest)
+    }
+    for (const group of groups) {
+      const samples = new Array<GroupState['samples'][number]>(group.spec.samples).fill(undefined)
+      for (const sample of group.samples) {
+        samples[sample.index] = sample
+      }
+      const { step, spec, position, attempts } = group
+      const past = group.past.map((range) => ({ ...range }))
+      this.groups.set(`${step}/${spec.group}`, { step, spec, submittedAtMs: group.submitted_at_ms, position, past, attempts: [...attempts], samples })
+    }
+  }
+
+  private _submit (record: RecordOf<'submit'>): void {
+    if (record.step <= this.floorStep || this.steps.has(record.step)) return
+    this.steps.set(record.step, this._digest(record.groups))
+    for (const spec of record.groups) {
+      this.groups.set(`${record.step}/${spec.group}`, {
+        step: record.step,
+        spec,
+        submittedAtMs: record.at_ms,
+        position: undefined,
+        past: [],
+        attempts: new Array<number>(spec.samples).fill(0),
+        samples: new Array<undefined>(spec.samples).fill(undefined)
+      })
+    }
+    if (this.steps.size > STEPS_REMEMBERED) {
+      this.floorStep = Math.min(...this.steps.keys())
+      this.steps.delete(this.floorStep)
+    }
+  }
+
+  private _sample (record: RecordOf<'sample'>, offset: number): void {
+    const group = this.group(record.step, record.group)
+    const { index, attempt } = record.sample
+    if (group === undefined || group.attempts[index] !== attempt || group.samples[index] !== undefined) return
+    group.samples[index] = record.sample
+    if (group.samples.every((sample) => sample !== undefined)) {
+      group.position = offset
+    }
+  }
+
+  private _expire (record: RecordOf<'expire'>, offset: number): void {
+    const group = this.group(record.step, record.group)
+    if (group === undefined || group.attempts[record.index] !== record.attempt || group.samples[record.index] === undefined) return
+    group.samples[record.index] = undefined
+    group.attempts[record.index] = record.attempt + 1
+    if (group.position === undefined) return
+    group.past.push({ from: group.position, to: offset })
+    group.position = undefined
+  }
+
+  private _move (record: RecordOf<'move'>, offset: number): void {
+    const group = this.group(record.step, record.group)
+    if (group === undefined || group.position !== record.from) return
+    group.past.push({ from: group.position, to: offset })
+    group.position = offset
+  }
+
+  private _acknowledge (cursor: number): void {
+    this.cursor = Math.max(this.cursor, cursor)
+    for (const [key, group] of this.groups) {
+      const isDelivered = group.position !== undefined && group.position <= cursor
+      const wasDelivered = group.past.some((range) => range.from <= cursor && cursor < range.to)
+      if (isDelivered || wasDelivered) {
+        this.groups.delete(key)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/common/training/carryRecords.ts
@@ -0,0 +1,36 @@
+import type { StepRecord } from '../schema/StepRecord.js'
+import type { TrainerState } from './TrainerState.js'
+
+/** Records that carry a trainer's state: the head, then one record per group. */
+export function carryRecords (state: TrainerState, asOf: number): StepRecord[] {
+  const { customer, trainer, version, cursor } = state
+  const set = crypto.randomUUID()
+  const head: StepRecord = {
+    type: 'carry',
+    id: set,
+    customer,
+    trainer,
+    set,
+    as_of: asOf,
+    version,
+    cursor,
+    floor_step: state.floorStep,
+    steps: [...state.steps].map(([step, digest]) => ({ step, digest })),
+    groups: state.groups.size
+  }
+  const groups = [...state.groups.values()].map((group): StepRecord => ({
+    type: 'carry_group',
+    id: crypto.randomUUID(),
+    customer,
+    trainer,
+    set,
+    step: group.step,
+    spec: group.spec,
+    submitted_at_ms: group.submittedAtMs,
+    position: group.position,
+    past: group.past.map((range) => ({ ...range })),
+    attempts: [...group.attempts],
+    samples: group.samples.filter((sample) => sample !== undefined)
+  }))
+  return [head, ...groups]
+}
--- /dev/null
+++ b/src/common/training/stepTableId.ts
@@ -0,0 +1,5 @@
+import { createServiceId } from '../kernel/createServiceId.js'
+import type { IStepTable } from './IStepTable.js'
+
+/** Identifier of the step table service. */
+export const stepTableId = createServiceId<IStepTable>('stepTable')
--- /dev/null
+++ b/src/common/training/test/MemoryLog.ts
@@ -0,0 +1,87 @@
+import { okAsync, errAsync } from 'neverthrow'
+import type { ResultAsync } from 'neverthrow'
+import { Emitter } from '../../kernel/Emitter.js'
+import type { ILogFold } from '../../log/ILogFold.js'
+import type { ILogHub } from '../../log/ILogHub.js'
+import type { LogEntry } from '../../log/LogEntry.js'
+import type { LogError } from '../../log/LogError.js'
+import type { StreamName } from '../../log/StreamName.js'
+import type { StreamStatus } from '../../log/StreamStatus.js'
+
+/** One stream shared by several hubs of a test. */
+export class MemoryLog {
+  readonly entries: LogEntry[] = []
+  readonly hubs: MemoryHub[] = []
+
+  hub (): MemoryHub {
+    const hub = new MemoryHub(this)
+    this.hubs.push(hub)
+    return hub
+  }
+
+  push (value: unknown): LogEntry {
+    const entry = { offset: this.entries.length + 1, timeMs: Date.now(), value: structuredClone(value) }
+    this.entries.push(entry)
+    for (const hub of this.hubs) {
+      if (hub.isFollowing) hub.follow()
+    }
+    return entry
+  }
+}
+
+class MemoryHub implements ILogHub {
+  readonly caughtUp = new Emitter<StreamName>()
+  readonly onCaughtUp = this.caughtUp.event
+  readonly waiting: { id: string }[] = []
+  isFollowing = true
+  isDown = false
+  isCaughtUp = true
+  private readonly _folds: ILogFold[] = []
+  private _read = 0
+
+  constructor (private readonly _log: MemoryLog) {}
+
+  addFold (_stream: StreamName, fold: ILogFold): void {
+    this._folds.push(fold)
+  }
+
+  start (): void {}
+
+  /** Applies up to `limit` records that were not read yet. */
+  follow (limit = Infinity): void {
+    for (const entry of this._log.entries.slice(this._read, this._read + limit)) {
+      this._read++
+      this._folds.forEach((fold) => fold.apply(entry))
+    }
+  }
+
+  /** Loses every record before the offset, as retention does while an entry does not read. */
+  gap (earliestOffset: number): void {
+    this._read = earliestOffset - 1
+    this._folds.forEach((fold) => fold.onGap(earliestOffset))
+  }
+
+  append (_stream: StreamName, record: { id: string }, _timeoutMs: number): ResultAsync<LogEntry, LogError> {
+    if (this.isDown) return errAsync({ kind: 'log_unavailable', message: 'down', mayLand: true })
+    const entry = this._log.push(record)
+    this.follow()
+    return okAsync(entry)
+  }
+
+  appendEventually (_stream: StreamName, record: { id: string }): void {
+    if (this.isDown) this.waiting.push(record)
+    else this._log.push(record)
+  }
+
+  recover (): void {
+    this.isDown = false
+    this.waiting.splice(0).forEach((record) => this._log.push(record))
+  }
+
+  status (): StreamStatus {
+    return { nextOffset: this._read + 1, isCaughtUp: this.isCaughtUp, lastAtEndMs: performance.now() + 1, isFailing: this.isDown }
+  }
+
+  async flush (): Promise<void> {}
+  dispose (): void {}
+}
