Run generations on engines and resume broken streams

Cause: engines crash and stall in the middle of a stream; callers and samples need every token once and the weight versions that produced it. Change: Generator acquires a slot per attempt, checks each chunk, resumes a stream that breaks, stalls or lacks its end marker on another engine with the tokens so far, and holds the finishing chunk until the end marker. Origin ranges come from the stamps only. not_run is stated only if nothing was sent. Conclusion: a seam between engines is invisible in tokens and exact in origin ranges.

--- /dev/null
+++ b/src/common/generation/Generator.test.ts
@@ -0,0 +1,173 @@
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { FakeEngines } from '../training/test/FakeEngines.js'
+import type { EngineEvent } from '../training/test/FakeEngines.js'
+import { fakes } from '../training/test/fakes.js'
+import type { GenerationRequest } from './GenerationRequest.js'
+import { Generator } from './Generator.js'
+import { OriginRanges } from './OriginRanges.js'
+
+function request (change: Partial<GenerationRequest> = {}): GenerationRequest {
+  return {
+    requestId: 'q',
+    customer: 'felt',
+    service: 'llm',
+    model: 'felt/brim',
+    workClass: 'trainer/brim',
+    size: 'long',
+    prompt: 'p',
+    maxTokens: 8,
+    parameters: { temperature: 1 },
+    deadlineAtMs: performance.now() + 60_000,
+    signal: new AbortController().signal,
+    needsOrigin: true,
+    ...change
+  }
+}
+
+async function collect (engines: FakeEngines, change: Partial<GenerationRequest> = {}) {
+  const generator = new Generator(engines.admission, engines.client, engines.table, fakes.hash, fakes.logger, fakes.metrics)
+  const origin = new OriginRanges()
+  const tokens: number[] = []
+  let finishReason: string | undefined
+  for await (const item of generator.generate(request(change))) {
+    if (item.isErr()) return { tokens, origin: origin.toArray(), error: item.error }
+    tokens.push(...item.value.tokenIds)
+    if (item.value.origin !== undefined) origin.append(item.value.origin)
+    finishReason = item.value.finishReason
+  }
+  return { tokens, origin: origin.toArray(), finishReason }
+}
+
+const part = (from: number, to: number, version: number): EngineEvent[] =>
+  Array.from({ length: to - from }, (_, i) => ({ token: from + i, version }))
+
+describe('Generator', () => {
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setTimeout', 'Date'] })
+    mock.method(performance, 'now', () => Date.now())
+  })
+  afterEach(() => {
+    mock.timers.reset()
+    mock.restoreAll()
+  })
+
+  it('resumes after a reset on another engine with the tokens so far and keeps the recorded ranges', async () => {
+    const engines = new FakeEngines({ a: [[...part(0, 2, 3), 'reset']], b: [[...part(2, 3, 4), { token: 3, version: 4, last: true }, 'done']] })
+    const result = await collect(engines)
+    expect(result.tokens).toEqual([0, 1, 2, 3])
+    expect(result.origin).toEqual([{ from: 0, to: 2, version: 3, kv_version: 3 }, { from: 2, to: 4, version: 4, kv_version: 4 }])
+    expect(engines.requests[1]?.body['resume']).toEqual({ token_ids: [0, 1] })
+    expect(engines.requests[1]?.body['max_tokens']).toEqual(8)
+    expect([...engines.acquired[1]!.excluded!]).toEqual(['a'])
+    expect(engines.results.map((item) => item.kind)).toEqual(['failed', 'completed'])
+    expect(engines.failures).toEqual(['a'])
+  })
+
+  it('neither repeats nor loses tokens at a seam, wherever streams break', async () => {
+    const broken = fc.constantFrom<EngineEvent>('reset', 'end', 'invalid')
+    await fc.assert(fc.asyncProperty(fc.array(fc.tuple(fc.nat(3), broken, fc.boolean()), { maxLength: 4 }), async (breaks) => {
+      const scripts: Record<string, EngineEvent[][]> = {}
+      let at = 0
+      breaks.forEach(([count, how, hasLast], i) => {
+        const to = Math.min(7, at + count)
+        const last: EngineEvent[] = hasLast ? [{ token: to, version: i, last: true }] : []
+        scripts[`e${i}`] = [[...part(at, to, i), ...last, how]]
+        at = to
+      })
+      scripts['final'] = [[...part(at, 7, 9), { token: 7, version: 9, last: true }, 'done']]
+      const result = await collect(new FakeEngines(scripts))
+      expect(result.tokens).toEqual([0, 1, 2, 3, 4, 5, 6, 7])
+      expect(result.origin.at(-1)?.to).toEqual(8)
+      expect(result.finishReason).toEqual('stop')
+    }), { numRuns: 100 })
+  })
+
+  it('resumes a stalled stream only while another engine is available', async () => {
+    const engines = new FakeEngines({ a: [[...part(0, 1, 1), 'stall']], b: [[{ token: 1, version: 1, last: true }, 'done']] })
+    const running = collect(engines)
+    for (let i = 0; i < 30; i++) {
+      await new Promise((resolve) => setImmediate(resolve))
+      mock.timers.tick(100)
+    }
+    expect((await running).tokens).toEqual([0, 1])
+    expect(engines.results.map((item) => item.kind)).toEqual(['timeout', 'completed'])
+    const alone = new FakeEngines({ a: [[...part(0, 1, 1), 'stall']] })
+    const waiting = collect(alone, { deadlineAtMs: performance.now() + 50_000 })
+    for (let i = 0; i < 60; i++) {
+      await new Promise((resolve) => setImmediate(resolve))
+      mock.timers.tick(1000)
+    }
+    expect((await waiting).error).toEqual({ kind: 'deadline_exceeded', message: 'the deadline passed', outcome: 'unknown', status: 504 })
+    expect(alone.requests.length).toEqual(1)
+  })
+
+  it('fails with origin_unknown when a sample has tokens without a stamp, and passes them to callers', async () => {
+    const script: () => EngineEvent[] = () => [{ token: 0 }, { token: 1, last: true }, 'done']
+    expect((await collect(new FakeEngines({ a: [script()] }))).error?.kind).toEqual('origin_unknown')
+    expect((await collect(new FakeEngines({ a: [script()] }), { needsOrigin: false })).tokens).toEqual([0, 1])
+  })
+
+  it('states not_run only when no engine can have received the request', async () => {
+    const refused = await collect(new FakeEngines({ a: [] }), { service: 'none' })
+    expect(refused.error).toEqual({ kind: 'no_upstream', message: 'none', outcome: 'not_run', status: 503, retryAfterMs: undefined })
+    const outcomeAfter = async (script: EngineEvent[] | 'refuse_connection' | 'reset_on_open') => {
+      const engines = new FakeEngines({ a: [script] })
+      const stream = engines.client.stream
+      engines.client.stream = (address, item, signal) => {
+        engines.admissionError = { kind: 'deadline_unreachable', message: 'late' }
+        return stream(address, item, signal)
+      }
+      return (await collect(engines)).error?.outcome
+    }
+    expect(await outcomeAfter(['reset'])).toEqual('unknown')
+    expect(await outcomeAfter('reset_on_open')).toEqual('unknown')
+    expect(await outcomeAfter('refuse_connection')).toEqual('not_run')
+  })
+
+  it('refuses a blocked request with 422 and passes on a refusal of the engine', async () => {
+    const blocked = new FakeEngines({ a: [] })
+    blocked.admissionError = { kind: 'request_blocked', message: 'crashes engines' }
+    expect((await collect(blocked)).error).toEqual({ kind: 'request_blocked', message: 'crashes engines', outcome: 'not_run', status: 422, retryAfterMs: undefined })
+    const engines = new FakeEngines({ a: [400], b: [] })
+    expect((await collect(engines)).error?.status).toEqual(400)
+    expect(engines.requests.length).toEqual(1)
+  })
+
+  it('gives up after five attempts without a token, so that a failing request does not circulate', async () => {
+    const scripts = Object.fromEntries(Array.from({ length: 8 }, (_, i) => [`e${i}`, [500]]))
+    const engines = new FakeEngines(scripts)
+    expect((await collect(engines)).error?.kind).toEqual('engine_failed')
+    expect(engines.requests.length).toEqual(5)
+  })
+
+  it('closes the stream and releases the slot when the caller aborts or stops reading', async () => {
+    const controller = new AbortController()
+    const engines = new FakeEngines({ a: [[...part(0, 1, 1), 'stall'], [...part(0, 5, 1)]], b: [] })
+    const running = collect(engines, { signal: controller.signal })
+    await new Promise((resolve) => setImmediate(resolve))
+    controller.abort()
+    expect((await running).error?.kind).toEqual('caller_gone')
+    const generator = new Generator(engines.admission, engines.client, engines.table, fakes.hash, fakes.logger, fakes.metrics)
+    const items = generator.generate(request())
+    expect((await items.next()).done).toEqual(false)
+    await items.return(undefined)
+    expect(engines.closed).toEqual(2)
+    expect(engines.results.map((item) => item.kind)).toEqual(['cancelled', 'cancelled'])
+  })
+})
+
+describe('OriginRanges', () => {
+  it('merges neighbours of equal versions and refuses gaps and overlaps', () => {
+    const ranges = new OriginRanges()
+    ranges.append({ from: 0, to: 2, version: 3, kv_version: 2 })
+    ranges.append({ from: 2, to: 4, version: 3, kv_version: 2 })
+    ranges.append({ from: 4, to: 5, version: 3, kv_version: 3 })
+    expect(ranges.toArray()).toEqual([{ from: 0, to: 4, version: 3, kv_version: 2 }, { from: 4, to: 5, version: 3, kv_version: 3 }])
+    expect(() => ranges.append({ from: 6, to: 7, version: 3, kv_version: 3 })).toThrow('does not continue at 5')
+    expect(() => ranges.append({ from: 4, to: 7, version: 3, kv_version: 3 })).toThrow('does not continue at 5')
+    expect(ranges.covers(5)).toEqual(true)
+    expect(ranges.covers(6)).toEqual(false)
+  })
+})
