Deliver whole groups to trainers exactly once

Cause: a group that one entry reopens for staleness may have been delivered by another entry that had not seen the expiry, and reads may be delayed, lost or answered by an entry that lags. Change: TrainerDesk plans each read on the fold. A cursor never lies in a past position range of a group that the entry knows to be reopened, so that a cursor inside such a range proves delivery; where max would cut inside a range, hold and place records give the ready groups new positions. A read first settles what its cursor proves, and an entry that lags behind the cursor waits. Conclusion: exactly once needs no delivery records, only positions that prove delivery.

--- a/src/common/schema/stepRecordSchema.ts
+++ b/src/common/schema/stepRecordSchema.ts
@@ -26,12 +26,16 @@
   z.object({ type: z.literal('ack'), ...trainerFields, cursor: z.int() }),
   z.object({ type: z.literal('weights'), ...trainerFields, version: z.int().min(0) }),
   z.object({
-    /** Gives a ready group a later position, so that a trainer's cursor can stop between groups after an expiry. */
-    type: z.literal('move'),
+    /**
+     * Takes the positions of all ready groups above a cursor; `place` records give them new ones. A read needs
+     * this to stop between groups after an expiry, because its cursor must not lie in a past position range.
+     */
+    type: z.literal('hold'),
     ...trainerFields,
-    ...sampleFields,
-    from: z.int()
+    cursor: z.int()
   }),
+  /** Gives a whole group without a position the offset of this record as its position. */
+  z.object({ type: z.literal('place'), ...trainerFields, ...sampleFields }),
   z.object({
     /** Head of a carried state; `groups` records of type `carry_group` with the same `set` complete it. */
     type: z.literal('carry'),
--- /dev/null
+++ b/src/common/training/DeliveryPlan.ts
@@ -0,0 +1,14 @@
+import type { GroupState } from './GroupState.js'
+import type { StaleSample } from './StaleSample.js'
+
+/**
+ * Next action of a read. `settle` records the cursor, which shows that reopened groups were received;
+ * `place` and `hold` change positions; `expire` reopens stale samples before anything can be delivered.
+ */
+export type DeliveryPlan =
+  | { kind: 'settle' }
+  | { kind: 'place', groups: GroupState[] }
+  | { kind: 'hold' }
+  | { kind: 'expire', stale: StaleSample[] }
+  | { kind: 'deliver', groups: GroupState[], cursor: number, stale: StaleSample[] }
+  | { kind: 'wait' }
--- /dev/null
+++ b/src/common/training/TrainerDesk.test.ts
@@ -0,0 +1,187 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import type { GroupSpec } from '../schema/GroupSpec.js'
+import type { DeliveredGroup } from './DeliveredGroup.js'
+import { StepTable } from './StepTable.js'
+import { TrainerDesk } from './TrainerDesk.js'
+import { MemoryLog } from './test/MemoryLog.js'
+import { fakes } from './test/fakes.js'
+
+const base = { customer: 'felt', trainer: 'brim' }
+const BOUND = 1
+
+function entry (log: MemoryLog) {
+  const hub = log.hub()
+  const table = new StepTable(fakes.hash, hub)
+  hub.follow()
+  return { hub, table, desk: new TrainerDesk(table, hub, fakes.contracts({ staleness_versions: BOUND }), fakes.metrics) }
+}
+
+function sample (group: string, version = 0, index = 0, attempt = 0, step = 1) {
+  const origin = [{ from: 0, to: 1, version, kv_version: version }]
+  return { type: 'sample', id: crypto.randomUUID(), ...base, step, group, sample: { index, attempt, text: '', token_ids: [1], origin } }
+}
+
+const read = (cursor: number, change: Partial<{ version: number, max: number, waitMs: number }> = {}) =>
+  ({ ...base, cursor, version: 0, max: 100, waitMs: 0, signal: new AbortController().signal, ...change })
+const names = (groups: DeliveredGroup[]) => groups.map(({ group }) => group)
+
+describe('TrainerDesk', () => {
+  it('accepts a step once and refuses other groups under the same step', async () => {
+    const log = new MemoryLog()
+    const [a, b] = [entry(log), entry(log)]
+    expect((await a.desk.submit('felt', 'brim', 1, [fakes.group('g')])).isOk()).toEqual(true)
+    expect((await b.desk.submit('felt', 'brim', 1, [fakes.group('g')])).isOk()).toEqual(true)
+    expect(log.entries.length).toEqual(1)
+    expect((await b.desk.submit('felt', 'brim', 1, [fakes.group('h')]))._unsafeUnwrapErr().kind).toEqual('step_conflict')
+    b.hub.isFollowing = false
+    await a.desk.submit('felt', 'brim', 2, [fakes.group('g')])
+    expect((await b.desk.submit('felt', 'brim', 2, [fakes.group('h')]))._unsafeUnwrapErr().kind).toEqual('step_conflict')
+  })
+
+  it('refuses steps that the contract does not allow', async () => {
+    const { desk } = entry(new MemoryLog())
+    const fault = async (trainer: string, step: number, groups: GroupSpec[]) => {
+      const error = (await desk.submit('felt', trainer, step, groups))._unsafeUnwrapErr()
+      return error.kind === 'step_invalid' ? error.field : error.kind
+    }
+    expect(await fault('other', 1, [fakes.group('g')])).toEqual('trainer_unknown')
+    expect(await fault('constructor', 1, [fakes.group('g')])).toEqual('trainer_unknown')
+    expect(await fault('brim', -1, [fakes.group('g')])).toEqual('step')
+    expect(await fault('brim', 1, [])).toEqual('groups')
+    expect(await fault('brim', 1, [fakes.group('g'), fakes.group('g')])).toEqual('groups.1.group')
+    expect(await fault('brim', 1, [{ ...fakes.group('g'), max_tokens: 5000 }])).toEqual('groups.0.max_tokens')
+    expect(await fault('brim', 1, [0, 1, 2, 3, 4].map((i) => fakes.group(`g${i}`, 1024)))).toEqual('groups')
+  })
+
+  it('waits for a group during a long poll and returns without one at its end', async () => {
+    const log = new MemoryLog()
+    const { desk } = entry(log)
+    await desk.submit('felt', 'brim', 1, [fakes.group('g')])
+    const polled = desk.read(read(0, { waitMs: 5000 }))
+    setTimeout(() => log.push(sample('g')), 20)
+    expect(names((await polled)._unsafeUnwrap().groups)).toEqual(['g'])
+    expect(await desk.read(read(2, { waitMs: 20 }))).toEqual((await desk.read(read(2))))
+    expect((await desk.read(read(2)))._unsafeUnwrap()).toEqual({ groups: [], cursor: 2 })
+  })
+
+  it('reopens a sample that is stale at delivery by the version that the trainer states, and delivers the others', async () => {
+    const log = new MemoryLog()
+    const { desk, table } = entry(log)
+    await desk.submit('felt', 'brim', 1, [fakes.group('old'), fakes.group('new')])
+    log.push(sample('old', 0))
+    log.push(sample('new', 1))
+    const first = (await desk.read(read(0, { version: 2 })))._unsafeUnwrap()
+    expect(names(first.groups)).toEqual(['new'])
+    expect(table.get('felt', 'brim')?.group(1, 'old')?.attempts).toEqual([1])
+    log.push(sample('old', 2, 0, 1))
+    const second = (await desk.read(read(first.cursor, { version: 2 })))._unsafeUnwrap()
+    expect(names(second.groups)).toEqual(['old'])
+  })
+
+  it('answers training_unavailable while the state is incomplete or the log is out', async () => {
+    const log = new MemoryLog()
+    const { desk, hub } = entry(log)
+    await desk.submit('felt', 'brim', 1, [fakes.group('g')])
+    hub.isDown = true
+    expect((await desk.submit('felt', 'brim', 2, [fakes.group('g')]))._unsafeUnwrapErr()).toEqual({ kind: 'training_unavailable', message: 'down', mayLand: true })
+    hub.isDown = false
+    hub.isCaughtUp = false
+    expect((await desk.read(read(0)))._unsafeUnwrapErr().kind).toEqual('training_unavailable')
+    hub.isCaughtUp = true
+    hub.gap(2)
+    expect((await desk.read(read(0)))._unsafeUnwrapErr().kind).toEqual('training_unavailable')
+    expect((await desk.submit('felt', 'brim', 2, [fakes.group('g')]))._unsafeUnwrapErr().kind).toEqual('training_unavailable')
+  })
+
+  it('refuses a cursor above every record only after reading to the end of the log', async () => {
+    const log = new MemoryLog()
+    const [a, b] = [entry(log), entry(log)]
+    await a.desk.submit('felt', 'brim', 1, [fakes.group('g'), fakes.group('h')])
+    b.hub.isFollowing = false
+    log.push(sample('g'))
+    log.push(sample('h'))
+    const waiting = b.desk.read(read(2))
+    setTimeout(() => b.hub.follow(), 20)
+    expect(names((await waiting)._unsafeUnwrap().groups)).toEqual(['h'])
+    expect((await a.desk.read(read(99)))._unsafeUnwrapErr().kind).toEqual('cursor_invalid')
+    expect((await a.desk.acknowledge('felt', 'brim', 99))._unsafeUnwrapErr().kind).toEqual('cursor_invalid')
+  })
+
+  it('does not deliver a reopened group again that an entry delivered before it had seen the expiry', async () => {
+    const log = new MemoryLog()
+    const [a, b] = [entry(log), entry(log)]
+    await a.desk.submit('felt', 'brim', 1, [fakes.group('g'), fakes.group('h')])
+    log.push(sample('g'))
+    log.push(sample('h'))
+    a.hub.isFollowing = false
+    log.push({ type: 'expire', id: 'late', ...base, step: 1, group: 'g', index: 0, attempt: 0 })
+    log.push(sample('g', 0, 0, 1))
+    const first = (await a.desk.read(read(0)))._unsafeUnwrap()
+    expect(names(first.groups)).toEqual(['g', 'h'])
+    b.hub.isFollowing = false
+    expect((await b.desk.read(read(first.cursor)))._unsafeUnwrap().groups).toEqual([])
+  })
+
+  it('delivers each group once and never stale across entries, lost responses, late records and delayed reads', async () => {
+    const command = fc.oneof(
+      { weight: 4, arbitrary: fc.record({ kind: fc.constant('sample' as const), entry: fc.nat(2), pick: fc.nat(50), lag: fc.nat(2), max: fc.constant(1) }) },
+      { weight: 4, arbitrary: fc.record({ kind: fc.constantFrom('read' as const, 'lost' as const, 'delayed' as const), entry: fc.nat(2), pick: fc.nat(50), lag: fc.constant(0), max: fc.integer({ min: 1, max: 3 }) }) },
+      { weight: 3, arbitrary: fc.record({ kind: fc.constantFrom('follow' as const, 'cut' as const, 'recover' as const, 'weights' as const), entry: fc.nat(2), pick: fc.nat(6), lag: fc.constant(0), max: fc.constant(1) }) }
+    )
+    await fc.assert(fc.asyncProperty(fc.array(command, { minLength: 20, maxLength: 70 }), async (commands) => {
+      const log = new MemoryLog()
+      const entries = [entry(log), entry(log), entry(log)]
+      const specs = ['a', 'b', 'c', 'd', 'e'].map((name, i) => fakes.group(name, 1 + i % 2))
+      await entries[0]!.desk.submit('felt', 'brim', 1, specs)
+      for (const { hub } of entries) {
+        hub.follow()
+        hub.isFollowing = false
+      }
+      const cursors = [0]
+      const received: string[] = []
+      let version = 0
+      const readAt = async (at: number, cursor: number, max: number, keep: boolean) => {
+        const { desk, hub } = entries[at]!
+        if (cursor >= hub.status().nextOffset) hub.follow()
+        const result = await desk.read(read(cursor, { version, max }))
+        if (result.isErr() || !keep) return
+        for (const { group, position, samples } of result.value.groups) {
+          expect(position).toBeGreaterThan(cursor)
+          received.push(...samples.map(({ index }) => `${group}/${index}`))
+          expect(samples.every(({ origin }) => version - origin[0]!.version <= BOUND)).toEqual(true)
+        }
+        expect(result.value.groups.length).toBeLessThanOrEqual(max)
+        cursors.push(result.value.cursor)
+      }
+      const produce = (at: number, pick: number, lag: number) => {
+        const open = [...entries[at]!.table.get('felt', 'brim')!.groups.values()].flatMap(({ spec, attempts, samples }) =>
+          attempts.flatMap((attempt, index) => samples[index] === undefined ? [{ group: spec.group, index, attempt }] : []))
+        const chosen = open[pick % Math.max(1, open.length)]
+        if (chosen !== undefined) log.push(sample(chosen.group, Math.max(0, version - lag), chosen.index, chosen.attempt))
+        return chosen !== undefined
+      }
+      for (const { kind, entry: at, pick, lag, max } of commands) {
+        const { hub } = entries[at]!
+        if (kind === 'sample') produce(at, pick, lag)
+        else if (kind === 'read') await readAt(at, cursors.at(-1)!, max, true)
+        else if (kind === 'lost') await readAt(at, cursors.at(-1)!, max, false)
+        else if (kind === 'delayed') await readAt(at, cursors[pick % cursors.length]!, max, false)
+        else if (kind === 'follow') hub.follow(pick)
+        else if (kind === 'cut') hub.isDown = true
+        else if (kind === 'recover') hub.recover()
+        else log.push({ type: 'weights', id: crypto.randomUUID(), ...base, version: ++version })
+      }
+      for (let round = 0; round < 40; round++) {
+        for (const { hub } of entries) {
+          hub.recover()
+          hub.follow()
+        }
+        while (produce(round % 3, 0, 0)) entries[round % 3]!.hub.follow()
+        await readAt(round % 3, cursors.at(-1)!, 2, true)
+      }
+      expect(received.sort()).toEqual(specs.flatMap(({ group, samples }) => Array.from({ length: samples }, (_, i) => `${group}/${i}`)).sort())
+    }), { numRuns: 500 })
+  })
+})
--- a/src/common/training/TrainerState.ts
+++ b/src/common/training/TrainerState.ts
@@ -1,6 +1,8 @@
 import type { GroupSpec } from '../schema/GroupSpec.js'
 import type { StepRecord } from '../schema/StepRecord.js'
 import type { GroupState } from './GroupState.js'
+import { isInPast } from './isInPast.js'
+import { isWhole } from './isWhole.js'
 
 // Steps remembered by digest for resubmissions; bounds the head of a carried state to a few KiB.
 const STEPS_REMEMBERED = 128
@@ -35,7 +37,8 @@
       case 'submit': return this._submit(record)
       case 'sample': return this._sample(record, offset)
       case 'expire': return this._expire(record, offset)
-      case 'move': return this._move(record, offset)
+      case 'hold': return this._hold(record.cursor, offset)
+      case 'place': return this._place(record, offset)
       case 'ack': return this._acknowledge(record.cursor)
       case 'weights':
         this.version = Math.max(this.version, record.version)
@@ -85,7 +88,7 @@
     const { index, attempt } = record.sample
     if (group === undefined || group.attempts[index] !== attempt || group.samples[index] !== undefined) return
     group.samples[index] = record.sample
-    if (group.samples.every((sample) => sample !== undefined)) {
+    if (isWhole(group)) {
       group.position = offset
     }
   }
@@ -95,23 +98,33 @@
     if (group === undefined || group.attempts[record.index] !== record.attempt || group.samples[record.index] === undefined) return
     group.samples[record.index] = undefined
     group.attempts[record.index] = record.attempt + 1
-    if (group.position === undefined) return
-    group.past.push({ from: group.position, to: offset })
-    group.position = undefined
+    this._endPosition(group, offset)
+  }
+
+  private _hold (cursor: number, offset: number): void {
+    for (const group of this.readyAbove(cursor)) {
+      this._endPosition(group, offset)
+    }
   }
 
-  private _move (record: RecordOf<'move'>, offset: number): void {
+  private _place (record: RecordOf<'place'>, offset: number): void {
     const group = this.group(record.step, record.group)
-    if (group === undefined || group.position !== record.from) return
+    if (group !== undefined && isWhole(group) && group.position === undefined) {
+      group.position = offset
+    }
+  }
+
+  private _endPosition (group: GroupState, offset: number): void {
+    if (group.position === undefined) return
     group.past.push({ from: group.position, to: offset })
-    group.position = offset
+    group.position = undefined
   }
 
   private _acknowledge (cursor: number): void {
     this.cursor = Math.max(this.cursor, cursor)
     for (const [key, group] of this.groups) {
       const isDelivered = group.position !== undefined && group.position <= cursor
-      const wasDelivered = group.past.some((range) => range.from <= cursor && cursor < range.to)
+      const wasDelivered = isInPast(group, cursor)
       if (isDelivered || wasDelivered) {
         this.groups.delete(key)
       }
--- a/src/common/training/test/MemoryLog.ts
+++ b/src/common/training/test/MemoryLog.ts
@@ -62,7 +62,11 @@
   }
 
   append (_stream: StreamName, record: { id: string }, _timeoutMs: number): ResultAsync<LogEntry, LogError> {
-    if (this.isDown) return errAsync({ kind: 'log_unavailable', message: 'down', mayLand: true })
+    if (this.isDown) {
+      // The record may land after the caller was told that the log is unavailable.
+      this.waiting.push(record)
+      return errAsync({ kind: 'log_unavailable', message: 'down', mayLand: true })
+    }
     const entry = this._log.push(record)
     this.follow()
     return okAsync(entry)
@@ -79,7 +83,8 @@
   }
 
   status (): StreamStatus {
-    return { nextOffset: this._read + 1, isCaughtUp: this.isCaughtUp, lastAtEndMs: performance.now() + 1, isFailing: this.isDown }
+    const isAtEnd = this._read === this._log.entries.length
+    return { nextOffset: this._read + 1, isCaughtUp: this.isCaughtUp, lastAtEndMs: isAtEnd ? performance.now() + 1 : 0, isFailing: this.isDown }
   }
 
   async flush (): Promise<void> {}
