Run samples on their owners and record them in the log

Cause: every sample must be generated although entries, engines and the log fail, must not be stale when it is recorded, and must be scored when the contract names a scorer. Change: StepRunner runs the open samples that the rendezvous hash gives to this entry, older steps first and group by group, at most max_in_flight divided by the trainers of the contract; it cancels runs that become stale or were recorded elsewhere and retries failed ones with backoff. SampleRun collects tokens and origin, SampleScorer repeats the score, SampleOwners caches ownership. Conclusion: no sample is dropped; the first record wins where two entries run the same one.

--- /dev/null
+++ b/src/common/training/SampleScorer.ts
@@ -0,0 +1,77 @@
+import { z } from 'zod'
+import { admissionId } from '../admission/admissionId.js'
+import type { IAdmission } from '../admission/IAdmission.js'
+import { hashId } from '../generation/hashId.js'
+import type { IHash } from '../generation/IHash.js'
+import { raceUntil } from '../generation/raceUntil.js'
+import type { IUpstreamClient } from '../upstream/IUpstreamClient.js'
+import { upstreamClientId } from '../upstream/upstreamClientId.js'
+import type { ISampleScorer } from './ISampleScorer.js'
+import type { SampleTask } from './SampleTask.js'
+
+const SCORE_TIMEOUT_MS = 30_000
+const RETRY_BASE_MS = 250
+const RETRY_MAX_MS = 10_000
+
+const rewardSchema = z.object({ reward: z.number() })
+
+/** Asks the contract's scorer for a reward; scoring is repeatable and is retried until aborted. */
+export class SampleScorer implements ISampleScorer {
+  constructor (
+    @admissionId private readonly _admission: IAdmission,
+    @upstreamClientId private readonly _client: IUpstreamClient,
+    @hashId private readonly _hash: IHash
+  ) {}
+
+  async score (task: SampleTask, scorer: string, text: string, signal: AbortSignal): Promise<number | undefined> {
+    const body = JSON.stringify({ prompt: task.spec.prompt, text })
+    for (let tries = 0; !signal.aborted; tries++) {
+      const reward = await this._try(task, scorer, body, signal)
+      if (reward !== undefined) return reward
+      const pauseMs = Math.min(RETRY_MAX_MS, RETRY_BASE_MS * 2 ** tries) * (0.5 + Math.random() / 2)
+      await raceUntil(new Promise<never>(() => {}), pauseMs, signal)
+    }
+    return undefined
+  }
+
+  private async _try (task: SampleTask, scorer: string, body: string, signal: AbortSignal): Promise<number | undefined> {
+    const deadlineAtMs = performance.now() + SCORE_TIMEOUT_MS
+    const acquired = await this._admission.acquire({
+      customer: task.customer,
+      service: scorer,
+      workClass: `trainer/${task.trainer}`,
+      size: 'short',
+      units: 1,
+      fingerprint: this._hash.hash64(`${task.customer}/${scorer}/${body}`).toString(16),
+      deadlineAtMs,
+      signal
+    })
+    if (acquired.isErr()) return undefined
+    const slot = acquired.value
+    const startedAtMs = performance.now()
+    const answer = await this._client.call(slot.upstream.address, {
+      requestId: crypto.randomUUID(),
+      method: 'POST',
+      path: '/score',
+      headers: { 'content-type': 'application/json' },
+      body: new TextEncoder().encode(body),
+      deadlineAtMs
+    }, signal)
+    if (answer.isErr()) {
+      slot.release(signal.aborted ? { kind: 'cancelled' } : { kind: 'failed', sent: answer.error.sent })
+      return undefined
+    }
+    const { status, body: content } = answer.value
+    const isServed = status < 500 && status !== 429
+    slot.release(isServed ? { kind: 'completed', durationMs: performance.now() - startedAtMs, units: 1 } : { kind: 'failed', sent: true })
+    return status === 200 ? parseReward(content) : undefined
+  }
+}
+
+function parseReward (content: Uint8Array): number | undefined {
+  try {
+    return rewardSchema.safeParse(JSON.parse(new TextDecoder().decode(content))).data?.reward
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/common/training/StepRunner.test.ts
@@ -0,0 +1,235 @@
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import { expect } from 'earl'
+import { err, ok } from 'neverthrow'
+import type { Result } from 'neverthrow'
+import type { GenerationChunk } from '../generation/GenerationChunk.js'
+import type { GenerationError } from '../generation/GenerationError.js'
+import type { GenerationRequest } from '../generation/GenerationRequest.js'
+import type { IGenerator } from '../generation/IGenerator.js'
+import { SampleOwners } from './SampleOwners.js'
+import { SampleScorer } from './SampleScorer.js'
+import { StepRunner } from './StepRunner.js'
+import { StepTable } from './StepTable.js'
+import { FakeEngines } from './test/FakeEngines.js'
+import { MemoryLog } from './test/MemoryLog.js'
+import { fakes } from './test/fakes.js'
+
+const base = { customer: 'felt', trainer: 'brim' }
+type Item = Result<GenerationChunk, GenerationError>
+
+/** Generations that the test feeds chunk by chunk. */
+class FakeGenerator implements IGenerator {
+  readonly open: { request: GenerationRequest, send: (item: Item) => void, isClosed: boolean }[] = []
+
+  async * generate (request: GenerationRequest): AsyncGenerator<Item> {
+    const items: Item[] = []
+    let wake = (): void => {}
+    const call = { request, isClosed: false, send: (item: Item) => { items.push(item); wake() } }
+    this.open.push(call)
+    request.signal.addEventListener('abort', () => wake())
+    try {
+      for (;;) {
+        while (items.length === 0 && !request.signal.aborted) await new Promise<void>((resolve) => { wake = resolve })
+        const item = items.shift() ?? err({ kind: 'caller_gone', message: '', outcome: 'unknown', status: 499 })
+        yield item
+        if (item.isErr() || item.value.finishReason !== undefined) return
+      }
+    } finally {
+      call.isClosed = true
+    }
+  }
+
+  started (): string[] {
+    return this.open.filter(({ isClosed }) => !isClosed).map(({ request }) => request.prompt.slice('prompt '.length))
+  }
+}
+
+const chunk = (from: number, version: number, finishReason?: string): Item =>
+  ok({ text: 't', tokenIds: [1], origin: { from, to: from + 1, version, kv_version: version }, finishReason })
+
+async function settle (ms = 0): Promise<void> {
+  for (let elapsed = 0; elapsed <= ms; elapsed += 20) {
+    mock.timers.tick(20)
+    for (let i = 0; i < 5; i++) await new Promise((resolve) => setImmediate(resolve))
+  }
+}
+
+function entry (log: MemoryLog, live: string[] = ['a'], terms: Record<string, unknown> = {}, id = 'a') {
+  const hub = log.hub()
+  const table = new StepTable(fakes.hash, hub)
+  hub.follow()
+  const peers = fakes.peers(id, live)
+  const generator = new FakeGenerator()
+  const engines = new FakeEngines({ s: [] }, 'score')
+  const scorer = new SampleScorer(engines.admission, engines.client, fakes.hash)
+  const owners = new SampleOwners(peers, fakes.hash)
+  const runner = new StepRunner(table, generator, scorer, owners, hub, fakes.contracts(terms), fakes.logger, fakes.metrics)
+  runner.start()
+  return { hub, table, peers, generator, engines, runner }
+}
+
+const submit = (log: MemoryLog, step: number, ...groups: string[]) =>
+  log.push({ type: 'submit', id: `s${step}`, ...base, step, groups: groups.map((group) => fakes.group(group, 2)), at_ms: Date.now() })
+const weights = (log: MemoryLog, version: number) => log.push({ type: 'weights', id: `w${version}`, ...base, version })
+const recorded = (log: MemoryLog) => log.entries.map(({ value }) => value as { type: string, sample: { reward?: number } }).filter(({ type }) => type === 'sample')
+
+describe('StepRunner', () => {
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'] })
+    mock.method(performance, 'now', () => Date.now())
+  })
+  afterEach(() => {
+    mock.timers.reset()
+    mock.restoreAll()
+  })
+
+  it('starts older steps first and group by group, within the bound of the contract', async () => {
+    const log = new MemoryLog()
+    const { generator, runner } = entry(log)
+    submit(log, 2, 'late')
+    submit(log, 1, ...Array.from({ length: 127 }, (_, i) => `g${i}`))
+    submit(log, 3, ...Array.from({ length: 10 }, (_, i) => `x${i}`))
+    await settle(40)
+    expect(generator.started().length).toEqual(256)
+    expect(generator.started().slice(0, 3)).toEqual(['g0', 'g0', 'g1'])
+    expect(generator.started().slice(-2)).toEqual(['late', 'late'])
+    runner.dispose()
+    await settle()
+    expect(generator.started()).toEqual([])
+  })
+
+  it('divides the samples between entries and takes over those of an entry that failed', async () => {
+    const log = new MemoryLog()
+    const a = entry(log, ['a', 'b'], {}, 'a')
+    const b = entry(log, ['a', 'b'], {}, 'b')
+    submit(log, 1, ...Array.from({ length: 20 }, (_, i) => `g${i}`))
+    await settle(40)
+    expect(a.generator.started().length + b.generator.started().length).toEqual(40)
+    expect(a.generator.started().length).toBeGreaterThan(0)
+    expect(b.generator.started().length).toBeGreaterThan(0)
+    b.runner.dispose()
+    a.peers.live = ['a']
+    a.peers.change.fire()
+    await settle(40)
+    expect(a.generator.started().length).toEqual(40)
+    a.runner.dispose()
+  })
+
+  it('records finished samples once, keeps them while the log is out and does not run them again', async () => {
+    const log = new MemoryLog()
+    const { generator, hub, runner } = entry(log)
+    submit(log, 1, 'g')
+    await settle(40)
+    hub.isDown = true
+    generator.open.forEach(({ send }) => send(chunk(0, 0, 'stop')))
+    await settle(60_000)
+    expect(generator.open.length).toEqual(2)
+    expect(runner.inProgress).toEqual(2)
+    hub.recover()
+    await settle(40)
+    expect(recorded(log).length).toEqual(2)
+    expect(runner.inProgress).toEqual(0)
+    runner.dispose()
+  })
+
+  it('aborts a run whose index another entry recorded', async () => {
+    const log = new MemoryLog()
+    const { generator, runner } = entry(log)
+    submit(log, 1, 'g')
+    await settle(40)
+    const origin = [{ from: 0, to: 1, version: 0, kv_version: 0 }]
+    log.push({ type: 'sample', id: 'other', ...base, step: 1, group: 'g', sample: { index: 0, attempt: 0, text: '', token_ids: [1], origin } })
+    await settle(40)
+    expect(generator.open.map(({ isClosed }) => isClosed)).toEqual([true, false])
+    runner.dispose()
+  })
+
+  it('cancels a running sample as soon as its oldest version is out of bound and runs it again', async () => {
+    const log = new MemoryLog()
+    const { generator, runner } = entry(log)
+    weights(log, 5)
+    submit(log, 1, 'g')
+    await settle(40)
+    generator.open.forEach(({ send }) => send(chunk(0, 5)))
+    weights(log, 6)
+    await settle(600)
+    expect(generator.open.length).toEqual(2)
+    weights(log, 7)
+    await settle(40)
+    expect(generator.open.map(({ isClosed }) => isClosed)).toEqual([true, true])
+    await settle(600)
+    expect(generator.started().length).toEqual(2)
+    runner.dispose()
+  })
+
+  it('does not record a sample that is stale when it starts or completes', async () => {
+    const log = new MemoryLog()
+    const { generator, runner } = entry(log)
+    weights(log, 5)
+    submit(log, 1, 'g')
+    await settle(40)
+    generator.open[0]!.send(chunk(0, 3))
+    await settle(40)
+    expect(generator.open.map(({ isClosed }) => isClosed)).toEqual([true, false])
+    generator.open[1]!.send(ok({ text: 't', tokenIds: [1], origin: { from: 0, to: 1, version: 5, kv_version: 3 }, finishReason: 'stop' }))
+    await settle(40)
+    expect(generator.open[1]!.isClosed).toEqual(true)
+    await settle(600)
+    expect(generator.started().length).toEqual(2)
+    expect(recorded(log)).toEqual([])
+    runner.dispose()
+  })
+
+  it('retries a failed sample with growing pauses until its group is acknowledged', async () => {
+    const log = new MemoryLog()
+    const { generator, runner } = entry(log)
+    submit(log, 1, 'g')
+    for (let round = 0; round < 12; round++) {
+      await settle(1000)
+      generator.open.forEach(({ send }) => send(err({ kind: 'request_blocked', message: '', outcome: 'not_run', status: 422 })))
+    }
+    const attempts = generator.open.length
+    expect(attempts).toBeGreaterThan(6)
+    expect(attempts).toBeLessThan(18)
+    await settle(31_000)
+    expect(generator.started().length).toEqual(2)
+    runner.dispose()
+  })
+
+  it('refuses a sample whose origin does not cover every token', async () => {
+    const log = new MemoryLog()
+    const { generator, runner } = entry(log)
+    submit(log, 1, 'g')
+    await settle(40)
+    generator.open[0]!.send(ok({ text: 't', tokenIds: [1, 2], origin: { from: 0, to: 1, version: 0, kv_version: 0 }, finishReason: 'stop' }))
+    await settle(40)
+    expect(recorded(log)).toEqual([])
+    runner.dispose()
+  })
+
+  it('scores a sample before recording it and repeats a failed score', async () => {
+    const log = new MemoryLog()
+    const { generator, engines, runner } = entry(log, ['a'], { scorer: 'score' })
+    const answers = [{ status: 0, body: {} }, { status: 500, body: {} }, { status: 200, body: { reward: 'x' } }]
+    engines.answer = () => answers.shift() ?? { status: 200, body: { reward: 0.5 } }
+    submit(log, 1, 'g')
+    await settle(40)
+    generator.open[0]!.send(chunk(0, 0, 'stop'))
+    await settle(100)
+    expect(recorded(log)).toEqual([])
+    await settle(5000)
+    expect(recorded(log).map(({ sample }) => sample.reward)).toEqual([0.5])
+    expect(engines.results.map(({ kind }) => kind)).toEqual(['failed', 'failed', 'completed', 'completed'])
+    runner.dispose()
+  })
+
+  it('starts nothing while the state of the trainer is incomplete', async () => {
+    const log = new MemoryLog()
+    const { generator, hub, runner } = entry(log)
+    hub.isCaughtUp = false
+    submit(log, 1, 'g')
+    await settle(600)
+    expect(generator.open).toEqual([])
+    runner.dispose()
+  })
+})
