Roll out weights as holder of a service's lease

Cause: new weights must reach every engine of a service although loads fail partway, engines restart, ignore fencing numbers or hang, and a lease holder may be paused. Change: WeightRollout seeks weights/<service> for each engine service with trainers. While it holds the lease, ServiceRollout polls the engines' state, orders the newest version only, checks the lease right before each order, keeps at least one engine serving, and repeats what the state read back does not confirm. Order of swaps: fewest failed loads, out of the staleness bound, fewest requests, fastest. Conclusion: engines converge on the newest version, and an outdated holder stops sending.

--- /dev/null
+++ b/src/common/weights/EngineOrders.ts
@@ -0,0 +1,46 @@
+import type { Result } from 'neverthrow'
+import type { IUpstreamClient } from '../upstream/IUpstreamClient.js'
+import type { UpstreamAnswer } from '../upstream/UpstreamAnswer.js'
+import type { UpstreamError } from '../upstream/UpstreamError.js'
+import type { EngineState } from './EngineState.js'
+import type { WeightTarget } from './WeightTarget.js'
+import { engineStateSchema } from './engineStateSchema.js'
+
+const CALL_TIMEOUT_MS = 2000
+
+/** Calls to the order interface of an engine. */
+export class EngineOrders {
+  constructor (private readonly _client: IUpstreamClient) {}
+
+  /** The engine's state, or undefined when it could not be read. */
+  async readState (address: string, signal: AbortSignal): Promise<EngineState | undefined> {
+    const answer = await this._call(address, 'GET', '/v1/state', undefined, signal)
+    if (answer.isErr() || answer.value.status !== 200) return undefined
+    try {
+      return engineStateSchema.safeParse(JSON.parse(new TextDecoder().decode(answer.value.body))).data
+    } catch {
+      return undefined
+    }
+  }
+
+  /** Orders an engine to load weights; only the state read back tells whether it did. */
+  async orderVersion (address: string, target: WeightTarget, fence: number, signal: AbortSignal): Promise<'accepted' | 'stale_fence' | 'unknown'> {
+    const value = { model: target.model, version: target.version }
+    const body = { order_id: crypto.randomUUID(), kind: 'load_version', value, fence }
+    const answer = await this._call(address, 'POST', '/v1/orders', body, signal)
+    if (answer.isErr()) return 'unknown'
+    if (answer.value.status === 409) return 'stale_fence'
+    return answer.value.status === 202 ? 'accepted' : 'unknown'
+  }
+
+  private async _call (address: string, method: string, path: string, body: unknown, signal: AbortSignal): Promise<Result<UpstreamAnswer, UpstreamError>> {
+    return await this._client.call(address, {
+      requestId: crypto.randomUUID(),
+      method,
+      path,
+      headers: body === undefined ? {} : { 'content-type': 'application/json' },
+      body: body === undefined ? undefined : new TextEncoder().encode(JSON.stringify(body)),
+      deadlineAtMs: performance.now() + CALL_TIMEOUT_MS
+    }, signal)
+  }
+}
--- /dev/null
+++ b/src/common/weights/ServiceRollout.ts
@@ -0,0 +1,179 @@
+import { raceUntil } from '../generation/raceUntil.js'
+import type { ILeaseService } from '../lease/ILeaseService.js'
+import type { Lease } from '../lease/Lease.js'
+import type { ILogger } from '../metrics/ILogger.js'
+import type { ServiceSettings } from '../settings/ServiceSettings.js'
+import type { Upstream } from '../upstream/Upstream.js'
+import type { EngineOrders } from './EngineOrders.js'
+import type { EngineState } from './EngineState.js'
+import type { SwapCandidate } from './SwapCandidate.js'
+import type { WeightTarget } from './WeightTarget.js'
+import { orderSwaps } from './orderSwaps.js'
+
+// Also bounds how long a restarted engine with old weights goes unnoticed.
+const POLL_IDLE_MS = 1000
+const POLL_LOADING_MS = 200
+// New weights reach every server within 9 s (docs/design.md 1.7); a load that takes longer is repeated.
+const LOAD_TIMEOUT_MS = 30_000
+// An engine may show the error of an earlier load until it has begun the ordered one.
+const OLD_ERROR_MS = 1000
+const RETRY_BASE_MS = 500
+const RETRY_MAX_MS = 15_000
+
+interface Loading {
+  target: WeightTarget
+  bootId: string
+  /** Error that the engine reported before the order. */
+  errorBefore: string
+  sentAtMs: number
+  /** Until then the engine counts as loading, whatever it reports. */
+  untilMs: number
+}
+
+/** Rollout of one service for as long as this entry holds its lease. */
+export class ServiceRollout {
+  private readonly _controller = new AbortController()
+  private readonly _states = new Map<string, EngineState>()
+  /** When each engine was first seen loading, by its own state. */
+  private readonly _loadingSince = new Map<string, number>()
+  private readonly _loading = new Map<string, Loading>()
+  private readonly _retries = new Map<string, { failures: number, dueAtMs: number }>()
+  private _wake = new AbortController()
+
+  constructor (
+    private readonly _lease: Lease,
+    private readonly _service: ServiceSettings,
+    private readonly _leases: ILeaseService,
+    private readonly _orders: EngineOrders,
+    private readonly _engines: () => Upstream[],
+    private readonly _targets: () => WeightTarget[],
+    private readonly _logger: ILogger
+  ) {}
+
+  /** Runs until stopped or until an engine refuses the fencing number. */
+  async run (): Promise<void> {
+    while (!this._controller.signal.aborted) {
+      await this._pass()
+      if (this._wake.signal.aborted) this._wake = new AbortController()
+      const pauseMs = this._loading.size > 0 ? POLL_LOADING_MS : POLL_IDLE_MS
+      await raceUntil(new Promise<never>(() => {}), pauseMs, AbortSignal.any([this._wake.signal, this._controller.signal]))
+    }
+  }
+
+  /** Ends the pause, for example because there are new weights. */
+  wake (): void {
+    this._wake.abort()
+  }
+
+  /** Stops all sending at once; requests on their way are cut off. */
+  stop (): void {
+    this._controller.abort()
+  }
+
+  private async _pass (): Promise<void> {
+    const engines = this._engines()
+    await Promise.all(engines.map(async (engine) => {
+      const state = await this._orders.readState(engine.address, this._controller.signal)
+      if (state === undefined) this._states.delete(engine.id)
+      else this._states.set(engine.id, state)
+    }))
+    for (const engine of engines) {
+      this._settle(engine)
+      if (!isLoading(this._states.get(engine.id))) this._loadingSince.delete(engine.id)
+      else if (!this._loadingSince.has(engine.id)) this._loadingSince.set(engine.id, performance.now())
+    }
+    const ids = new Set(engines.map(({ id }) => id))
+    for (const id of this._loading.keys()) {
+      if (!ids.has(id)) this._loading.delete(id)
+    }
+    await Promise.all(this._chooseSwaps(engines).map(({ engine, target }) => this._order(engine, target)))
+  }
+
+  /** Compares an order with the state read back. */
+  private _settle (engine: Upstream): void {
+    const loading = this._loading.get(engine.id)
+    const state = this._states.get(engine.id)
+    if (loading === undefined) return
+    if (state !== undefined && versionOf(state, loading.target) >= loading.target.version) {
+      this._loading.delete(engine.id)
+      this._retries.delete(engine.id)
+      this._logger.info({ upstream: engine.id, model: loading.target.model, version: loading.target.version }, 'weights_loaded')
+      return
+    }
+    const hasRestarted = state !== undefined && state.boot_id !== loading.bootId
+    const hasError = state !== undefined && !isLoading(state) && Boolean(state.last_error)
+    const isNewError = errorOf(state) !== loading.errorBefore || performance.now() - loading.sentAtMs > OLD_ERROR_MS
+    const hasFailed = hasError && isNewError
+    if (!hasRestarted && !hasFailed && performance.now() < loading.untilMs) return
+    this._fail(engine, state?.last_error)
+  }
+
+  private _chooseSwaps (engines: Upstream[]): SwapCandidate[] {
+    // An engine that hangs while loading must not hold up the others for ever.
+    const busy = engines.filter(({ id }) => this._loading.has(id) ||
+      performance.now() - (this._loadingSince.get(id) ?? -Infinity) < LOAD_TIMEOUT_MS)
+    // At least one engine keeps serving while others load.
+    const parallel = Math.max(1, Math.min(this._service.swapParallel, engines.length - 1))
+    const candidates = engines.flatMap((engine) => {
+      const state = this._states.get(engine.id)
+      const { failures, dueAtMs } = this._retries.get(engine.id) ?? { failures: 0, dueAtMs: 0 }
+      const isDue = dueAtMs <= performance.now()
+      if (state === undefined || !isDue || busy.includes(engine) || !this._mayOrder(engine)) return []
+      return this._targets()
+        .map((target) => ({ engine, target, lag: target.version - versionOf(state, target), failures }))
+        .filter(({ lag }) => lag > 0)
+    })
+    const chosen: SwapCandidate[] = []
+    for (const candidate of orderSwaps(candidates)) {
+      if (busy.length + chosen.length >= parallel) break
+      if (!chosen.some(({ engine }) => engine === candidate.engine)) chosen.push(candidate)
+    }
+    return chosen
+  }
+
+  /** Engines that ignore fencing numbers get orders only if the settings list them. */
+  private _mayOrder (engine: Upstream): boolean {
+    return this._service.checksFence || this._service.orderAddresses.includes(engine.address)
+  }
+
+  private async _order (engine: Upstream, target: WeightTarget): Promise<void> {
+    const state = this._states.get(engine.id)
+    const lease = this._leases.held(this._lease.name)
+    if (lease === undefined || lease.fence !== this._lease.fence || this._controller.signal.aborted) {
+      this.stop()
+      return
+    }
+    // Counts as loading from the moment of sending, because a lost response may hide an accepted order.
+    const sentAtMs = performance.now()
+    const before = { bootId: state?.boot_id ?? '', errorBefore: errorOf(state) }
+    this._loading.set(engine.id, { target, ...before, sentAtMs, untilMs: sentAtMs + LOAD_TIMEOUT_MS })
+    const result = await this._orders.orderVersion(engine.address, target, lease.fence, this._controller.signal)
+    if (result === 'stale_fence') {
+      this._logger.warn({ upstream: engine.id, fence: lease.fence }, 'order_fence_stale')
+      this.stop()
+    } else if (result === 'unknown') {
+      this._fail(engine, 'the order was not accepted')
+    }
+  }
+
+  private _fail (engine: Upstream, reason: unknown): void {
+    const failures = (this._retries.get(engine.id)?.failures ?? 0) + 1
+    const pauseMs = Math.min(RETRY_MAX_MS, RETRY_BASE_MS * 2 ** (failures - 1)) * (0.5 + Math.random() / 2)
+    this._loading.delete(engine.id)
+    this._retries.set(engine.id, { failures, dueAtMs: performance.now() + pauseMs })
+    this._logger.warn({ upstream: engine.id, failures, reason: JSON.stringify(reason) }, 'weights_load_failed')
+  }
+}
+
+function versionOf (state: EngineState, target: WeightTarget): number {
+  return state.versions[target.model] ?? 0
+}
+
+function errorOf (state: EngineState | undefined): string {
+  return JSON.stringify(state?.last_error ?? null)
+}
+
+function isLoading (state: EngineState | undefined): boolean {
+  const loading = state?.loading
+  return Array.isArray(loading) ? loading.length > 0 : Boolean(loading)
+}
--- /dev/null
+++ b/src/common/weights/WeightRollout.ts
@@ -0,0 +1,121 @@
+import type { IContractStore } from '../contract/IContractStore.js'
+import { contractStoreId } from '../contract/contractStoreId.js'
+import { Disposable } from '../kernel/Disposable.js'
+import { toDisposable } from '../kernel/toDisposable.js'
+import type { ILeaseService } from '../lease/ILeaseService.js'
+import type { Lease } from '../lease/Lease.js'
+import { leaseServiceId } from '../lease/leaseServiceId.js'
+import type { ILogger } from '../metrics/ILogger.js'
+import { loggerId } from '../metrics/loggerId.js'
+import type { EntrySettings } from '../settings/EntrySettings.js'
+import { entrySettingsId } from '../settings/entrySettingsId.js'
+import type { IStepTable } from '../training/IStepTable.js'
+import { stepTableId } from '../training/stepTableId.js'
+import type { IUpstreamClient } from '../upstream/IUpstreamClient.js'
+import type { IUpstreamTable } from '../upstream/IUpstreamTable.js'
+import { upstreamClientId } from '../upstream/upstreamClientId.js'
+import { upstreamTableId } from '../upstream/upstreamTableId.js'
+import { EngineOrders } from './EngineOrders.js'
+import type { IWeightRollout } from './IWeightRollout.js'
+import { ServiceRollout } from './ServiceRollout.js'
+import type { WeightTarget } from './WeightTarget.js'
+
+const LEASE_PREFIX = 'weights/'
+
+/** Seeks the lease of each engine service with trainers and runs its rollout while holding it. */
+export class WeightRollout extends Disposable implements IWeightRollout {
+  private readonly _orders: EngineOrders
+  private readonly _sought = new Set<string>()
+  private readonly _versions = new Map<string, number>()
+  private readonly _rollouts = new Map<string, ServiceRollout>()
+
+  constructor (
+    @leaseServiceId private readonly _leases: ILeaseService,
+    @stepTableId private readonly _table: IStepTable,
+    @contractStoreId private readonly _contracts: IContractStore,
+    @upstreamTableId private readonly _upstreams: IUpstreamTable,
+    @upstreamClientId client: IUpstreamClient,
+    @entrySettingsId private readonly _settings: EntrySettings,
+    @loggerId private readonly _logger: ILogger
+  ) {
+    super()
+    this._orders = new EngineOrders(client)
+  }
+
+  start (): void {
+    this._register(this._leases.onGained((lease) => this._begin(lease)))
+    this._register(this._leases.onLost((lease) => this._end(lease.name)))
+    this._register(this._contracts.onChange(() => this._seekAll()))
+    this._register(this._table.onChange(({ customer, trainer }) => {
+      const key = `${customer}/${trainer}`
+      const version = this._table.get(customer, trainer)?.version ?? 0
+      // Most records are samples, which need no look at the engines.
+      if (this._versions.get(key) === version) return
+      this._versions.set(key, version)
+      this._wakeAll()
+    }))
+    this._register(this._upstreams.onChange(() => this._wakeAll()))
+    this._register(toDisposable(() => {
+      for (const name of this._sought) {
+        this._end(name)
+        this._leases.giveUp(name)
+      }
+    }))
+    this._seekAll()
+  }
+
+  private _seekAll (): void {
+    const services = new Set(this._contracts.all().flatMap(({ contract }) => Object.values(contract.trainer).map(({ service }) => service)))
+    for (const { name, kind } of this._settings.services) {
+      const lease = LEASE_PREFIX + name
+      if (kind !== 'engine' || !services.has(name) || this._sought.has(lease)) continue
+      this._sought.add(lease)
+      this._leases.seek(lease)
+    }
+  }
+
+  private _begin (lease: Lease): void {
+    const service = this._settings.services.find(({ name }) => LEASE_PREFIX + name === lease.name)
+    if (service === undefined || !this._sought.has(lease.name)) return
+    this._end(lease.name)
+    const engines = () => this._upstreams.all(service.name).filter(({ isDown, isLeaving }) => !isDown && !isLeaving)
+    const targets = () => this._targets(service.name)
+    const rollout = new ServiceRollout(lease, service, this._leases, this._orders, engines, targets, this._logger)
+    this._rollouts.set(lease.name, rollout)
+    this._logger.info({ lease: lease.name, fence: lease.fence }, 'weight_rollout_started')
+    rollout.run().catch((fault: unknown) => {
+      this._logger.error({ lease: lease.name, fault: String(fault) }, 'weight_rollout_failed')
+    }).then(() => this._reseek(lease.name, rollout))
+  }
+
+  private _end (name: string): void {
+    const rollout = this._rollouts.get(name)
+    this._rollouts.delete(name)
+    rollout?.stop()
+  }
+
+  /** A rollout that ended by itself has an outdated lease, which is given up before it is sought again. */
+  private _reseek (name: string, rollout: ServiceRollout): void {
+    if (this._rollouts.get(name) !== rollout) return
+    this._rollouts.delete(name)
+    this._leases.giveUp(name)
+    this._leases.seek(name)
+  }
+
+  private _wakeAll (): void {
+    for (const rollout of this._rollouts.values()) rollout.wake()
+  }
+
+  private _targets (service: string): WeightTarget[] {
+    return this._contracts.all().flatMap(({ contract }) => {
+      const { customer } = contract.contract
+      return Object.entries(contract.trainer)
+        .filter(([, terms]) => terms.service === service)
+        .map(([trainer, terms]) => ({
+          model: `${customer}/${trainer}`,
+          version: this._table.get(customer, trainer)?.version ?? 0,
+          bound: terms.staleness_versions
+        }))
+    })
+  }
+}
--- /dev/null
+++ b/src/common/weights/WeightTarget.ts
@@ -0,0 +1,8 @@
+/** Newest weights of one trainer, as the engines should hold them. */
+export interface WeightTarget {
+  /** `{customer}/{trainer}` */
+  model: string
+  version: number
+  /** How many versions behind the newest one a sample may be. */
+  bound: number
+}
