Reopen stale samples before their group is whole

Cause: a sample that became stale while others of its group still ran was reopened only at delivery, so that its second attempt began after the last straggler. Change: a read also reopens stale samples of groups that are not whole. The random fold histories contain hold and place records; a test builds all services by the registry with real hashes and runs a step from submission to delivery. A caller's own resume field no longer reaches the engine.

--- a/src/common/generation/GenerationAttempt.ts
+++ b/src/common/generation/GenerationAttempt.ts
@@ -100,8 +100,9 @@
 
   private _open (): ReturnType<IUpstreamClient['stream']> {
     const { parameters, model, prompt, maxTokens, deadlineAtMs } = this._request
-    const resume = this._tokens.length > 0 ? { resume: { token_ids: this._tokens } } : {}
-    const body = { ...parameters, model, prompt, max_tokens: maxTokens, stream: true, ...resume }
+    // Undefined removes a caller's own field of that name.
+    const resume = this._tokens.length > 0 ? { token_ids: this._tokens } : undefined
+    const body = { ...parameters, model, prompt, max_tokens: maxTokens, stream: true, resume }
     const request: UpstreamRequest = {
       requestId: this._requestId,
       method: 'POST',
--- a/src/common/training/StepTable.test.ts
+++ b/src/common/training/StepTable.test.ts
@@ -132,7 +132,8 @@
     const action = fc.oneof(
       fc.record({ kind: fc.constant('sample'), group: fc.constantFrom('g', 'h'), index: fc.nat(1), attempt: fc.nat(2) }),
       fc.record({ kind: fc.constant('expire'), group: fc.constantFrom('g', 'h'), index: fc.nat(1), attempt: fc.nat(2) }),
-      fc.record({ kind: fc.constant('ack'), cursor: fc.nat(20) })
+      fc.record({ kind: fc.constant('place'), group: fc.constantFrom('g', 'h'), index: fc.constant(0), attempt: fc.constant(0) }),
+      fc.record({ kind: fc.constantFrom('ack', 'hold'), cursor: fc.nat(20) })
     )
     fc.assert(fc.property(fc.array(action, { maxLength: 30 }), fc.nat(20), (actions, gapAt) => {
       const log = new MemoryLog()
@@ -142,6 +143,8 @@
       log.push(submit(1, [fakes.group('g', 2), fakes.group('h', 2)]))
       for (const item of actions) {
         if (item.kind === 'ack') log.push(ack((item as { cursor: number }).cursor))
+        else if (item.kind === 'hold') log.push({ ...ack((item as { cursor: number }).cursor), type: 'hold' })
+        else if (item.kind === 'place') log.push({ type: 'place', id: `r${nextId++}`, ...base, step: 1, group: (item as { group: string }).group })
         else {
           const { group, index, attempt } = item as { group: string, index: number, attempt: number }
           log.push(item.kind === 'sample' ? sample(group, index, attempt, `${nextId}`) : expire(group, index, attempt))
@@ -155,6 +158,6 @@
       expect(view(late.table)).toEqual(view(whole))
       expect(view(table(log).table)).toEqual(view(whole))
       renewer.dispose()
-    }), { numRuns: 200 })
+    }), { numRuns: 400 })
   })
 })
--- a/src/common/training/TrainerDesk.test.ts
+++ b/src/common/training/TrainerDesk.test.ts
@@ -80,6 +80,15 @@
     expect(names(second.groups)).toEqual(['old'])
   })
 
+  it('reopens stale samples of a group whose other samples still run, so that they need not run one after the other', async () => {
+    const log = new MemoryLog()
+    const { desk, table } = entry(log)
+    await desk.submit('felt', 'brim', 1, [fakes.group('g', 2)])
+    log.push(sample('g', 0))
+    expect((await desk.read(read(0, { version: 2 })))._unsafeUnwrap().groups).toEqual([])
+    expect(table.get('felt', 'brim')?.group(1, 'g')?.attempts).toEqual([1, 0])
+  })
+
   it('answers training_unavailable while the state is incomplete or the log is out', async () => {
     const log = new MemoryLog()
     const { desk, hub } = entry(log)
--- a/src/common/training/planDelivery.ts
+++ b/src/common/training/planDelivery.ts
@@ -15,13 +15,16 @@
   const ready = state.readyAbove(cursor)
   const stale = ready.map((group) => staleSamples(group, newest, bound))
   const freshCount = stale.findIndex((samples) => samples.length > 0)
-  const chosen = ready.slice(0, Math.min(max, freshCount === -1 ? ready.length : freshCount))
+  // Stale samples of open groups are reopened while the others still run, not after the last one.
+  const open = groups.filter((group) => group.position === undefined)
+  const reopened = [...stale.flat(), ...open.flatMap((group) => staleSamples(group, newest, bound))]
+  const chosen = ready.slice(0, Math.min(Math.max(1, max), freshCount === -1 ? ready.length : freshCount))
   const last = chosen.at(-1)?.position
-  if (last === undefined) return freshCount === 0 ? { kind: 'expire', stale: stale.flat() } : { kind: 'wait' }
+  if (last === undefined) return reopened.length > 0 ? { kind: 'expire', stale: reopened } : { kind: 'wait' }
   const next = cursorOutsidePast(groups, cursor, last)
   const limit = ready[chosen.length]?.position ?? Infinity
   if (next >= limit) return { kind: 'hold' }
-  return { kind: 'deliver', groups: chosen, cursor: next, stale: stale.flat() }
+  return { kind: 'deliver', groups: chosen, cursor: next, stale: reopened }
 }
 
 /** Lowest cursor from `last` on that no group's past position range above the read's cursor contains. */
--- /dev/null
+++ b/src/common/training/registration.test.ts
@@ -0,0 +1,68 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { admissionId } from '../admission/admissionId.js'
+import { contractStoreId } from '../contract/contractStoreId.js'
+import { Generator } from '../generation/Generator.js'
+import { XxHash } from '../generation/XxHash.js'
+import { generatorId } from '../generation/generatorId.js'
+import { hashId } from '../generation/hashId.js'
+import { ServiceRegistry } from '../kernel/ServiceRegistry.js'
+import { leaseServiceId } from '../lease/leaseServiceId.js'
+import type { ILeaseService } from '../lease/ILeaseService.js'
+import { logHubId } from '../log/logHubId.js'
+import { loggerId } from '../metrics/loggerId.js'
+import { metricsId } from '../metrics/metricsId.js'
+import { peerTableId } from '../peer/peerTableId.js'
+import { entrySettingsId } from '../settings/entrySettingsId.js'
+import { upstreamClientId } from '../upstream/upstreamClientId.js'
+import { upstreamTableId } from '../upstream/upstreamTableId.js'
+import { WeightRollout } from '../weights/WeightRollout.js'
+import { weightRolloutId } from '../weights/weightRolloutId.js'
+import { CarryRenewer } from './CarryRenewer.js'
+import { SampleOwners } from './SampleOwners.js'
+import { SampleScorer } from './SampleScorer.js'
+import { StepRunner } from './StepRunner.js'
+import { StepTable } from './StepTable.js'
+import { TrainerDesk } from './TrainerDesk.js'
+import { carryRenewerId } from './carryRenewerId.js'
+import { sampleOwnersId } from './sampleOwnersId.js'
+import { sampleScorerId } from './sampleScorerId.js'
+import { stepRunnerId } from './stepRunnerId.js'
+import { stepTableId } from './stepTableId.js'
+import { trainerDeskId } from './trainerDeskId.js'
+import { FakeEngines } from './test/FakeEngines.js'
+import { MemoryLog } from './test/MemoryLog.js'
+import { fakes } from './test/fakes.js'
+
+describe('services of generation, training and weights', () => {
+  it('are built by the registry with real hashes and run a step from submission to delivery', async () => {
+    const registry = new ServiceRegistry()
+    const engines = new FakeEngines({ a: [[{ token: 1, version: 0 }, { token: 2, version: 0, last: true }, 'done']] })
+    registry.register(hashId, await XxHash.create())
+    registry.register(logHubId, new MemoryLog().hub())
+    registry.register(admissionId, engines.admission)
+    registry.register(upstreamClientId, engines.client)
+    registry.register(upstreamTableId, engines.table)
+    registry.register(contractStoreId, fakes.contracts())
+    registry.register(peerTableId, fakes.peers('a', ['a']))
+    registry.register(entrySettingsId, fakes.settings)
+    registry.register(loggerId, fakes.logger)
+    registry.register(metricsId, fakes.metrics)
+    const event = () => ({ dispose () {} })
+    const leases: ILeaseService = { onGained: event, onLost: event, seek () {}, giveUp () {}, held: () => undefined, dispose () {} }
+    registry.register(leaseServiceId, leases)
+    registry.registerClass(generatorId, Generator)
+    registry.registerClass(stepTableId, StepTable)
+    registry.registerClass(sampleScorerId, SampleScorer)
+    registry.registerClass(sampleOwnersId, SampleOwners)
+    const desk = registry.registerClass(trainerDeskId, TrainerDesk)
+    registry.registerClass(carryRenewerId, CarryRenewer).start()
+    registry.registerClass(stepRunnerId, StepRunner).start()
+    registry.registerClass(weightRolloutId, WeightRollout).start()
+    await desk.submit('felt', 'brim', 1, [fakes.group('g')])
+    const signal = new AbortController().signal
+    const read = await desk.read({ customer: 'felt', trainer: 'brim', cursor: 0, version: 0, max: 1, waitMs: 5000, signal })
+    expect(read._unsafeUnwrap().groups[0]?.samples[0]?.token_ids).toEqual([1, 2])
+    registry.dispose()
+  })
+})
