--- a/src/common/training/test/FakeEngines.ts
+++ b/src/common/training/test/FakeEngines.ts
@@ -7,6 +7,7 @@
 import { Emitter } from '../../kernel/Emitter.js'
 import type { IUpstreamClient } from '../../upstream/IUpstreamClient.js'
 import type { IUpstreamTable } from '../../upstream/IUpstreamTable.js'
+import type { UpstreamCrash } from '../../upstream/UpstreamCrash.js'
 import type { Upstream } from '../../upstream/Upstream.js'
 import type { UpstreamError } from '../../upstream/UpstreamError.js'
 import type { UpstreamRequest } from '../../upstream/UpstreamRequest.js'
@@ -58,7 +59,7 @@
 
   readonly table: IUpstreamTable = {
     onChange: this.change.event,
-    onCrash: new Emitter<{ upstream: Upstream, bootId: string }>().event,
+    onCrash: new Emitter<UpstreamCrash>().event,
     get: (id) => this.upstreams.find((item) => item.id === id),
     available: (service) => this.upstreams.filter((item) => item.service === service),
     all: (service) => this.upstreams.filter((item) => service === undefined || item.service === service),
