--- /dev/null
+++ b/src/common/log/test/VirtualTime.test.ts
@@ -0,0 +1,34 @@
+import { mock } from 'node:test'
+
+const START_MS = 1_000_000
+
+/** Replaces timers, `Date` and `performance.now` by one virtual clock for the tests of the log layers. */
+export class VirtualTime {
+  constructor () {
+    mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'], now: START_MS })
+    mock.method(performance, 'now', () => Date.now())
+  }
+
+  /** Advances the clock in steps and lets promises settle after each. */
+  async advance (durationMs: number, stepMs = 5): Promise<void> {
+    await settle()
+    for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+      mock.timers.tick(Math.min(stepMs, durationMs - passedMs))
+      await settle()
+    }
+  }
+
+  /** Moves the clock without running other code in between, as if the process was paused. */
+  pause (durationMs: number): void {
+    mock.timers.tick(durationMs)
+  }
+
+  restore (): void {
+    mock.timers.reset()
+    mock.restoreAll()
+  }
+}
+
+function settle (): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve))
+}
--- /dev/null
+++ b/src/node/log/HttpLogClient.test.ts
@@ -0,0 +1,60 @@
+import { createServer, type RequestListener, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { afterEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import type { EntrySettings } from '../../common/settings/EntrySettings.js'
+import { HttpLogClient } from './HttpLogClient.js'
+
+describe('HttpLogClient', () => {
+  let server: Server | undefined
+  let client: HttpLogClient
+
+  afterEach(() => {
+    client.dispose()
+    server?.closeAllConnections()
+    server?.close()
+  })
+
+  async function connect (listener: RequestListener): Promise<void> {
+    const listening = server = createServer(listener)
+    await new Promise<void>(resolve => listening.listen(0, '127.0.0.1', resolve))
+    const { port } = listening.address() as AddressInfo
+    client = new HttpLogClient({ logAddress: `127.0.0.1:${port}` } as EntrySettings)
+  }
+
+  it('appends and reads by the published protocol', async () => {
+    const urls: string[] = []
+    await connect((request, response) => {
+      urls.push(`${request.method} ${request.url}`)
+      response.end(JSON.stringify(request.method === 'POST'
+        ? { first_offset: 7, next_offset: 8 }
+        : { records: [{ offset: 7, time_ms: 5, value: { id: 'a' } }], earliest_offset: 0, next_offset: 8 }))
+    })
+    expect((await client.append('claims', [{ id: 'a' }]))._unsafeUnwrap()).toEqual(7)
+    const page = (await client.read('claims', 7, 10, 0))._unsafeUnwrap()
+    expect(page).toEqual({ entries: [{ offset: 7, timeMs: 5, value: { id: 'a' } }], earliestOffset: 0, nextOffset: 8 })
+    expect(urls).toEqual(['POST /v1/streams/claims/records', 'GET /v1/streams/claims/records?from=7&limit=10&wait_ms=0'])
+  })
+
+  // An append reported as certainly absent that appears later would let a refused call run.
+  for (const [status, mayLand] of [[429, false], [503, false], [500, true], [400, false], [200, true]] as const) {
+    it(`reports mayLand ${mayLand} for an append with status ${status} and no valid body`, async () => {
+      await connect((_request, response) => { response.writeHead(status).end('x') })
+      expect((await client.append('claims', []))._unsafeUnwrapErr().mayLand).toEqual(mayLand)
+    })
+  }
+
+  it('reports mayLand true after a reset and false after a refused connection', async () => {
+    await connect(request => { request.on('data', () => request.socket.destroy()) })
+    expect((await client.append('claims', [{ id: 'a' }]))._unsafeUnwrapErr().mayLand).toEqual(true)
+    client.dispose()
+    client = new HttpLogClient({ logAddress: '127.0.0.1:1' } as EntrySettings)
+    expect((await client.append('claims', [{ id: 'a' }]))._unsafeUnwrapErr().mayLand).toEqual(false)
+  })
+
+  it('converts 410 into the bounds of the stream', async () => {
+    await connect((_request, response) => { response.writeHead(410).end('{"earliest_offset":4,"next_offset":9}') })
+    const error = (await client.read('claims', 1, 10, 0))._unsafeUnwrapErr()
+    expect(error.kind === 'out_of_retention' && [error.earliestOffset, error.nextOffset]).toEqual([4, 9])
+  })
+})
