--- /dev/null
+++ b/src/common/contract/ContractPublisher.ts
@@ -0,0 +1,78 @@
+import { err, errAsync, ok, type Result, type ResultAsync } from 'neverthrow'
+import type { ILogHub } from '../log/ILogHub.js'
+import type { LogError } from '../log/LogError.js'
+import { logHubId } from '../log/logHubId.js'
+import type { EntrySettings } from '../settings/EntrySettings.js'
+import { entrySettingsId } from '../settings/entrySettingsId.js'
+import type { IniError } from '../settings/IniError.js'
+import { checkContract } from './checkContract.js'
+import { checkContractSettings } from './checkContractSettings.js'
+import type { ContractError } from './ContractError.js'
+import type { ContractRevision } from './ContractRevision.js'
+import { contractStoreId } from './contractStoreId.js'
+import type { IContractPublisher } from './IContractPublisher.js'
+import type { IContractStore } from './IContractStore.js'
+import { parseContract } from './parseContract.js'
+
+// Several append retries; operators get an answer well within the time of an interactive command.
+const PUBLISH_TIMEOUT_MS = 10_000
+
+/** Checks a contract text, appends it and reports what the fold decided. */
+export class ContractPublisher implements IContractPublisher {
+  constructor (
+    @contractStoreId private readonly _store: IContractStore,
+    @logHubId private readonly _hub: ILogHub,
+    @entrySettingsId private readonly _settings: EntrySettings
+  ) {}
+
+  publish (customer: string, baseRevision: number, operator: string, text: string): ResultAsync<ContractRevision, ContractError> {
+    const refusal = this._check(customer, baseRevision, text)
+    if (refusal !== undefined) return errAsync(refusal)
+    const id = crypto.randomUUID()
+    const record = { type: 'publish', id, customer, base_revision: baseRevision, operator, at_ms: Date.now(), text }
+    return this._hub.append('contracts', record, PUBLISH_TIMEOUT_MS)
+      .mapErr(toContractError)
+      .andThen(() => this._readDecision(customer, id))
+  }
+
+  private _check (customer: string, baseRevision: number, text: string): ContractError | undefined {
+    const parsed = parseContract(customer, text)
+    if (parsed.isErr()) return invalid(parsed.error)
+    const faults = [...checkContract(parsed.value, text), ...checkContractSettings(parsed.value, text, this._settings)]
+    if (faults.length > 0) return invalid(faults)
+    if (!this._hub.status('contracts').isCaughtUp) {
+      return { kind: 'contract_unavailable', message: 'this entry has not read the log to its end yet', mayLand: false }
+    }
+    const currentRevision = this._store.current(customer)?.revision ?? 0
+    if (currentRevision !== baseRevision) return conflict(currentRevision)
+    if (!this._store.isExact(customer)) {
+      const message = 'records were lost to retention and the revision is not confirmed yet; publish through another entry'
+      return { kind: 'contract_unavailable', message, mayLand: false }
+    }
+    return undefined
+  }
+
+  private _readDecision (customer: string, id: string): Result<ContractRevision, ContractError> {
+    const decision = this._store.decision(id)
+    if (decision?.kind === 'conflict') return err(conflict(decision.currentRevision))
+    if (decision?.kind === 'invalid') return err(invalid([{ line: 1, field: decision.field, rule: decision.rule }]))
+    const revision = this._store.history(customer).find(item => item.revision === decision?.revision)
+    if (revision !== undefined) return ok(revision)
+    return err({ kind: 'contract_unavailable', message: 'the decision about the publication is not known', mayLand: true })
+  }
+}
+
+function conflict (currentRevision: number): ContractError {
+  return { kind: 'contract_conflict', message: `the current revision is ${currentRevision}`, currentRevision }
+}
+
+/** Gives the place of the first fault; the message lists all. */
+function invalid (faults: IniError[]): ContractError {
+  const [first] = faults
+  const message = faults.map(fault => `line ${fault.line}: ${fault.field}: ${fault.rule}`).join('; ')
+  return { kind: 'contract_invalid', message, line: first?.line ?? 1, field: first?.field ?? '', rule: first?.rule ?? '' }
+}
+
+function toContractError (error: LogError): ContractError {
+  return { kind: 'contract_unavailable', message: error.message, mayLand: error.mayLand }
+}
--- /dev/null
+++ b/src/common/contract/diffContracts.ts
@@ -0,0 +1,22 @@
+import type { Contract } from '../schema/Contract.js'
+import type { ContractChange } from './ContractChange.js'
+
+/** Lists the fields that differ between two contracts, sorted by name, defaults included. */
+export function diffContracts (before: Contract | undefined, after: Contract | undefined): ContractChange[] {
+  const old = flatten(before)
+  const fresh = flatten(after)
+  const fields = [...new Set([...old.keys(), ...fresh.keys()])].sort()
+  return fields
+    .map(field => ({ field, before: old.get(field), after: fresh.get(field) }))
+    .filter(change => change.before !== change.after)
+}
+
+function flatten (value: unknown, path = '', fields = new Map<string, string>()): Map<string, string> {
+  if (value === undefined) return fields
+  if (Array.isArray(value) || typeof value !== 'object' || value === null) {
+    fields.set(path, Array.isArray(value) ? value.join(', ') : String(value))
+    return fields
+  }
+  for (const [key, item] of Object.entries(value)) flatten(item, path === '' ? key : `${path}.${key}`, fields)
+  return fields
+}
--- /dev/null
+++ b/src/common/contract/parseContract.ts
@@ -0,0 +1,21 @@
+import { err, ok, type Result } from 'neverthrow'
+import type { Contract } from '../schema/Contract.js'
+import { contractSchema } from '../schema/contractSchema.js'
+import type { IniError } from '../settings/IniError.js'
+import { IniLines } from '../settings/IniLines.js'
+import { readIni } from '../settings/readIni.js'
+
+// A snapshot of the newest revisions must fit one append.
+const MAX_TEXT_LENGTH = 65_536
+
+/** Reads the text of a customer's contract by the rules that all entries apply to records alike. */
+export function parseContract (customer: string, text: string): Result<Contract, IniError[]> {
+  if (text.length > MAX_TEXT_LENGTH) {
+    return err([{ line: 1, field: 'contract', rule: `must have at most ${MAX_TEXT_LENGTH} characters` }])
+  }
+  return readIni(text, contractSchema).andThen(contract => {
+    if (contract.contract.customer === customer) return ok(contract)
+    const line = new IniLines(text).find(['contract', 'customer'])
+    return err([{ line, field: 'contract.customer', rule: `must be ${customer}, the customer it is published for` }])
+  })
+}
--- a/src/common/schema/contractRecordSchema.ts
+++ b/src/common/schema/contractRecordSchema.ts
@@ -25,6 +25,11 @@
     type: z.literal('snapshot'),
     id: z.string(),
     customer: identifierSchema,
+    /**
+     * Read position of the writer when it built the snapshot: the last revision was in force there.
+     * Absent when the writer itself did not know the complete state.
+     */
+    read_offset: z.int().min(0).optional(),
     /** Newest revisions in ascending order; the last one is in force. */
     revisions: z.array(revisionEntrySchema).min(1)
   })
