Decide at-most-once claims through the log

Cause: a call that must not be repeated may run only if exactly one request holds its key, also when appends are lost, the log is down or the holder was paused. The append queue no longer stays marked as failing once it is empty, which would have refused claims for good.

--- /dev/null
+++ b/src/common/claim/WonClaim.ts
@@ -0,0 +1,55 @@
+import type { ILogHub } from '../log/ILogHub.js'
+import type { ILogger } from '../metrics/ILogger.js'
+import type { StoredAnswer } from '../schema/StoredAnswer.js'
+import type { ClaimKey } from './ClaimKey.js'
+import type { ClaimTicket } from './ClaimTicket.js'
+
+// Base64 length of 64 KiB.
+const MAX_BODY_BASE64_LENGTH = Math.ceil(65_536 / 3) * 4
+
+/** Ticket of a claim that this entry has won. */
+export class WonClaim implements ClaimTicket {
+  private _isSettled = false
+
+  constructor (
+    readonly claimId: string,
+    private readonly _key: ClaimKey,
+    private readonly _isYoung: () => boolean,
+    private readonly _hub: ILogHub,
+    private readonly _logger: ILogger
+  ) {}
+
+  mayStart (): boolean {
+    return !this._isSettled && this._isYoung()
+  }
+
+  complete (answer: StoredAnswer): void {
+    if (!this._settle('complete')) return
+    const isTooLong = answer.body_base64.length > MAX_BODY_BASE64_LENGTH
+    const stored = isTooLong ? { ...answer, body_base64: '', body_omitted: true } : answer
+    this._hub.appendEventually('claims', { type: 'result', ...this._fields(), answer: stored } as { id: string })
+  }
+
+  release (): void {
+    if (!this._settle('release')) return
+    this._hub.appendEventually('claims', { type: 'release', ...this._fields() } as { id: string })
+  }
+
+  abandon (): void {
+    this._settle('abandon')
+  }
+
+  private _fields (): { id: string } & ClaimKey & { claim_id: string } {
+    const { customer, service, key } = this._key
+    return { id: crypto.randomUUID(), customer, service, key, claim_id: this.claimId }
+  }
+
+  private _settle (action: string): boolean {
+    if (this._isSettled) {
+      this._logger.error({ claim: this.claimId, action }, 'claim settled twice')
+      return false
+    }
+    this._isSettled = true
+    return true
+  }
+}
--- a/src/common/log/StreamAppender.ts
+++ b/src/common/log/StreamAppender.ts
@@ -113,6 +113,8 @@
       }
     }
     this._isRunning = false
+    // With nothing left to append there is no attempt that could clear the mark later.
+    this.isFailing = false
     this._reportIdle()
   }
 
--- a/src/common/log/test/FakeLog.ts
+++ b/src/common/log/test/FakeLog.ts
@@ -72,6 +72,7 @@
     await this._delay(this.latencyMs)
     const state = this._stream(name)
     if (!this.isDown && from >= state.next && waitMs > 0) await this._waitForRecord(state, waitMs)
+    await this._delay(this.latencyMs)
     if (this.isDown) return err(unavailable(false))
     const bounds = { earliestOffset: state.earliest, nextOffset: state.next }
     if (from < state.earliest) return err({ kind: 'out_of_retention', message: 'gone', mayLand: false, ...bounds })
