Wire all services into the entry daemon

Cause: the modules were written against interfaces and not connected; routing and training each had an interface for the same hash and their own rendezvous hashing. Conclusion: the daemon can be tried as a process.

--- a/src/common/admission/Admission.test.ts
+++ b/src/common/admission/Admission.test.ts
@@ -11,7 +11,7 @@
 
 const silent = { info () {}, warn () {}, error () {}, debug () {}, count () {}, gauge () {}, duration () {} }
 const settings = { services: [{ name: 's', balancer: 'least-outstanding' }] } as EntrySettings
-const hasher = { hash32: (text: string) => text.length }
+const hasher = { hash64: (text: string) => BigInt(text.length) }
 const limits = { share: 1, max_in_flight: 100, max_queue: 100 }
 const completed = { kind: 'completed', durationMs: 10, units: 1 } as const
 
--- a/src/common/admission/Admission.ts
+++ b/src/common/admission/Admission.ts
@@ -11,8 +11,8 @@
 import type { EntrySettings } from '../settings/EntrySettings.js'
 import { entrySettingsId } from '../settings/entrySettingsId.js'
 import { createBalancer } from '../upstream/createBalancer.js'
-import { hasherId } from '../upstream/hasherId.js'
-import type { IHasher } from '../upstream/IHasher.js'
+import { hashId } from '../hash/hashId.js'
+import type { IHash } from '../hash/IHash.js'
 import type { IUpstreamTable } from '../upstream/IUpstreamTable.js'
 import type { IUpstreamUsage } from '../upstream/IUpstreamUsage.js'
 import { pickByHash } from '../upstream/pickByHash.js'
@@ -58,7 +58,7 @@
     @upstreamUsageId private readonly _usage: IUpstreamUsage,
     @contractStoreId private readonly _contracts: IContractStore,
     @suspectTableId private readonly _suspects: ISuspectTable,
-    @hasherId private readonly _hasher: IHasher,
+    @hashId private readonly _hasher: IHash,
     @entrySettingsId private readonly _settings: EntrySettings,
     @metricsId private readonly _metrics: IMetrics
   ) {
--- a/src/common/generation/Generator.ts
+++ b/src/common/generation/Generator.ts
@@ -17,9 +17,9 @@
 import type { GenerationError } from './GenerationError.js'
 import type { GenerationRequest } from './GenerationRequest.js'
 import type { IGenerator } from './IGenerator.js'
-import type { IHash } from './IHash.js'
+import type { IHash } from '../hash/IHash.js'
 import { admissionFailure } from './admissionFailure.js'
-import { hashId } from './hashId.js'
+import { hashId } from '../hash/hashId.js'
 import { raceUntil } from './raceUntil.js'
 
 // Requests with the same first part of the prompt share cached KV blocks on an engine.
--- a/src/common/training/rendezvousOwner.ts
+++ b/src/common/hash/rendezvousOwner.ts
@@ -1,6 +1,6 @@
-import type { IHash } from '../generation/IHash.js'
+import type { IHash } from './IHash.js'
 
-/** The entry with the highest hash for a key; every entry with the same live list finds the same owner. */
+/** The id with the highest hash for a key; everyone with the same list finds the same id. */
 export function rendezvousOwner (hash: IHash, ids: readonly string[], key: string): string | undefined {
   let owner: string | undefined
   let highest = -1n
--- a/src/common/training/StepTable.ts
+++ b/src/common/training/StepTable.ts
@@ -1,5 +1,5 @@
-import { hashId } from '../generation/hashId.js'
-import type { IHash } from '../generation/IHash.js'
+import { hashId } from '../hash/hashId.js'
+import type { IHash } from '../hash/IHash.js'
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
 import type { ILogHub } from '../log/ILogHub.js'
--- a/src/common/training/test/fakes.ts
+++ b/src/common/training/test/fakes.ts
@@ -1,5 +1,5 @@
 import { Emitter } from '../../kernel/Emitter.js'
-import type { IHash } from '../../generation/IHash.js'
+import type { IHash } from '../../hash/IHash.js'
 import type { ILogger } from '../../metrics/ILogger.js'
 import type { IMetrics } from '../../metrics/IMetrics.js'
 import type { IPeerTable } from '../../peer/IPeerTable.js'
--- a/src/common/upstream/ExpectedWaitBalancer.ts
+++ b/src/common/upstream/ExpectedWaitBalancer.ts
@@ -1,7 +1,7 @@
 import type { BalancerQuery } from './BalancerQuery.js'
 import { estimateOutstanding } from './estimateOutstanding.js'
 import type { IBalancer } from './IBalancer.js'
-import type { IHasher } from './IHasher.js'
+import type { IHash } from '../hash/IHash.js'
 import { pickByHash } from './pickByHash.js'
 import type { Upstream } from './Upstream.js'
 
@@ -16,7 +16,7 @@
 export class ExpectedWaitBalancer implements IBalancer {
   readonly name = 'expected-wait'
 
-  constructor (private readonly _random: () => number, private readonly _hasher: IHasher) {}
+  constructor (private readonly _random: () => number, private readonly _hasher: IHash) {}
 
   pick (candidates: readonly Upstream[], query: BalancerQuery): Upstream {
     const nowMs = performance.now()
--- a/src/common/upstream/balancers.test.ts
+++ b/src/common/upstream/balancers.test.ts
@@ -7,7 +7,7 @@
 import type { Upstream } from './Upstream.js'
 import { UpstreamRecord } from './UpstreamRecord.js'
 
-const hasher = { hash32: (text: string) => [...text].reduce((sum, char) => Math.imul(sum, 31) + char.charCodeAt(0) | 0, 7) >>> 0 }
+const hasher = { hash64: (text: string) => BigInt([...text].reduce((sum, char) => Math.imul(sum, 31) + char.charCodeAt(0) | 0, 7) >>> 0) }
 const query = { size: 'short' as const, units: 1 }
 
 /** Park-Miller generator: the same sequence in each run. */
--- a/src/common/upstream/createBalancer.ts
+++ b/src/common/upstream/createBalancer.ts
@@ -1,12 +1,12 @@
 import { ExpectedWaitBalancer } from './ExpectedWaitBalancer.js'
 import type { IBalancer } from './IBalancer.js'
-import type { IHasher } from './IHasher.js'
+import type { IHash } from '../hash/IHash.js'
 import { LeastOutstandingBalancer } from './LeastOutstandingBalancer.js'
 import { RandomBalancer } from './RandomBalancer.js'
 import { RoundRobinBalancer } from './RoundRobinBalancer.js'
 
 /** Creates the policy that a service's settings name. `random` returns numbers from 0 up to, not including, 1. */
-export function createBalancer (name: IBalancer['name'], random: () => number, hasher: IHasher): IBalancer {
+export function createBalancer (name: IBalancer['name'], random: () => number, hasher: IHash): IBalancer {
   switch (name) {
     case 'random': return new RandomBalancer(random)
     case 'round-robin': return new RoundRobinBalancer()
--- a/src/common/upstream/pickByHash.ts
+++ b/src/common/upstream/pickByHash.ts
@@ -1,16 +1,9 @@
-import type { IHasher } from './IHasher.js'
+import type { IHash } from '../hash/IHash.js'
+import { rendezvousOwner } from '../hash/rendezvousOwner.js'
 import type { Upstream } from './Upstream.js'
 
 /** Rendezvous hashing: the same candidate for a key on all entries while it is among the candidates. */
-export function pickByHash (hasher: IHasher, key: string, candidates: readonly Upstream[]): Upstream {
-  let best = candidates[0]!
-  let bestHash = -1
-  for (const candidate of candidates) {
-    const hash = hasher.hash32(`${key}/${candidate.id}`)
-    if (hash > bestHash) {
-      bestHash = hash
-      best = candidate
-    }
-  }
-  return best
+export function pickByHash (hash: IHash, key: string, candidates: readonly Upstream[]): Upstream {
+  const owner = rendezvousOwner(hash, candidates.map(candidate => candidate.id), key)
+  return candidates.find(candidate => candidate.id === owner) ?? candidates[0]!
 }
--- a/src/index.ts
+++ b/src/index.ts
@@ -25,6 +25,6 @@
 export { Metrics } from './common/metrics/Metrics.js'
 export { readEntrySettings } from './common/settings/readEntrySettings.js'
 export { readIni } from './common/settings/readIni.js'
-export { registerServices } from './node/entry/registerServices.js'
+export { createServiceRegistration } from './node/entry/createServiceRegistration.js'
 export { runCli } from './node/cli/runCli.js'
 export { ServiceRegistry } from './common/kernel/ServiceRegistry.js'
--- a/src/node/cli/runCli.ts
+++ b/src/node/cli/runCli.ts
@@ -1,5 +1,5 @@
 import { cac, type CAC } from 'cac'
-import { registerServices } from '../entry/registerServices.js'
+import { createServiceRegistration } from '../entry/createServiceRegistration.js'
 import { overridableFields } from '../../common/settings/overridableFields.js'
 import { AdminClient } from './AdminClient.js'
 import { CliFault } from './CliFault.js'
@@ -52,7 +52,7 @@
     const logLevel = String(options['logLevel'])
     if (!['debug', 'info', 'warn', 'error'].includes(logLevel)) throw new CliFault(2, ['--log-level: must be debug, info, warn or error'])
     if (options['config'] === undefined) throw new CliFault(2, ['--config: is missing'])
-    setExitCode(await runEntryCommand(loadSettings(String(options['config']), options, io), logLevel, io, registerServices))
+    setExitCode(await runEntryCommand(loadSettings(String(options['config']), options, io), logLevel, io, await createServiceRegistration()))
   })
 }
 
--- /dev/null
+++ b/src/node/entry/createServiceRegistration.ts
@@ -0,0 +1,121 @@
+import { Admission } from '../../common/admission/Admission.js'
+import { admissionId } from '../../common/admission/admissionId.js'
+import { ClaimService } from '../../common/claim/ClaimService.js'
+import { claimServiceId } from '../../common/claim/claimServiceId.js'
+import { ContractPublisher } from '../../common/contract/ContractPublisher.js'
+import { ContractStore } from '../../common/contract/ContractStore.js'
+import { SnapshotRenewer } from '../../common/contract/SnapshotRenewer.js'
+import { contractLedgerId } from '../../common/contract/contractLedgerId.js'
+import { contractPublisherId } from '../../common/contract/contractPublisherId.js'
+import { contractStoreId } from '../../common/contract/contractStoreId.js'
+import { diffContracts } from '../../common/contract/diffContracts.js'
+import { snapshotRenewerId } from '../../common/contract/snapshotRenewerId.js'
+import { SuspectTable } from '../../common/crash/SuspectTable.js'
+import { suspectGossipId } from '../../common/crash/suspectGossipId.js'
+import { suspectTableId } from '../../common/crash/suspectTableId.js'
+import { Forwarder } from '../../common/forward/Forwarder.js'
+import { digestId } from '../../common/forward/digestId.js'
+import { forwarderId } from '../../common/forward/forwarderId.js'
+import { Generator } from '../../common/generation/Generator.js'
+import { generatorId } from '../../common/generation/generatorId.js'
+import { XxHash } from '../../common/hash/XxHash.js'
+import { hashId } from '../../common/hash/hashId.js'
+import type { IServiceRegistry } from '../../common/kernel/IServiceRegistry.js'
+import { LeaseService } from '../../common/lease/LeaseService.js'
+import { leaseServiceId } from '../../common/lease/leaseServiceId.js'
+import { LogHub } from '../../common/log/LogHub.js'
+import { logClientId } from '../../common/log/logClientId.js'
+import { logHubId } from '../../common/log/logHubId.js'
+import { peerRegistryId } from '../../common/peer/peerRegistryId.js'
+import { CarryRenewer } from '../../common/training/CarryRenewer.js'
+import { SampleOwners } from '../../common/training/SampleOwners.js'
+import { SampleScorer } from '../../common/training/SampleScorer.js'
+import { StepRunner } from '../../common/training/StepRunner.js'
+import { StepTable } from '../../common/training/StepTable.js'
+import { TrainerDesk } from '../../common/training/TrainerDesk.js'
+import { carryRenewerId } from '../../common/training/carryRenewerId.js'
+import { sampleOwnersId } from '../../common/training/sampleOwnersId.js'
+import { sampleScorerId } from '../../common/training/sampleScorerId.js'
+import { stepRunnerId } from '../../common/training/stepRunnerId.js'
+import { stepTableId } from '../../common/training/stepTableId.js'
+import { trainerDeskId } from '../../common/training/trainerDeskId.js'
+import { UpstreamTable } from '../../common/upstream/UpstreamTable.js'
+import { upstreamClientId } from '../../common/upstream/upstreamClientId.js'
+import { upstreamObserverId } from '../../common/upstream/upstreamObserverId.js'
+import { upstreamTableId } from '../../common/upstream/upstreamTableId.js'
+import { upstreamUsageId } from '../../common/upstream/upstreamUsageId.js'
+import { WeightRollout } from '../../common/weights/WeightRollout.js'
+import { weightRolloutId } from '../../common/weights/weightRolloutId.js'
+import { contractDiffId } from '../http/contractDiffId.js'
+import { HttpLogClient } from '../log/HttpLogClient.js'
+import { HttpUpstreamClient } from '../upstream/HttpUpstreamClient.js'
+import { LoadPoller } from '../upstream/LoadPoller.js'
+import { loadPollerId } from '../upstream/loadPollerId.js'
+import { MembershipPoller } from '../upstream/MembershipPoller.js'
+import { membershipPollerId } from '../upstream/membershipPollerId.js'
+import { Sha256Digest } from '../upstream/Sha256Digest.js'
+import type { IStartable } from './IStartable.js'
+import type { RegisteredServices } from './RegisteredServices.js'
+import type { ServiceRegistration } from './ServiceRegistration.js'
+
+/** Loads the hash module and returns the registration of all services outside the shell. */
+export async function createServiceRegistration (): Promise<ServiceRegistration> {
+  const hash = await XxHash.create()
+  return registry => {
+    registry.register(hashId, hash)
+    registry.register(digestId, new Sha256Digest())
+    const hub = registerLog(registry)
+    const contractTasks = registerContracts(registry)
+    const upstreamTasks = registerUpstreams(registry)
+    registerWork(registry)
+    const training = registerTraining(registry)
+    // The hub starts first of all: every fold is added by a constructor before.
+    return { startOrder: [hub, ...upstreamTasks, ...contractTasks, ...training.startOrder], inFlight: training.inFlight }
+  }
+}
+
+function registerLog (registry: IServiceRegistry): IStartable {
+  registry.registerClass(logClientId, HttpLogClient)
+  return registry.registerClass(logHubId, LogHub)
+}
+
+function registerContracts (registry: IServiceRegistry): IStartable[] {
+  const store = registry.registerClass(contractStoreId, ContractStore) as ContractStore
+  registry.register(contractLedgerId, store)
+  registry.registerClass(contractPublisherId, ContractPublisher)
+  registry.register(contractDiffId, diffContracts)
+  const renewer = registry.registerClass(snapshotRenewerId, SnapshotRenewer)
+  const leases = registry.registerClass(leaseServiceId, LeaseService) as LeaseService
+  registry.registerClass(claimServiceId, ClaimService)
+  return [renewer, leases]
+}
+
+function registerUpstreams (registry: IServiceRegistry): IStartable[] {
+  const table = registry.registerClass(upstreamTableId, UpstreamTable) as UpstreamTable
+  registry.register(upstreamUsageId, table)
+  registry.register(upstreamObserverId, table)
+  registry.registerClass(upstreamClientId, HttpUpstreamClient)
+  const members = registry.registerClass(membershipPollerId, MembershipPoller)
+  members.onMembers(list => registry.get(peerRegistryId).updateMembers(list))
+  return [registry.registerClass(loadPollerId, LoadPoller), members]
+}
+
+function registerWork (registry: IServiceRegistry): void {
+  const suspects = registry.registerClass(suspectTableId, SuspectTable) as SuspectTable
+  registry.register(suspectGossipId, suspects)
+  registry.get(logHubId).addFold('claims', suspects)
+  registry.registerClass(admissionId, Admission, Math.random)
+  registry.registerClass(forwarderId, Forwarder)
+  registry.registerClass(generatorId, Generator)
+}
+
+function registerTraining (registry: IServiceRegistry): RegisteredServices {
+  registry.registerClass(stepTableId, StepTable)
+  registry.registerClass(sampleScorerId, SampleScorer)
+  registry.registerClass(sampleOwnersId, SampleOwners)
+  registry.registerClass(trainerDeskId, TrainerDesk)
+  const carry = registry.registerClass(carryRenewerId, CarryRenewer) as CarryRenewer
+  const runner = registry.registerClass(stepRunnerId, StepRunner) as StepRunner
+  const rollout = registry.registerClass(weightRolloutId, WeightRollout) as WeightRollout
+  return { startOrder: [carry, runner, rollout], inFlight: () => runner.inProgress }
+}
--- a/src/node/entry/testing/registerFakes.ts
+++ b/src/node/entry/testing/registerFakes.ts
@@ -4,6 +4,7 @@
 import { admissionId } from '../../../common/admission/admissionId.js'
 import { contractPublisherId } from '../../../common/contract/contractPublisherId.js'
 import { contractStoreId } from '../../../common/contract/contractStoreId.js'
+import { suspectGossipId } from '../../../common/crash/suspectGossipId.js'
 import { suspectTableId } from '../../../common/crash/suspectTableId.js'
 import { forwarderId } from '../../../common/forward/forwarderId.js'
 import { generatorId } from '../../../common/generation/generatorId.js'
@@ -32,6 +33,7 @@
       return { status: 200, headers: {}, body: Buffer.from('done') }
     })
   })
+  register(suspectGossipId, { suspects: () => [], noteSuspects () {} })
   for (const id of [suspectTableId, admissionId, generatorId, trainerDeskId, contractPublisherId, contractDiffId]) register(id, {})
   return { startOrder: [], inFlight: options.otherWork }
 }
