Separate the contract ledger from the contract store interface

Cause: publishing, renewal and peer transfer need more of the contract store than the modules that only read contracts, and their stand-ins should not have to implement it.

--- a/src/common/contract/ContractStore.ts
+++ b/src/common/contract/ContractStore.ts
@@ -12,12 +12,12 @@
 import { ContractFold } from './ContractFold.js'
 import type { ContractRenewal } from './ContractRenewal.js'
 import type { ContractRevision } from './ContractRevision.js'
-import type { IContractStore } from './IContractStore.js'
+import type { IContractLedger } from './IContractLedger.js'
 import { mergeRevisions } from './mergeRevisions.js'
 import { parseContract } from './parseContract.js'
 
 /** Contracts in force: the higher revision of the fold and of what peers have offered. */
-export class ContractStore extends Disposable implements IContractStore {
+export class ContractStore extends Disposable implements IContractLedger {
   private readonly _onChange = this._register(new Emitter<ContractRevision>())
   readonly onChange = this._onChange.event
   private readonly _onGap = this._register(new Emitter<number>())
--- a/src/common/contract/SnapshotRenewer.ts
+++ b/src/common/contract/SnapshotRenewer.ts
@@ -8,8 +8,8 @@
 import { entrySettingsId } from '../settings/entrySettingsId.js'
 import type { ContractRenewal } from './ContractRenewal.js'
 import type { ContractRevision } from './ContractRevision.js'
-import { contractStoreId } from './contractStoreId.js'
-import type { IContractStore } from './IContractStore.js'
+import { contractLedgerId } from './contractLedgerId.js'
+import type { IContractLedger } from './IContractLedger.js'
 
 const RENEW_AFTER = 1 / 3
 // An entry that lost records renews only when no entry with complete knowledge has done so.
@@ -29,7 +29,7 @@
   private readonly _inFlight = new Set<string>()
 
   constructor (
-    @contractStoreId private readonly _contracts: IContractStore,
+    @contractLedgerId private readonly _contracts: IContractLedger,
     @logHubId private readonly _hub: ILogHub,
     @entrySettingsId private readonly _settings: EntrySettings,
     @loggerId private readonly _logger: ILogger
