--- a/src/common/contract/contractServices.test.ts
+++ b/src/common/contract/contractServices.test.ts
@@ -1,4 +1,4 @@
-import { describe, it } from 'node:test'
+import { after, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { ClaimService } from '../claim/ClaimService.js'
 import { claimServiceId } from '../claim/claimServiceId.js'
@@ -22,10 +22,12 @@
 import { snapshotRenewerId } from './snapshotRenewerId.js'
 
 describe('services on the log', () => {
+  const registry = new ServiceRegistry()
+  after(() => registry.dispose())
+
   // Guards against a missing or misplaced service identifier in a constructor.
   it('are built by the registry in the order of their dependencies', () => {
     const { settings, logger, metrics } = testServices()
-    const registry = new ServiceRegistry()
     registry.register(entrySettingsId, settings)
     registry.register(loggerId, logger)
     registry.register(metricsId, metrics)
@@ -39,7 +41,8 @@
     hub.start()
     leases.start()
     renewer.start()
-    expect(publisher instanceof ContractPublisher && claims instanceof ClaimService).toEqual(true)
-    registry.dispose()
+    for (const service of [hub, publisher, claims, leases, renewer]) {
+      expect(Object.entries(service).filter(([, value]) => value === undefined)).toEqual([])
+    }
   })
 })
