Give samples their own seeds and check rules between contract fields in the command

Change: each sample run sends a random seed that a resumed stream keeps; the fingerprint for the suspect table leaves the seed out, because a poison prompt would otherwise crash engines once per sample; 'contract check' runs checkContract of the library. Conclusion: groups hold distinct samples and the command rejects what publishing rejects.

--- a/src/common/generation/Generator.test.ts
+++ b/src/common/generation/Generator.test.ts
@@ -53,6 +53,17 @@
     mock.restoreAll()
   })
 
+  // A poison prompt would otherwise crash engines once for each sample of its group.
+  it('gives requests that differ in the seed only the same fingerprint', async () => {
+    const engines = new FakeEngines({ a: [['done'], ['done'], ['done']] })
+    await collect(engines, { parameters: { seed: 1 } })
+    await collect(engines, { parameters: { seed: 2 } })
+    await collect(engines, { parameters: { seed: 1, temperature: 0.5 } })
+    const [first, second, third] = engines.acquired.map(item => item.fingerprint)
+    expect(first).toEqual(second)
+    expect(first === third).toEqual(false)
+  })
+
   it('resumes after a reset on another engine with the tokens so far and keeps the recorded ranges', async () => {
     const engines = new FakeEngines({ a: [[...part(0, 2, 3), 'reset']], b: [[...part(2, 3, 4), { token: 3, version: 4, last: true }, 'done']] })
     const result = await collect(engines)
--- a/src/common/generation/Generator.ts
+++ b/src/common/generation/Generator.ts
@@ -87,7 +87,8 @@
     if (request.signal.aborted) return err({ kind: 'caller_gone', message: 'the caller went away', outcome, status: 499 })
     if (performance.now() >= request.deadlineAtMs) return err({ kind: 'deadline_exceeded', message: 'the deadline passed', outcome, status: 504 })
     const { customer, service, workClass, size, model, prompt, maxTokens, parameters, deadlineAtMs, signal } = request
-    const fingerprint = [customer, service, model, prompt, maxTokens, parameters]
+    // The samples of a group differ in the seed only and crash an engine alike.
+    const fingerprint = [customer, service, model, prompt, maxTokens, { ...parameters, seed: undefined }]
     const acquired = await this._admission.acquire({
       customer,
       service,
--- a/src/common/training/SampleRun.ts
+++ b/src/common/training/SampleRun.ts
@@ -68,7 +68,8 @@
       size: 'long',
       prompt: spec.prompt,
       maxTokens: spec.max_tokens,
-      parameters: {},
+      // Engines give equal samples of a prompt for equal seeds; a resumed stream keeps its seed.
+      parameters: { seed: crypto.getRandomValues(new Uint32Array(1))[0]! },
       deadlineAtMs: performance.now() + Math.max(remainingMs, stepMs * LATE_SHARE),
       signal: this._controller.signal,
       needsOrigin: true
--- a/src/common/training/StepRunner.test.ts
+++ b/src/common/training/StepRunner.test.ts
@@ -98,6 +98,17 @@
     expect(generator.started()).toEqual([])
   })
 
+  // Engines return equal text for equal prompts and seeds, which makes a group worthless for training.
+  it('gives each sample of a group its own seed', async () => {
+    const log = new MemoryLog()
+    const { generator, runner } = entry(log)
+    submit(log, 1, ...Array.from({ length: 4 }, (_, i) => `g${i}`))
+    await settle(40)
+    const seeds = generator.open.map(({ request }) => request.parameters['seed'])
+    expect(new Set(seeds).size).toEqual(8)
+    runner.dispose()
+  })
+
   it('divides the samples between entries and takes over those of an entry that failed', async () => {
     const log = new MemoryLog()
     const a = entry(log, ['a', 'b'], {}, 'a')
--- a/src/node/cli/checkContract.ts
+++ b/src/node/cli/checkContract.ts
@@ -1,3 +1,4 @@
+import { checkContract as checkRules } from '../../common/contract/checkContract.js'
 import { contractSchema } from '../../common/schema/contractSchema.js'
 import { readIni } from '../../common/settings/readIni.js'
 import { CliFault } from './CliFault.js'
@@ -9,5 +10,7 @@
   const text = readInputFile(file)
   const result = readIni(text, contractSchema)
   if (result.isErr()) throw new CliFault(2, formatIniErrors(file, result.error))
+  const errors = checkRules(result.value, text)
+  if (errors.length > 0) throw new CliFault(2, formatIniErrors(file, errors))
   return { customer: result.value.contract.customer, text }
 }
--- a/src/node/cli/runCli.test.ts
+++ b/src/node/cli/runCli.test.ts
@@ -62,6 +62,10 @@
     errors = []
     expect(await run('entry', '--config', settingsFile, '--timing-lease-ms', '5')).toEqual(2)
     expect(errors[0]).toMatchRegex(/^--timing-lease-ms: timing\.lease_ms: /)
+    errors = []
+    await writeFile(faulty, `${bed.contracts[0]?.text ?? ''}\n[work.draft]\nservice = shaping-llm\nkind = generation\ndeadline_ms = 1000\ntrainer = nobody\n`)
+    expect(await run('contract', 'check', faulty)).toEqual(2)
+    expect(errors[0]).toMatchRegex(/work\.draft\.trainer: this contract has no section/)
     expect(await run('contract', 'check', contractFile)).toEqual(0)
     expect(lines).toEqual(['valid contract of lin-shun'])
   })
