--- a/src/common/settings/readEntrySettings.test.ts
+++ b/src/common/settings/readEntrySettings.test.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from 'node:fs'
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import fc from 'fast-check'
@@ -37,6 +38,11 @@
     expect(settings.operatorsByTokenDigest.get('a'.repeat(64))).toEqual('mei')
   })
 
+  it('accepts the example file of the repository', () => {
+    const text = readFileSync(new URL('../../../../examples/entry.ini', import.meta.url), 'utf8')
+    expect(readEntrySettings(text)._unsafeUnwrap().services.map(service => service.name)).toEqual(['shaping-llm', 'order-app'])
+  })
+
   it('refuses host names and ports out of range, with the line', () => {
     for (const address of ['localhost:80', '127.0.0.1', '127.0.0.1:70000', '1.2.3:80']) {
       const errors = readEntrySettings(SETTINGS.replace('127.0.0.1:8080', address))._unsafeUnwrapErr()
--- a/standin/faultproxy/FaultProxy.ts
+++ b/standin/faultproxy/FaultProxy.ts
@@ -27,6 +27,7 @@
     this.app.get('/routes', c => c.json(Object.fromEntries([...this._routes].map(([name, route]) => [name, {
       address: route.address,
       target: route.target,
+      bytes: route.bytes,
       faults: route.faults
     }]))))
     this.app.put('/routes', async c => await this._putRoute(c))
--- a/standin/faultproxy/IRoute.ts
+++ b/standin/faultproxy/IRoute.ts
@@ -8,5 +8,7 @@
   /** `ip:port` that new connections and datagrams go to. */
   target: string
   readonly faults: RouteFaults
+  /** Payload bytes received from both sides since the start. */
+  readonly bytes: number
   setFaults (faults: RouteFaults): Promise<void>
 }
--- a/standin/faultproxy/TcpRoute.ts
+++ b/standin/faultproxy/TcpRoute.ts
@@ -12,6 +12,7 @@
 export class TcpRoute implements IRoute {
   address = ''
   faults: RouteFaults = routeFaultsSchema.parse({})
+  bytes = 0
   private readonly _clients = new Set<Socket>()
   private readonly _changed = new Emitter<void>()
   private readonly _server = createServer({ noDelay: true, allowHalfOpen: true }, socket => this._accept(socket))
@@ -67,7 +68,8 @@
   }
 
   private _pump (isDiscarded: () => boolean) {
-    return { faults: () => this.faults, untilThawed: async () => await this._untilThawed(), isDiscarded }
+    const count = (length: number): void => { this.bytes += length }
+    return { faults: () => this.faults, count, untilThawed: async () => await this._untilThawed(), isDiscarded }
   }
 
   private async _untilThawed (): Promise<void> {
--- a/standin/faultproxy/UdpRoute.ts
+++ b/standin/faultproxy/UdpRoute.ts
@@ -9,6 +9,7 @@
 export class UdpRoute implements IRoute {
   address = ''
   faults: RouteFaults = routeFaultsSchema.parse({})
+  bytes = 0
   private readonly _socket = createSocket('udp4')
   private _count = 0
 
@@ -36,6 +37,7 @@
   private _forward (data: Buffer): void {
     const { lose_every: loseEvery, cut, freeze, reset, delay_ms: delayMs } = this.faults
     this._count++
+    this.bytes += data.length
     if (cut || freeze || reset || (loseEvery > 0 && this._count % loseEvery === 0)) return
     const { host, port } = parseAddress(this.target)
     const send = () => this._socket.send(data, port, host)
--- a/standin/faultproxy/pumpData.ts
+++ b/standin/faultproxy/pumpData.ts
@@ -6,6 +6,8 @@
 /** What a direction of a connection needs to know about its route. */
 interface Pump {
   faults: () => RouteFaults
+  /** Told the length of each piece of data. */
+  count: (length: number) => void
   /** Resolves when the route is not frozen. */
   untilThawed: () => Promise<void>
   /** True when this piece of data must not be passed on. */
@@ -16,6 +18,7 @@
 export async function pumpData (source: Socket, destination: Socket, pump: Pump): Promise<void> {
   try {
     for await (const data of source.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
+      pump.count(data.length)
       await pump.untilThawed()
       const { delay_ms: delayMs, throttle_bytes_per_s: rate } = pump.faults()
       const throttleMs = rate > 0 ? data.length / rate * 1000 : 0
