Read the membership list only when it has changed

Change: MembershipPoller sends If-None-Match and keeps its list on 304; the stand-in answers with ETags. Conclusion: the cost of the list no longer depends on the number of hosts while nothing changes.

--- /dev/null
+++ b/src/node/upstream/JsonAnswer.ts
@@ -0,0 +1,8 @@
+/** A JSON document read over HTTP. */
+export interface JsonAnswer {
+  /** Undefined when the document is unchanged. */
+  document: unknown
+  etag?: string
+  /** True when the server still holds the version named by the sent entity tag. */
+  isUnchanged: boolean
+}
--- a/src/node/upstream/LoadPoller.ts
+++ b/src/node/upstream/LoadPoller.ts
@@ -109,7 +109,7 @@
     if (this._isStopped) {
       return
     }
-    const report = loadReportSchema.safeParse(answer.unwrapOr(undefined))
+    const report = loadReportSchema.safeParse(answer.isOk() ? answer.value.document : undefined)
     if (report.success) {
       this._observer.updateLoad(upstreamId, report.data, startedAtMs)
     } else {
--- a/src/node/upstream/MembershipPoller.ts
+++ b/src/node/upstream/MembershipPoller.ts
@@ -25,6 +25,8 @@
   private readonly _abort = new AbortController()
   private _timer?: NodeJS.Timeout
   private _isFailing = false
+  /** Entity tag of the list in use; an unchanged list is not sent again, which matters for long lists. */
+  private _etag?: string
   /** Fires with the whole list, entries included, after the upstream table has taken it over. */
   readonly onMembers = this._onMembers.event
 
@@ -48,13 +50,16 @@
 
   private async _poll (): Promise<void> {
     const timeoutMs = Math.max(MIN_TIMEOUT_MS, this._settings.membershipPollMs)
-    const answer = await fetchJson(this._client, this._settings.membershipAddress, '/v1/members', timeoutMs, this._abort.signal)
+    const answer = await fetchJson(this._client, this._settings.membershipAddress, '/v1/members', timeoutMs, this._abort.signal, this._etag)
     if (this._abort.signal.aborted) {
       return
     }
-    const list = membershipSchema.safeParse(answer.unwrapOr(undefined))
-    if (list.success) {
+    const list = membershipSchema.safeParse(answer.isOk() ? answer.value.document : undefined)
+    if (answer.isOk() && answer.value.isUnchanged) {
+      this._succeed()
+    } else if (answer.isOk() && list.success) {
       this._take(list.data.members)
+      this._etag = answer.value.etag
     } else {
       this._fail(answer.isErr() ? answer.error.message : 'list does not match its schema')
     }
@@ -62,10 +67,7 @@
   }
 
   private _take (items: unknown[]): void {
-    if (this._isFailing) {
-      this._logger.info({}, 'membership_available')
-    }
-    this._isFailing = false
+    this._succeed()
     const members: Member[] = []
     for (const item of items) {
       const member = memberSchema.safeParse(item)
@@ -79,6 +81,13 @@
     this._onMembers.fire(members)
   }
 
+  private _succeed (): void {
+    if (this._isFailing) {
+      this._logger.info({}, 'membership_available')
+    }
+    this._isFailing = false
+  }
+
   private _fail (message: string): void {
     this._metrics.count('membership_poll_failures_total')
     if (!this._isFailing) {
--- a/src/node/upstream/pollers.test.ts
+++ b/src/node/upstream/pollers.test.ts
@@ -80,6 +80,27 @@
     poller.dispose()
   })
 
+  // A list of 970 hosts is about 250 KB; reading it every second costs more than all other control traffic.
+  it('does not read an unchanged membership list again', async () => {
+    let full = 0
+    let unchanged = 0
+    server.removeAllListeners('request').on('request', (req, res) => {
+      if (req.headers['if-none-match'] === '"v1"') {
+        unchanged++
+        res.writeHead(304, { etag: '"v1"' }).end()
+        return
+      }
+      full++
+      res.writeHead(200, { etag: '"v1"' }).end(JSON.stringify(bodies[req.url!]))
+    })
+    const poller = new MembershipPoller(client, table, settings, silent, silent)
+    poller.start()
+    await until(() => unchanged > 2)
+    expect(full).toEqual(1)
+    expect(table.available('s').map((item) => item.id)).toEqual(['u'])
+    poller.dispose()
+  })
+
   it('polls many upstreams at once without a warning about listeners', async () => {
     const warnings: string[] = []
     const onWarning = (warning: Error): void => { warnings.push(warning.name) }
--- a/standin/membership/MembershipServer.ts
+++ b/standin/membership/MembershipServer.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Context, Hono } from 'hono'
+import { etag } from 'hono/etag'
 import { z } from 'zod'
 import { memberSchema } from '../../src/common/schema/memberSchema.js'
 import type { Member } from '../../src/common/schema/Member.js'
@@ -52,6 +53,7 @@
   }
 
   private _mountList (app: Hono<StandInEnv>, overrides: () => AddressOverrides): void {
+    app.use('/v1/members', etag())
     app.get('/v1/members', async c => {
       await sleep(this.faults.current.slow_ms)
       if (this.faults.current.outage) return c.json({ error: { kind: 'unavailable', message: 'membership unavailable' } }, 503)
