Word type faults of settings and contracts in terms of the INI file

Cause: the schema library's messages speak of objects and received types, for example 'Invalid input: expected object, received undefined' for a missing section. Change: readIni names what is missing and the type a value must have. Result: 'platform: is missing, must be a section' and 'timing.lease_ms: must be a number'; the new test fails with the former messages. Conclusion: operators can act on the message without knowing the schema library.

--- a/src/common/settings/readIni.test.ts
+++ b/src/common/settings/readIni.test.ts
@@ -45,6 +45,16 @@
     ])
   })
 
+  it('says what is missing and what type a value must have, in the words of the file', () => {
+    const text = CONTRACT.replace('share = 3', 'share = many').replace(/\[access\]\n.*\n/, '').replace('deadline_ms = 800\n', '')
+    const rules = readIni(text, contractSchema)._unsafeUnwrapErr().map(error => [error.field, error.rule])
+    expect(rules).toEqual([
+      ['access', 'is missing, must be a section'],
+      ['limits.share', 'must be a number'],
+      ['work.lookup.deadline_ms', 'is missing, must be a number']
+    ])
+  })
+
   it('refuses duplicate keys, which the INI library would silently override', () => {
     const errors = readIni(CONTRACT.replace('share = 3', 'share = 3\nshare = 4'), contractSchema)._unsafeUnwrapErr()
     expect(errors).toEqual([{ line: 10, field: 'limits.share', rule: 'key stands already on line 9' }])
--- a/src/common/settings/readIni.ts
+++ b/src/common/settings/readIni.ts
@@ -7,6 +7,15 @@
 
 type Issue = z.core.$ZodIssue
 
+const TYPE_NAMES: Record<string, string> = {
+  object: 'a section',
+  record: 'a section',
+  array: 'a list of values separated by commas',
+  number: 'a number',
+  int: 'a whole number',
+  string: 'a text',
+  boolean: 'true or false'
+}
 const NUMBER_PATTERN = /^-?\d+(\.\d+)?$/
 // Arrays of numbers need one pass for the array and one for its items.
 const MAX_CONVERSION_PASSES = 3
@@ -26,7 +35,7 @@
     if (parsed.success) return ok(parsed.data)
     const converted = parsed.error.issues.filter(issue => convertAt(data, issue)).length
     if (converted === 0 || pass >= MAX_CONVERSION_PASSES) {
-      return err(parsed.error.issues.flatMap(issue => toErrors(issue, lines)).map(error => withSource(error, overrides)))
+      return err(parsed.error.issues.flatMap(issue => toErrors(issue, lines, data)).map(error => withSource(error, overrides)))
     }
   }
 }
@@ -65,12 +74,20 @@
   return undefined
 }
 
-function toErrors (issue: Issue, lines: IniLines): IniError[] {
+function toErrors (issue: Issue, lines: IniLines, data: unknown): IniError[] {
   if (issue.code === 'unrecognized_keys') {
     return issue.keys.map(key => {
       const path = [...issue.path, key]
       return { line: lines.find(path), field: path.join('.'), rule: 'unknown section or key' }
     })
   }
-  return [{ line: lines.find(issue.path), field: issue.path.join('.'), rule: issue.message }]
+  return [{ line: lines.find(issue.path), field: issue.path.join('.'), rule: describeRule(issue, data) }]
+}
+
+/** Replaces the schema library's wording of types, which speaks of objects where the file has sections. */
+function describeRule (issue: Issue, data: unknown): string {
+  if (issue.code !== 'invalid_type') return issue.message
+  const name = TYPE_NAMES[issue.expected] ?? issue.expected
+  const value = issue.path.reduce<any>((node, key) => node?.[key], data)
+  return value === undefined ? `is missing, must be ${name}` : `must be ${name}`
 }
