--- a/src/common/forward/Forwarder.ts
+++ b/src/common/forward/Forwarder.ts
@@ -42,6 +42,7 @@
   private readonly _budget = new HedgeBudget(HEDGE_PART)
   /** By customer and work class. */
   private readonly _latencies = new Map<string, LatencyWindow>()
+  private _callsOnce = 0
 
   constructor (
     @admissionId admission: IAdmission,
@@ -56,9 +57,14 @@
     this._runner = new AttemptRunner(admission, client, _suspects)
   }
 
+  /** Never-repeat calls in progress. They go on when their caller has left, so a planned stop has to wait for them. */
+  get callsOnce (): number {
+    return this._callsOnce
+  }
+
   forward (request: CallRequest): ResultAsync<UpstreamAnswer, CallError> {
     const startedAtMs = performance.now()
-    const call = request.workClass.repeat === 'never' ? this._forwardOnce(request) : this._forwardRepeatable(request)
+    const call = request.workClass.repeat === 'never' ? this._countOnce(request) : this._forwardRepeatable(request)
     return new ResultAsync(call.then((result) => {
       this._report(request, result, performance.now() - startedAtMs)
       return result
@@ -78,6 +84,15 @@
     }).run()
   }
 
+  private async _countOnce (request: CallRequest): Promise<Result<UpstreamAnswer, CallError>> {
+    this._callsOnce++
+    try {
+      return await this._forwardOnce(request)
+    } finally {
+      this._callsOnce--
+    }
+  }
+
   private async _forwardOnce (request: CallRequest): Promise<Result<UpstreamAnswer, CallError>> {
     const { customer, idempotencyKey, body, deadlineAtMs } = request
     if (idempotencyKey === undefined) {
--- a/src/common/forward/OnceCall.test.ts
+++ b/src/common/forward/OnceCall.test.ts
@@ -63,8 +63,11 @@
     const outcome = await h.start({ signal: controller.signal }, 'never')
     controller.abort()
     await h.flush()
+    // A planned stop that did not count the call would end the process before its result is recorded.
+    expect(h.forwarder.callsOnce).toEqual(1)
     h.sent[0]!.answer('done')
     await outcome()
+    expect(h.forwarder.callsOnce).toEqual(0)
     expect(h.settled).toEqual(['complete false ZG9uZQ=='])
   })
 
--- a/src/node/entry/createServiceRegistration.ts
+++ b/src/node/entry/createServiceRegistration.ts
@@ -67,10 +67,10 @@
     const hub = registerLog(registry)
     const contractTasks = registerContracts(registry)
     const upstreamTasks = registerUpstreams(registry)
-    registerWork(registry)
+    const forwarder = registerWork(registry)
     const training = registerTraining(registry)
     // The hub starts first of all: every fold is added by a constructor before.
-    return { startOrder: [hub, ...upstreamTasks, ...contractTasks, ...training.startOrder], inFlight: training.inFlight }
+    return { startOrder: [hub, ...upstreamTasks, ...contractTasks, ...training.startOrder], inFlight: () => training.inFlight() + forwarder.callsOnce }
   }
 }
 
@@ -100,13 +100,13 @@
   return [registry.registerClass(loadPollerId, LoadPoller), members]
 }
 
-function registerWork (registry: IServiceRegistry): void {
+function registerWork (registry: IServiceRegistry): Forwarder {
   const suspects = registry.registerClass(suspectTableId, SuspectTable) as SuspectTable
   registry.register(suspectGossipId, suspects)
   registry.get(logHubId).addFold('claims', suspects)
   registry.registerClass(admissionId, Admission, Math.random)
-  registry.registerClass(forwarderId, Forwarder)
   registry.registerClass(generatorId, Generator)
+  return registry.registerClass(forwarderId, Forwarder) as Forwarder
 }
 
 function registerTraining (registry: IServiceRegistry): RegisteredServices {
--- /dev/null
+++ b/test/harness/callContract.ts
@@ -0,0 +1,28 @@
+import { sha256Hex } from './sha256Hex.js'
+import { tokens } from './tokens.js'
+
+/** Contract of Lin Shun for calls alone, with the given limits. */
+export function callContract (limits: Record<string, number> = {}, lookupMs = 2000, ticketMs = 10_000): string {
+  return `
+[contract]
+customer = lin-shun
+operator = mei
+[access]
+token_sha256 = ${sha256Hex(tokens['lin-shun'])}
+[limits]
+${Object.entries({ key_window_s: 600, ...limits }).map(([name, value]) => `${name} = ${value}`).join('\n')}
+[work.lookup]
+service = order-app
+kind = call
+methods = GET
+path = /orders
+deadline_ms = ${lookupMs}
+[work.ticket]
+service = order-app
+kind = call
+methods = POST
+path = /tickets
+deadline_ms = ${ticketMs}
+repeat = never
+`
+}
