Send the poison lookup again from a hasty caller as well

Cause: a patient caller's poison lookup is blocked within the entry that got it first, which proves nothing for other entries. Change: a second caller gives up after 150 ms and sends the lookup again through the next entry.

--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -82,24 +82,26 @@
   })
   after(async () => await cluster.dispose())
 
-  it('costs at most three upstreams when its caller sends a lookup again through other entries, and blames no other lookup', async () => {
-    const stopInnocents = innocents()
-    const supervisor = superviseAll(services())
-    await sleep(500)
-    let sent = 0
-    for (; sent < MAX_REPEATS; sent++) {
-      const { status } = await poison.call(cluster.entries[sent % 3]!, { path: '/orders/crash-service-lookup' })
-      if (status === 422) break
-    }
-    await sleep(500)
-    await stopInnocents()
-    await supervisor.stop()
-    console.log(`lookup: ${supervisor.crashes} crashes, refused for good after ${sent} repeats`, poison.summary(), 'innocent', book.summary())
-    expect(poison.calls.at(-1)!.answer.kind).toEqual('request_blocked')
-    expect(supervisor.crashes).toBeLessThanOrEqual(MAX_CRASHES)
-    const refused = book.calls.filter(call => call.answer.status !== 200)
-    expect(refused.map(call => call.answer.kind)).toEqual([])
-  })
+  for (const [caller, deadlineMs] of [['patient', 6000], ['hasty', 150]] as const) {
+    it(`costs at most three upstreams when a ${caller} caller sends a lookup again through other entries, and blames no other lookup`, async () => {
+      const [firstInnocent, firstPoison] = [book.calls.length, poison.calls.length]
+      const stopInnocents = innocents()
+      const supervisor = superviseAll(services())
+      await sleep(500)
+      let kind: string | undefined
+      for (let sent = 0; sent < MAX_REPEATS && kind !== 'request_blocked'; sent++) {
+        kind = (await poison.call(cluster.entries[sent % 3]!, { path: `/orders/crash-service-${caller}`, deadlineMs })).kind
+      }
+      await sleep(500)
+      await stopInnocents()
+      await supervisor.stop()
+      const others = book.calls.slice(firstInnocent)
+      console.log(`${caller}: ${supervisor.crashes} crashes, sent ${poison.calls.length - firstPoison} times; ${others.length} other lookups`)
+      expect(kind).toEqual('request_blocked')
+      expect(supervisor.crashes).toBeLessThanOrEqual(MAX_CRASHES)
+      expect(others.filter(call => call.answer.status !== 200).map(call => call.answer.kind)).toEqual([])
+    })
+  }
 
   it('costs one upstream when it must not be repeated', async () => {
     const supervisor = superviseAll(services())
