Record samples without tokens as failures so that their groups become whole

Cause: a sample whose prompt the suspect table refuses (request_blocked), and a generation that ends without a token, could not be recorded and were run again without end. Their group never became whole and its trainer waited for ever.

Change: a sample has either tokens with their origin or a `failure` (`request_blocked`, `no_tokens`) without tokens, origin and reward. The runner records the failure at once and the group is delivered with its full number of samples. The engine stand-in takes `len=0`.

The retry test of StepRunner used request_blocked as its example of a failure that is retried; it now uses engine_failed, with the same expectations, and a new test covers the two failures.

Conclusion: a trainer gets every group, and the reason for an index without tokens.

--- a/src/common/training/SampleRun.ts
+++ b/src/common/training/SampleRun.ts
@@ -1,5 +1,6 @@
 import type { IGenerator } from '../generation/IGenerator.js'
 import { OriginRanges } from '../generation/OriginRanges.js'
+import type { SampleFailure } from '../schema/SampleFailure.js'
 import type { ISampleScorer } from './ISampleScorer.js'
 import type { SampleRunEnd } from './SampleRunEnd.js'
 import type { SampleTask } from './SampleTask.js'
@@ -40,7 +41,10 @@
     let text = ''
     let isFinished = false
     for await (const item of this._generate()) {
-      if (item.isErr()) return { kind: 'failed', reason: `${item.error.kind}: ${item.error.message}` }
+      if (item.isErr()) {
+        if (item.error.kind === 'request_blocked') return this._withoutTokens('request_blocked')
+        return { kind: 'failed', reason: `${item.error.kind}: ${item.error.message}` }
+      }
       const chunk = item.value
       tokens.push(...chunk.tokenIds)
       text += chunk.text
@@ -48,6 +52,8 @@
       isFinished = chunk.finishReason !== undefined
       if (this.isStale) return { kind: 'stale' }
     }
+    // Generating again until there is a token would bias the samples.
+    if (isFinished && tokens.length === 0) return this._withoutTokens('no_tokens')
     if (!isFinished || !this._origin.covers(tokens.length)) return { kind: 'failed', reason: 'the origin does not cover all tokens' }
     const { scorer } = this.task.terms
     const reward = scorer === undefined ? undefined : await this._scorer.score(this.task, scorer, text, this._controller.signal)
@@ -55,6 +61,12 @@
     return { kind: 'done', sample: { index, attempt, text, token_ids: tokens, origin: this._origin.toArray(), reward } }
   }
 
+  /** Ends the index for good, because a trainer must not wait for a sample that cannot be generated. */
+  private _withoutTokens (failure: SampleFailure): SampleRunEnd {
+    const { index, attempt } = this.task
+    return { kind: 'done', sample: { index, attempt, text: '', token_ids: [], origin: [], failure } }
+  }
+
   private _generate (): ReturnType<IGenerator['generate']> {
     const { customer, trainer, terms, spec, submittedAtMs } = this.task
     const stepMs = terms.step_deadline_s * 1000
--- a/src/common/training/StepRunner.test.ts
+++ b/src/common/training/StepRunner.test.ts
@@ -197,7 +197,7 @@
     submit(log, 1, 'g')
     for (let round = 0; round < 12; round++) {
       await settle(1000)
-      generator.open.forEach(({ send }) => send(err({ kind: 'request_blocked', message: '', outcome: 'not_run', status: 422 })))
+      generator.open.forEach(({ send }) => send(err({ kind: 'engine_failed', message: '', outcome: 'unknown', status: 502 })))
     }
     const attempts = generator.open.length
     expect(attempts).toBeGreaterThan(6)
@@ -207,6 +207,25 @@
     runner.dispose()
   })
 
+  // Without a record of them the group never becomes whole and its trainer waits for ever.
+  it('records a blocked prompt and an empty generation as failures without tokens', async () => {
+    const log = new MemoryLog()
+    const { table, generator, runner } = entry(log, ['a'], { scorer: 'score' })
+    submit(log, 1, 'g')
+    await settle(40)
+    generator.open[0]!.send(chunk(0, 0))
+    generator.open[0]!.send(err({ kind: 'request_blocked', message: '', outcome: 'unknown', status: 422 }))
+    generator.open[1]!.send(ok({ text: '', tokenIds: [], finishReason: 'stop' }))
+    await settle(40)
+    const empty = { attempt: 0, text: '', token_ids: [], origin: [] }
+    expect(table.get('felt', 'brim')?.group(1, 'g')?.samples).toEqual([
+      { index: 0, ...empty, failure: 'request_blocked' },
+      { index: 1, ...empty, failure: 'no_tokens' }
+    ])
+    expect(generator.started()).toEqual([])
+    runner.dispose()
+  })
+
   it('refuses a sample whose origin does not cover every token', async () => {
     const log = new MemoryLog()
     const { generator, runner } = entry(log)
--- a/src/common/training/StepRunner.ts
+++ b/src/common/training/StepRunner.ts
@@ -127,6 +127,8 @@
     if (end.kind === 'aborted' || !this._isOpen(task)) return
     const { customer, trainer, step, spec: { group }, index } = task
     if (end.kind === 'done') {
+      const { failure } = end.sample
+      if (failure !== undefined) this._logger.warn({ customer, trainer, step, group, index, failure }, 'sample_without_tokens')
       this._recorded.set(key, task)
       // The hub keeps the record while the log is out.
       const record = { type: 'sample', id: crypto.randomUUID(), customer, trainer, step, group, sample: end.sample }
--- a/standin/engine/TokenSource.ts
+++ b/standin/engine/TokenSource.ts
@@ -21,12 +21,12 @@
   }
 
   /**
-   * Tokens of the whole generation, at most `maxTokens`: N for `len=N` in the prompt, drawn from a
+   * Tokens of the whole generation, at most `maxTokens`: N (also 0) for `len=N` in the prompt, drawn from a
    * Pareto distribution with minimum N for `len=pareto:N`, and `maxTokens` otherwise.
    */
   length (maxTokens: number): number {
     const fixed = FIXED_LENGTH.exec(this._prompt)?.[1]
-    if (fixed !== undefined) return Math.min(maxTokens, Math.max(1, Number(fixed)))
+    if (fixed !== undefined) return Math.min(maxTokens, Number(fixed))
     const minimum = PARETO_LENGTH.exec(this._prompt)?.[1]
     if (minimum === undefined) return maxTokens
     const uniform = (hash.number(`${this._key}/length`) + 1) / (HASH_RANGE + 1)
--- /dev/null
+++ b/test/failedSamples.test.ts
@@ -0,0 +1,60 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { Cluster } from './harness/Cluster.js'
+import { receivedFaults } from './harness/receivedFaults.js'
+import { TrainerClient } from './harness/TrainerClient.js'
+import { trainingContract } from './harness/trainingContract.js'
+import { waitUntil } from './harness/waitUntil.js'
+
+const TIMEOUT_MS = 60_000
+
+describe('samples that cannot be generated', { timeout: TIMEOUT_MS }, () => {
+  // A group that never becomes whole would let its trainer wait for ever.
+  it('delivers a prompt that crashes engines and an empty generation as failures within their whole groups', async () => {
+    const cluster = await Cluster.start({
+      entries: 3,
+      services: { 'shaping-llm': { kind: 'engine', count: 4 } },
+      contracts: [trainingContract(1)]
+    })
+    const engines = [...cluster.upstreams.values()]
+    const end = new AbortController()
+    // The platform starts crashed engines again.
+    const revivers = engines.map(async (engine) => {
+      for (;;) {
+        await waitUntil(`${engine.name} has ended`, () => end.signal.aborted || !engine.isRunning, TIMEOUT_MS)
+        if (end.signal.aborted) return
+        await cluster.restart(engine)
+      }
+    })
+    try {
+      const client = new TrainerClient()
+      const [entry] = cluster.entries
+      await client.submit(entry!, 1, [
+        { group: 'poison', prompt: 'crash-engine', samples: 2 },
+        { group: 'empty', prompt: 'len=0', samples: 2 },
+        { group: 'good', prompt: 'len=20', samples: 2 }
+      ])
+      const groups: any[] = []
+      let cursor = -1
+      await waitUntil('the step is whole', async () => {
+        const answer = await client.read(entry!, cursor, 0, 2000)
+        groups.push(...answer.groups.map((group) => ({ ...group, version_known: 0 })))
+        cursor = answer.cursor
+        return groups.length >= 3
+      })
+      expect(receivedFaults(groups, { bound: 1, samples: 2 })).toEqual([])
+      const failures = Object.fromEntries(groups.map(({ group, samples }) => [group, samples.map((sample: any) => sample.failure)]))
+      expect(failures).toEqual({
+        poison: ['request_blocked', 'request_blocked'],
+        empty: ['no_tokens', 'no_tokens'],
+        good: [undefined, undefined]
+      })
+      await client.acknowledge(entry!, cursor)
+      expect((await client.read(entry!, cursor, 0, 0)).groups).toEqual([])
+    } finally {
+      end.abort()
+      await Promise.allSettled(revivers)
+      await cluster.dispose()
+    }
+  })
+})
--- /dev/null
+++ b/test/harness/TrainerClient.ts
@@ -0,0 +1,32 @@
+import type { z } from 'zod'
+import { groupAnswerSchema } from '../../standin/trainer/groupAnswerSchema.js'
+import type { EntryProcess } from './EntryProcess.js'
+import { httpJson } from './httpJson.js'
+import { tokens } from './tokens.js'
+
+type Answer = z.output<typeof groupAnswerSchema>
+
+/** Single calls of lin-shun's trainer `brim`, each through the entry or address that the test chooses. */
+export class TrainerClient {
+  async submit (via: EntryProcess | string, step: number, groups: Array<{ group: string, prompt: string, samples: number }>, maxTokens = 64): Promise<void> {
+    const specs = groups.map((group) => ({ ...group, max_tokens: maxTokens }))
+    await this._call('POST', via, '/steps', { step, groups: specs })
+  }
+
+  async read (via: EntryProcess | string, cursor: number, version: number, waitMs = 5000, max = 16): Promise<Answer> {
+    return groupAnswerSchema.parse(await this._call('GET', via, `/groups?cursor=${cursor}&version=${version}&max=${max}&wait_ms=${waitMs}`))
+  }
+
+  async acknowledge (via: EntryProcess | string, cursor: number): Promise<void> {
+    await this._call('POST', via, '/ack', { cursor })
+  }
+
+  async announce (via: EntryProcess | string, version: number): Promise<void> {
+    await this._call('POST', via, '/weights', { version })
+  }
+
+  private async _call (method: string, via: EntryProcess | string, path: string, body?: unknown): Promise<any> {
+    const address = typeof via === 'string' ? via : via.listen
+    return await httpJson(method, address, `/v1/trainers/brim${path}`, body, tokens['lin-shun'])
+  }
+}
