--- a/src/common/generation/GenerationAttempt.ts
+++ b/src/common/generation/GenerationAttempt.ts
@@ -86,7 +86,8 @@
       const chunk = this._chunk(parsed)
       if (chunk === undefined || last !== undefined) continue
       if (this._request.needsOrigin && chunk.tokenIds.length > 0 && chunk.origin === undefined) {
-        return { ...this._done(), kind: 'origin_unknown', message: 'a chunk names no weight version' }
+        // Not `completed`: the short time would make the engine look fast and attract more samples.
+        return { kind: 'origin_unknown', message: 'a chunk names no weight version', result: { kind: 'cancelled' } }
       }
       if (chunk.tokenIds.length > 0 && this._tokens.length >= this._request.maxTokens) {
         yield this._take({ text: '', tokenIds: [], finishReason: 'length' })
--- a/src/common/generation/GenerationRequest.ts
+++ b/src/common/generation/GenerationRequest.ts
@@ -13,6 +13,6 @@
   parameters: Record<string, unknown>
   deadlineAtMs: number
   signal: AbortSignal
-  /** Set for samples: a chunk without a version stamp ends the generation with `origin_unknown`. */
+  /** Set for samples: a chunk without a version stamp is discarded and its tokens are generated on another engine. */
   needsOrigin: boolean
 }
--- a/src/common/generation/Generator.ts
+++ b/src/common/generation/Generator.ts
@@ -132,7 +132,6 @@
     switch (end.kind) {
       case 'cancelled': return { kind: 'caller_gone', message, outcome, status: 499 }
       case 'deadline': return { kind: 'deadline_exceeded', message, outcome, status: 504 }
-      case 'origin_unknown': return { kind: 'origin_unknown', message, outcome, status: 502 }
       case 'refused': return { kind: 'engine_refused', message, outcome, status: end.status ?? 502 }
     }
     this._metrics.count('generation_attempts_broken', { service: request.service })
@@ -144,6 +143,6 @@
       reason: message
     }, 'generation_attempt_broken')
     if (progress.failures < MAX_FAILURES) return undefined
-    return { kind: 'engine_failed', message, outcome, status: 502 }
+    return { kind: end.kind === 'origin_unknown' ? end.kind : 'engine_failed', message, outcome, status: 502 }
   }
 }
