--- a/test/harness/TrainerClient.ts
+++ b/test/harness/TrainerClient.ts
@@ -6,8 +6,10 @@
 
 type Answer = z.output<typeof groupAnswerSchema>
 
-/** Single calls of lin-shun's trainer `brim`, each through the entry or address that the test chooses. */
+/** Single calls of a trainer of lin-shun, each through the entry or address that the test chooses. */
 export class TrainerClient {
+  constructor (private readonly _trainer = 'brim') {}
+
   async submit (via: EntryProcess | string, step: number, groups: Array<{ group: string, prompt: string, samples: number }>, maxTokens = 64): Promise<void> {
     const specs = groups.map((group) => ({ ...group, max_tokens: maxTokens }))
     await this._call('POST', via, '/steps', { step, groups: specs })
@@ -27,6 +29,6 @@
 
   private async _call (method: string, via: EntryProcess | string, path: string, body?: unknown): Promise<any> {
     const address = typeof via === 'string' ? via : via.listen
-    return await httpJson(method, address, `/v1/trainers/brim${path}`, body, tokens['lin-shun'])
+    return await httpJson(method, address, `/v1/trainers/${this._trainer}${path}`, body, tokens['lin-shun'])
   }
 }
