--- /dev/null
+++ b/chaos/checker/Publication.ts
@@ -0,0 +1,11 @@
+/** One publication of a contract as its operator saw it; without a revision it was not accepted. */
+export interface Publication {
+  customer: string
+  operator: string
+  entry: string
+  base: number
+  text: string
+  startedAtMs: number
+  endedAtMs: number
+  revision?: number
+}
--- /dev/null
+++ b/chaos/checker/checkContracts.ts
@@ -0,0 +1,47 @@
+import type { ContractView } from './ContractView.js'
+import { extendWindow } from './extendWindow.js'
+import type { FaultRecord } from './FaultRecord.js'
+import type { History } from './History.js'
+import type { Violation } from './Violation.js'
+import { windows } from './windows.js'
+
+const RULE = '9 contracts'
+
+/** Invariant 9: one text per revision, no entry goes back, and an accepted revision is in force within the window. */
+export function checkContracts (history: History): Violation[] {
+  return [...differing(history), ...reverted(history), ...late(history)]
+}
+
+function differing ({ publications, views }: History): Violation[] {
+  const texts = new Map<string, { text: string }>()
+  return [...publications.filter(item => item.revision !== undefined), ...views].flatMap(item => {
+    const subject = `${item.customer} revision ${item.revision}`
+    const known = texts.get(subject)
+    if (known === undefined) texts.set(subject, item)
+    return known === undefined || known.text === item.text ? [] : [{ rule: RULE, subject, message: 'two texts', records: [known, item] }]
+  })
+}
+
+function reverted ({ views }: History): Violation[] {
+  const highest = new Map<string, ContractView>()
+  return views.toSorted((a, b) => a.atMs - b.atMs).flatMap(view => {
+    const subject = `${view.customer} at ${view.entry}`
+    const known = highest.get(subject)
+    if (known === undefined || view.revision > known.revision) highest.set(subject, view)
+    return known === undefined || view.revision >= known.revision ? [] : [{ rule: RULE, subject, message: 'reverted', records: [known, view] }]
+  })
+}
+
+function late ({ publications, views, faults }: History): Violation[] {
+  return publications.flatMap(publication => views.flatMap(view => {
+    const { customer, revision = 0, endedAtMs } = publication
+    if (view.customer !== customer || view.revision >= revision) return []
+    const endMs = extendWindow(endedAtMs, windows.contractMs, faults.filter(fault => hinders(fault, view.entry)))
+    if (view.atMs < endMs && !view.isFinal) return []
+    return [{ rule: RULE, subject: `${customer} at ${view.entry}`, message: `revision ${revision} is not in force`, records: [publication, view] }]
+  }))
+}
+
+function hinders ({ kind, target }: FaultRecord, entry: string): boolean {
+  return kind.startsWith('log_') || target === entry || target === `${entry}>log`
+}
--- /dev/null
+++ b/chaos/checker/groupBy.ts
@@ -0,0 +1,6 @@
+/** Items by key, in their order. Node.js 20 has no `Map.groupBy`. */
+export function groupBy<T> (items: T[], keyOf: (item: T) => string): Map<string, T[]> {
+  const groups = new Map<string, T[]>()
+  for (const item of items) groups.set(keyOf(item), [...groups.get(keyOf(item)) ?? [], item])
+  return groups
+}
--- /dev/null
+++ b/chaos/driver/Site.ts
@@ -0,0 +1,63 @@
+import { Cluster } from '../../test/harness/Cluster.js'
+import { exampleContract } from '../../test/harness/exampleContract.js'
+import type { StandIn } from '../../test/harness/StandIn.js'
+import { faultKinds } from './faultKinds.js'
+
+const ROUTES: string[] = [...faultKinds.route_cut.targets, ...faultKinds.gossip_loss.targets.map(route => route.replace('/udp', ''))]
+const TRAINER_FLAGS = { 'weights-every-ms': 2500, groups: 3, samples: 2, 'max-tokens': 48, 'train-ms': 100, ahead: 1 }
+
+/** The processes of a run. */
+export class Site {
+  readonly groupsPerStep = TRAINER_FLAGS.groups
+  readonly samplesPerGroup = TRAINER_FLAGS.samples
+  private readonly _switches: Map<string, StandIn>
+
+  private constructor (
+    readonly cluster: Cluster,
+    readonly balancer: StandIn,
+    readonly front: string,
+    readonly trainers: Array<{ process: StandIn, bound: number }>
+  ) {
+    const { log, membership, weights, upstreams } = cluster
+    const platform: Array<[string, StandIn]> = [['log', log], ['membership', membership], ['weights', weights], ['balancer', balancer]]
+    this._switches = new Map([...platform, ...upstreams, ...trainers.map(({ process }): [string, StandIn] => [process.name, process])])
+  }
+
+  static async start (): Promise<Site> {
+    const engineFlags = () => ({ 'tokens-per-second': 100, capacity: 8 })
+    const cluster = await Cluster.start({
+      entries: 12,
+      services: {
+        'shaping-llm': { kind: 'engine', count: 3, flags: engineFlags, checksFence: true },
+        mester: { kind: 'engine', count: 3, flags: engineFlags, checksFence: false },
+        'order-app': { kind: 'plain', count: 3 },
+        kapu: { kind: 'plain', count: 3 }
+      },
+      contracts: [await exampleContract('lin-shun'), await exampleContract('almaskert')],
+      // Above the balancer's lag, as in production.
+      timing: { drain_notice_ms: 1500 },
+      proxied: (from, to) => ROUTES.includes(`${from}>${to}`)
+    })
+    try {
+      const { balancer, front } = await cluster.startBalancer()
+      const trainers = await Promise.all([
+        cluster.startTrainer('lin-shun', 'brim', TRAINER_FLAGS),
+        cluster.startTrainer('almaskert', 'cellar-red', TRAINER_FLAGS),
+        cluster.startTrainer('almaskert', 'cellar-white', { ...TRAINER_FLAGS, addresses: front })
+      ])
+      // Bounds of the example contracts.
+      const bounds = [2, 1, 2]
+      return new Site(cluster, balancer, front, trainers.map((process, index) => ({ process, bound: bounds[index]! })))
+    } catch (error) {
+      await cluster.dispose()
+      throw error
+    }
+  }
+
+  /** Replaces the faults of a stand-in or a route. */
+  async setFaults (target: string, fields: Record<string, unknown>): Promise<void> {
+    const [from, to] = target.split('>')
+    if (to === undefined) await this._switches.get(target)!.faults(fields)
+    else await this.cluster.route(from!, to).faults(fields)
+  }
+}
--- /dev/null
+++ b/chaos/driver/readStream.ts
@@ -0,0 +1,14 @@
+import type { Call } from '../checker/Call.js'
+
+/** Text of a stream of completion events, or how it failed. A stream without an end mark was cut. */
+export function readStream (text: string): Pick<Call, 'end' | 'content'> & { outcome?: string } {
+  let content = ''
+  for (const event of text.split('\n\n')) {
+    const data = event.split('\n').find(line => line.startsWith('data: '))?.slice('data: '.length)
+    if (data === undefined) continue
+    if (data === '[DONE]') return { end: 'answered', content }
+    if (event.startsWith('event: error')) return { end: 'refused', outcome: JSON.parse(data).error.outcome, content: data }
+    content += JSON.parse(data).choices[0]?.text ?? ''
+  }
+  return { end: 'cut', content }
+}
