Let a request run once more after three crashes beside others

Change: a request with three crashes that never was the only suspect may run once more after 10 s; a fourth crash blocks it. A proven request, the only suspect of its second crash, stays blocked as before. Conclusion: one poison request costs at most one more crash and no longer stops a trainer.

--- a/src/common/crash/SuspectTable.test.ts
+++ b/src/common/crash/SuspectTable.test.ts
@@ -54,6 +54,24 @@
     expect([table.isBlocked('f'), table.isBlocked('g')]).toEqual([true, true])
   })
 
+  it('lets a request run once more that crashed beside others only, and blocks it at the next crash', () => {
+    for (const bootId of ['b1', 'b2', 'b3']) table.recordCrash('u', bootId, ['poison', 'innocent'])
+    mock.timers.tick(9_900)
+    expect([table.isBlocked('poison'), table.isBlocked('innocent')]).toEqual([true, true])
+    mock.timers.tick(200)
+    expect([table.isBlocked('poison'), table.isSuspect('poison'), table.isBlocked('innocent')]).toEqual([false, true, false])
+    table.recordCompletion('innocent')
+    table.recordCrash('u', 'b4', ['poison', 'other'])
+    mock.timers.tick(500_000)
+    expect([table.isBlocked('poison'), table.isSuspect('innocent')]).toEqual([true, false])
+  })
+
+  it('gives no further run to the only suspect of a crash', () => {
+    for (const bootId of ['b1', 'b2', 'b3']) table.recordCrash('u', bootId, ['poison'])
+    mock.timers.tick(500_000)
+    expect(table.isBlocked('poison')).toEqual(true)
+  })
+
   it('counts the records of several entries for one boot as one crash', () => {
     table.recordCrash('u', 'b1', ['f'])
     apply('u', 'b1', ['f'])
--- a/src/common/crash/SuspectTable.ts
+++ b/src/common/crash/SuspectTable.ts
@@ -14,6 +14,11 @@
 const MEMORY_MS = 600_000
 /** Crashes that block a request whichever others were in flight. */
 const MAX_CRASHES = 3
+/**
+ * Time after which such a request may run once more. Requests beside one that crashes three engines
+ * in a row share its crashes; 12 entries and 3 engines kept samples blocked for ten minutes that way.
+ */
+const TRIAL_AFTER_MS = 10_000
 /** Crashes that block a request when it was the only suspect in flight at the last one. */
 const MAX_CRASHES_ALONE = 2
 /** Time for the crash records of other entries to arrive; appends are 50 ms apart and reads follow at once. */
@@ -117,7 +122,10 @@
     if (verdict === undefined) {
       return false
     }
-    return verdict.crashes >= MAX_CRASHES || (verdict.crashes >= MAX_CRASHES_ALONE && verdict.isSoleSuspect)
+    if (verdict.crashes > MAX_CRASHES || (verdict.crashes >= MAX_CRASHES_ALONE && verdict.isSoleSuspect)) {
+      return true
+    }
+    return verdict.crashes === MAX_CRASHES && Date.now() - verdict.lastAtMs < TRIAL_AFTER_MS
   }
 
   private _merge (upstreamId: string, bootId: string, fingerprints: string[], atMs: number): void {
