Keep draining when the stop signal is repeated

A supervisor may repeat its stop, and faults may come twice. Change: during the drain SIGTERM changes nothing; a repeated SIGINT still exits at once. Conclusion: only SIGKILL or SIGINT ends a drain early.

--- a/src/node/cli/runEntryCommand.test.ts
+++ b/src/node/cli/runEntryCommand.test.ts
@@ -21,7 +21,7 @@
 `)._unsafeUnwrap()
 
 describe('runEntryCommand', () => {
-  it('prints the address when it listens, and exits with 0 when the first signal has drained it', async () => {
+  it('prints the address when it listens, and exits with 0 when the first signal has drained it, also if it is repeated', async () => {
     const lines: string[] = []
     const io = { out: (line: string) => { lines.push(line) }, err () {}, env: {} }
     const running = runEntryCommand(settings, 'error', io, registry =>
@@ -31,6 +31,9 @@
     const call = fetch(`http://${lines[0]?.slice('ready '.length)}/v1/services/order-app/x`, { headers: { authorization: 'Bearer token' } })
     await sleep(50)
     process.emit('SIGTERM', 'SIGTERM')
+    // A repeated stop must not cut off the call: an exit here would end the test process.
+    await sleep(10)
+    process.emit('SIGTERM', 'SIGTERM')
     expect((await call).status).toEqual(200)
     expect(await running).toEqual(0)
     process.removeAllListeners('SIGTERM').removeAllListeners('SIGINT')
--- a/src/node/cli/runEntryCommand.ts
+++ b/src/node/cli/runEntryCommand.ts
@@ -26,12 +26,16 @@
   return isDrained ? 0 : 1
 }
 
-/** Resolves at the first signal; from then on a second one exits at once. */
+/**
+ * Resolves at the first signal. From then on SIGINT exits at once, and SIGTERM changes nothing,
+ * because a supervisor that repeats its stop must not cut off the requests in flight.
+ */
 async function waitForSignal (): Promise<string> {
   const signals = ['SIGTERM', 'SIGINT'] as const
   const first = await new Promise<string>(resolve => {
     for (const signal of signals) process.once(signal, resolve)
   })
-  for (const signal of signals) process.removeAllListeners(signal).on(signal, () => process.exit(1))
+  process.removeAllListeners('SIGTERM').on('SIGTERM', () => {})
+  process.removeAllListeners('SIGINT').on('SIGINT', () => process.exit(1))
   return first
 }
