--- a/chaos/checker/checkHistory.test.ts
+++ b/chaos/checker/checkHistory.test.ts
@@ -109,6 +109,8 @@
       history.views.push({ ...late, isFinal })
     })
     expect([hindered(false), hindered(true)]).toEqual([[], ['9 contracts']])
+    expect(broken(history => { history.views.push({ ...late, atMs: 1050, isFinal: true }) })).toEqual([])
+    expect(broken(history => { history.views.push({ ...late, atMs: 1150, isFinal: true }) })).toEqual(['9 contracts'])
   })
 
   it('finds a call without an end and work that does not settle', () => {
--- a/chaos/driver/OperatorLoad.ts
+++ b/chaos/driver/OperatorLoad.ts
@@ -26,6 +26,7 @@
     await Promise.all([this._publishAll(), ...this._site.cluster.entries.map(async entry => await this._viewAll(entry))])
   }
 
+  /** Ends the loop after the publications in progress. */
   stop (): void {
     this._isOn = false
   }
--- a/chaos/driver/planFaults.ts
+++ b/chaos/driver/planFaults.ts
@@ -26,7 +26,9 @@
   return fc.sample(draw, { seed, numRuns: count }).flatMap(({ atMs, holdMs, target, isDouble, followsMs }, index) => {
     const kind = order[index]!
     const { targets } = faultKinds[kind]
-    const fault = { atMs, holdMs: holdOf(kind, holdMs), kind, target: targets[target % targets.length]! }
+    const heldMs = holdOf(kind, holdMs)
+    // Long faults begin early, so that they do not prolong the run.
+    const fault = { atMs: Math.min(atMs, Math.max(0, durationMs - heldMs)), holdMs: heldMs, kind, target: targets[target % targets.length]! }
     return isDouble ? [fault, { ...fault, atMs: atMs + followsMs }] : [fault]
   }).sort((a, b) => a.atMs - b.atMs)
 }
