Run two seeds of the fault run with the tests

Cause: the fault run was started by hand only. Change: a test runs seeds 1 and 2 for 10 s each at the same time.

--- /dev/null
+++ b/chaos/chaos.test.ts
@@ -0,0 +1,20 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { formatResult } from './formatResult.js'
+import { runChaos } from './runChaos.js'
+
+// Only ends a run that would wait forever.
+const TIMEOUT_MS = 110_000
+const SECONDS = 10
+
+describe('chaos', { timeout: TIMEOUT_MS, concurrency: true }, () => {
+  for (const seed of [1, 2]) {
+    it(`keeps the invariants under the faults of seed ${seed}`, async () => {
+      const result = await runChaos(seed, SECONDS)
+      expect(result.history.calls.length).toBeGreaterThan(100)
+      // The whole report is compared, so that a failure shows the records and the folder of the logs.
+      const report = formatResult(seed, result)
+      expect(report).toEqual(expect.regex(/^chaos: seed=\d+ requests=\d+ faults=\d+ violations=0$/))
+    })
+  }
+})
