Measure policies over real entries and stand-ins

The design names measured objectives, but nothing measured them, and admission, hedging and swap order had no baseline to compare to.

Settings admission, hedging and swap_order select the baselines per service.

--- /dev/null
+++ b/bench/Scenario.ts
@@ -0,0 +1,14 @@
+import type { IBed } from './IBed.js'
+
+/** A measurement that compares variants, for example policies, under the same load. */
+export interface Scenario {
+  /** The first is the default, to which the others are compared. */
+  variants: readonly string[]
+  roundMs: number
+  rounds: number
+  /** True: each round starts its processes anew. */
+  isFresh?: boolean
+  /** Figures of the last line: ratio of the default to each other variant. */
+  headline: readonly string[]
+  start (variant: string): Promise<IBed>
+}
--- /dev/null
+++ b/bench/benchContract.ts
@@ -0,0 +1,48 @@
+import { sha256Hex } from '../test/harness/sha256Hex.js'
+import { tokens } from '../test/harness/tokens.js'
+
+// High enough that the policies under measurement are the limit, not the contract.
+const LIMITS = 'max_in_flight = 5000\nmax_queue = 5000\nkey_window_s = 600'
+
+/** Contract text of a customer with lookups, tickets, short and long generations and two trainers. */
+export function benchContract (customer: 'lin-shun' | 'almaskert', options: { share?: number, lookupDeadlineMs?: number, staleness?: number } = {}): string {
+  const { share = 1, lookupDeadlineMs = 10_000, staleness = 1 } = options
+  const trainer = `service = shaping-llm\nstaleness_versions = ${staleness}\nstep_deadline_s = 60\nweights_every_s = 4\nmax_tokens = 4096`
+  return `[contract]
+customer = ${customer}
+operator = mei
+[access]
+token_sha256 = ${sha256Hex(tokens[customer])}
+[limits]
+share = ${share}
+${LIMITS}
+[work.lookup]
+service = order-app
+kind = call
+methods = GET
+path = /orders
+deadline_ms = ${lookupDeadlineMs}
+[work.ticket]
+service = order-app
+kind = call
+methods = POST
+path = /tickets
+deadline_ms = 10000
+repeat = never
+[work.hint]
+service = shaping-llm
+kind = generation
+deadline_ms = 20000
+max_tokens = 64
+[work.advice]
+service = shaping-llm
+kind = generation
+deadline_ms = 25000
+size = long
+max_tokens = 4096
+[trainer.one]
+${trainer}
+[trainer.two]
+${trainer}
+`
+}
--- /dev/null
+++ b/bench/policyPlans.ts
@@ -0,0 +1,14 @@
+import type { ServicePlan } from '../test/harness/ServicePlan.js'
+
+/** Settings of a service by the variant's name; `default` keeps the settings' defaults. */
+export const policyPlans: Record<string, Partial<ServicePlan>> = {
+  default: {},
+  random: { balancer: 'random' },
+  'round-robin': { balancer: 'round-robin' },
+  'least-outstanding': { balancer: 'least-outstanding' },
+  unbounded: { admission: 'unbounded' },
+  'no-hedging': { hedging: false },
+  plain: { balancer: 'round-robin', admission: 'unbounded', hedging: false },
+  listed: { swapOrder: 'listed' },
+  'one-at-a-time': { swapParallel: 1 }
+}
--- /dev/null
+++ b/bench/scenarios/overload.ts
@@ -0,0 +1,54 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { arrivals } from '../arrivals.js'
+import { benchContract } from '../benchContract.js'
+import { latencies } from '../latencies.js'
+import { lookup } from '../lookup.js'
+import type { Outcome } from '../Outcome.js'
+import { policyPlans } from '../policyPlans.js'
+import { runLoad } from '../runLoad.js'
+import type { Scenario } from '../Scenario.js'
+import { startCluster } from '../startCluster.js'
+
+const DEADLINE_MS = 500
+// Capacity is 4 upstreams x 2 places / 25 ms = 320 requests/s; the load is 480/s.
+const GREEDY_PER_SECOND = 400
+const MODEST_PER_SECOND = 80
+// Lets the upstreams work off what a variant without bounds left with them.
+const SETTLE_MS = 2000
+
+/** 1.5 times capacity, most of it from one customer. */
+export const overload: Scenario = {
+  variants: ['default', 'unbounded', 'plain'],
+  roundMs: 5000,
+  rounds: 3,
+  headline: ['modest in time %', 'goodput /s'],
+  async start (variant) {
+    const contracts = [benchContract('lin-shun', { lookupDeadlineMs: DEADLINE_MS }), benchContract('almaskert', { lookupDeadlineMs: DEADLINE_MS })]
+    const { cluster, front } = await startCluster({
+      entries: 4,
+      contracts,
+      services: { 'order-app': { kind: 'plain', count: 4, ...policyPlans[variant]!, flags: () => ({ 'service-time-ms': 25, capacity: 2 }) } }
+    })
+    return {
+      async round (random, durationMs) {
+        const outcomes = await runLoad(front, [
+          ...arrivals(random, GREEDY_PER_SECOND, durationMs, index => lookup(index, 'almaskert', 'greedy')),
+          ...arrivals(random, MODEST_PER_SECOND, durationMs, index => lookup(index, 'lin-shun', 'modest'))
+        ])
+        await sleep(SETTLE_MS)
+        const modest = outcomes.filter(({ label }) => label === 'modest')
+        const inTime = modest.filter(isInTime).length
+        return {
+          'modest in time %': 100 * inTime / modest.length,
+          'goodput /s': outcomes.filter(isInTime).length * 1000 / durationMs,
+          ...latencies(outcomes)
+        }
+      },
+      dispose: async () => await cluster.dispose()
+    }
+  }
+}
+
+function isInTime ({ isOk, latencyMs }: Outcome): boolean {
+  return isOk && latencyMs <= DEADLINE_MS
+}
--- a/src/common/admission/Admission.ts
+++ b/src/common/admission/Admission.ts
@@ -21,9 +21,9 @@
 import { upstreamUsageId } from '../upstream/upstreamUsageId.js'
 import type { AdmissionError } from './AdmissionError.js'
 import type { AdmissionRequest } from './AdmissionRequest.js'
+import { createRoomPolicy } from './createRoomPolicy.js'
 import { CustomerCounts } from './CustomerCounts.js'
 import { estimateService } from './estimateService.js'
-import { hasRoom } from './hasRoom.js'
 import type { IAdmission } from './IAdmission.js'
 import type { ISlot } from './ISlot.js'
 import { LimitController } from './LimitController.js'
@@ -187,7 +187,7 @@
     }
     const isReserving = queue.isReserving(nowMs)
     const isOverdue = queue.isLongOverdue(nowMs)
-    return this._table.available(queue.service).filter((upstream) => hasRoom(upstream, size, isReserving, isOverdue, nowMs))
+    return this._table.available(queue.service).filter((upstream) => queue.room.hasRoom(upstream, size, isReserving, isOverdue, nowMs))
   }
 
   private _place (queue: ServiceQueue, waiter: Waiter, room: Upstream[], nowMs: number): Upstream | undefined {
@@ -278,9 +278,10 @@
   private _serviceQueue (service: string): ServiceQueue {
     let queue = this._services.get(service)
     if (queue === undefined) {
-      const policy = this._settings.services.find((item) => item.name === service)?.balancer ?? 'expected-wait'
-      const balancer = createBalancer(policy, this._random, this._hasher)
-      queue = new ServiceQueue(service, balancer, (customer) => this._limitsOf(customer).share)
+      const settings = this._settings.services.find((item) => item.name === service)
+      const balancer = createBalancer(settings?.balancer ?? 'expected-wait', this._random, this._hasher)
+      const room = createRoomPolicy(settings?.admission ?? 'bounded')
+      queue = new ServiceQueue(service, balancer, room, (customer) => this._limitsOf(customer).share)
       this._services.set(service, queue)
     }
     return queue
--- a/src/common/admission/ServiceQueue.ts
+++ b/src/common/admission/ServiceQueue.ts
@@ -1,5 +1,6 @@
 import type { IBalancer } from '../upstream/IBalancer.js'
 import { ClassQueue } from './ClassQueue.js'
+import type { IRoomPolicy } from './IRoomPolicy.js'
 import type { Waiter } from './Waiter.js'
 
 /** Short requests after which a long one gets a turn. */
@@ -18,7 +19,12 @@
   private _shortInRow = 0
   private _shortSeenAtMs = -Infinity
 
-  constructor (readonly service: string, readonly balancer: IBalancer, shareOf: (customer: string) => number) {
+  constructor (
+    readonly service: string,
+    readonly balancer: IBalancer,
+    readonly room: IRoomPolicy,
+    shareOf: (customer: string) => number
+  ) {
     this.short = new ClassQueue(shareOf)
     this.long = new ClassQueue(shareOf)
   }
--- a/src/common/forward/Forwarder.ts
+++ b/src/common/forward/Forwarder.ts
@@ -12,6 +12,8 @@
 import { loggerId } from '../metrics/loggerId.js'
 import { metricsId } from '../metrics/metricsId.js'
 import type { StoredAnswer } from '../schema/StoredAnswer.js'
+import type { EntrySettings } from '../settings/EntrySettings.js'
+import { entrySettingsId } from '../settings/entrySettingsId.js'
 import type { IUpstreamClient } from '../upstream/IUpstreamClient.js'
 import type { UpstreamAnswer } from '../upstream/UpstreamAnswer.js'
 import { upstreamClientId } from '../upstream/upstreamClientId.js'
@@ -23,7 +25,9 @@
 import { HedgeBudget } from './HedgeBudget.js'
 import type { IDigest } from './IDigest.js'
 import type { IForwarder } from './IForwarder.js'
+import type { IHedgePolicy } from './IHedgePolicy.js'
 import { LatencyWindow } from './LatencyWindow.js'
+import { NoHedging } from './NoHedging.js'
 import { OnceCall } from './OnceCall.js'
 import { RepeatableCall } from './RepeatableCall.js'
 
@@ -40,6 +44,8 @@
 export class Forwarder extends Disposable implements IForwarder {
   private readonly _runner: AttemptRunner
   private readonly _budget = new HedgeBudget(HEDGE_PART)
+  private readonly _noHedging = new NoHedging()
+  private readonly _unhedged: Set<string>
   /** By customer and work class. */
   private readonly _latencies = new Map<string, LatencyWindow>()
 
@@ -50,9 +56,11 @@
     @suspectTableId private readonly _suspects: ISuspectTable,
     @digestId private readonly _digest: IDigest,
     @loggerId private readonly _logger: ILogger,
-    @metricsId private readonly _metrics: IMetrics
+    @metricsId private readonly _metrics: IMetrics,
+    @entrySettingsId settings: EntrySettings
   ) {
     super()
+    this._unhedged = new Set(settings.services.filter(({ hedging }) => !hedging).map(({ name }) => name))
     this._runner = new AttemptRunner(admission, client, _suspects)
   }
 
@@ -66,11 +74,12 @@
   }
 
   private async _forwardRepeatable (request: CallRequest): Promise<Result<UpstreamAnswer, CallError>> {
-    this._budget.onRequest()
+    const hedging: IHedgePolicy = this._unhedged.has(request.workClass.service) ? this._noHedging : this._budget
+    hedging.onRequest()
     const fingerprint = this._fingerprint(request)
     return await new RepeatableCall(this._runner, request, fingerprint, this._latency(request), () => {
       // A suspect must not be put on a second upstream.
-      const mayHedge = !this._suspects.isSuspect(fingerprint) && this._budget.take()
+      const mayHedge = !this._suspects.isSuspect(fingerprint) && hedging.take()
       if (mayHedge) {
         this._metrics.count('hedges_total', { customer: request.customer, class: request.workClassName })
       }
--- a/src/common/forward/HedgeBudget.ts
+++ b/src/common/forward/HedgeBudget.ts
@@ -1,8 +1,10 @@
+import type { IHedgePolicy } from './IHedgePolicy.js'
+
 /** Hedges that may be sent at once after a quiet time. */
 const BURST = 10
 
 /** Bounds hedges to a part of the requests. */
-export class HedgeBudget {
+export class HedgeBudget implements IHedgePolicy {
   private _tokens = 1
 
   constructor (private readonly _part: number) {}
--- a/src/common/forward/RepeatableCall.test.ts
+++ b/src/common/forward/RepeatableCall.test.ts
@@ -89,6 +89,18 @@
     expect(h.released.map((item) => item.kind)).toEqual(['completed', 'cancelled'])
   })
 
+  // Guards against a second run of lookups of a service that asked for none.
+  it('does not hedge when the service switches it off', async () => {
+    h = new ForwarderHarness((ms) => mock.timers.tick(ms), false)
+    await h.warmUp(40)
+    const outcome = await h.start()
+    mock.timers.tick(1000)
+    await h.flush()
+    h.sent[0]!.answer('x')
+    await outcome()
+    expect(h.sent.length).toEqual(1)
+  })
+
   it('does not hedge a suspect', async () => {
     await h.warmUp(40)
     h.isSuspected = true
--- a/src/common/forward/testing/ForwarderHarness.ts
+++ b/src/common/forward/testing/ForwarderHarness.ts
@@ -8,6 +8,7 @@
 import type { ISuspectTable } from '../../crash/ISuspectTable.js'
 import type { StoredAnswer } from '../../schema/StoredAnswer.js'
 import type { IUpstreamClient } from '../../upstream/IUpstreamClient.js'
+import type { EntrySettings } from '../../settings/EntrySettings.js'
 import type { Upstream } from '../../upstream/Upstream.js'
 import type { UpstreamAnswer } from '../../upstream/UpstreamAnswer.js'
 import type { UpstreamError } from '../../upstream/UpstreamError.js'
@@ -38,7 +39,8 @@
   claim: Result<ClaimOutcome, ClaimError>
   readonly forwarder: Forwarder
 
-  constructor (private readonly _tick: (ms: number) => void) {
+  /** `hedging` is the setting of the service. */
+  constructor (private readonly _tick: (ms: number) => void, hedging = true) {
     this.claim = ok({
       kind: 'won',
       ticket: {
@@ -51,7 +53,8 @@
     })
     const claims = { claim: () => this.claim.isOk() ? okAsync(this.claim.value) : errAsync(this.claim.error) }
     const suspects = { isSuspect: () => this.isSuspected, recordCompletion () {} } as unknown as ISuspectTable
-    this.forwarder = new Forwarder(this._admission(), this._client(), claims, suspects, digest, silent, silent)
+    const settings = { services: [{ name: 's', hedging }] } as EntrySettings
+    this.forwarder = new Forwarder(this._admission(), this._client(), claims, suspects, digest, silent, silent, settings)
   }
 
   /** Forwards a call and returns a function that reads its outcome. */
--- a/src/common/settings/entrySettingsFileSchema.ts
+++ b/src/common/settings/entrySettingsFileSchema.ts
@@ -14,7 +14,10 @@
   checks_fence: z.boolean().default(true),
   order_addresses: z.array(ipAddressSchema).default([]),
   swap_parallel: amount(1, 1000, 2),
-  balancer: z.enum(['random', 'round-robin', 'least-outstanding', 'expected-wait']).default('expected-wait')
+  balancer: z.enum(['random', 'round-robin', 'least-outstanding', 'expected-wait']).default('expected-wait'),
+  admission: z.enum(['bounded', 'unbounded']).default('bounded'),
+  hedging: z.boolean().default(true),
+  swap_order: z.enum(['planned', 'listed']).default('planned')
 })
 
 /** The INI file of an entry daemon. */
--- a/src/common/settings/readEntrySettings.test.ts
+++ b/src/common/settings/readEntrySettings.test.ts
@@ -37,6 +37,14 @@
     expect(settings.operatorsByTokenDigest.get('a'.repeat(64))).toEqual('mei')
   })
 
+  it('reads the policies of a service and refuses unknown ones', () => {
+    const policies = 'admission = unbounded\nhedging = false\nswap_order = listed\n'
+    const [plain, engine] = readEntrySettings(SETTINGS + policies)._unsafeUnwrap().services
+    expect([plain?.admission, plain?.hedging, plain?.swapOrder]).toEqual(['bounded', true, 'planned'])
+    expect([engine?.admission, engine?.hedging, engine?.swapOrder]).toEqual(['unbounded', false, 'listed'])
+    expect(readEntrySettings(SETTINGS + 'admission = none\n').isErr()).toEqual(true)
+  })
+
   it('refuses host names and ports out of range, with the line', () => {
     for (const address of ['localhost:80', '127.0.0.1', '127.0.0.1:70000', '1.2.3:80']) {
       const errors = readEntrySettings(SETTINGS.replace('127.0.0.1:8080', address))._unsafeUnwrapErr()
--- a/src/common/settings/readEntrySettings.ts
+++ b/src/common/settings/readEntrySettings.ts
@@ -68,7 +68,10 @@
       checksFence: service.checks_fence,
       orderAddresses: service.order_addresses,
       swapParallel: service.swap_parallel,
-      balancer: service.balancer
+      balancer: service.balancer,
+      admission: service.admission,
+      hedging: service.hedging,
+      swapOrder: service.swap_order
     })),
     operatorsByTokenDigest: new Map(Object.entries(file.operators).map(([name, digest]) => [digest, name])),
     appendIntervalMs: timing.append_interval_ms,
--- a/src/common/training/test/fakes.ts
+++ b/src/common/training/test/fakes.ts
@@ -17,7 +17,17 @@
   settings: {
     id: 'entry-a',
     retentionMs: 300_000,
-    services: [{ name: 'llm', kind: 'engine', checksFence: true, orderAddresses: [], swapParallel: 1, balancer: 'random' }]
+    services: [{
+      name: 'llm',
+      kind: 'engine',
+      checksFence: true,
+      orderAddresses: [],
+      swapParallel: 1,
+      balancer: 'random',
+      admission: 'bounded',
+      hedging: true,
+      swapOrder: 'planned'
+    }]
   } as unknown as EntrySettings,
   peers (selfId: string, live: string[]): IPeerTable & { live: string[], change: Emitter<void> } {
     const change = new Emitter<void>()
--- a/src/common/weights/ServiceRollout.ts
+++ b/src/common/weights/ServiceRollout.ts
@@ -6,9 +6,10 @@
 import type { Upstream } from '../upstream/Upstream.js'
 import type { EngineOrders } from './EngineOrders.js'
 import type { EngineState } from './EngineState.js'
+import type { ISwapOrder } from './ISwapOrder.js'
 import type { SwapCandidate } from './SwapCandidate.js'
 import type { WeightTarget } from './WeightTarget.js'
-import { orderSwaps } from './orderSwaps.js'
+import { createSwapOrder } from './createSwapOrder.js'
 
 // Also bounds how long a restarted engine with old weights goes unnoticed.
 const POLL_IDLE_MS = 1000
@@ -38,6 +39,7 @@
   private readonly _loadingSince = new Map<string, number>()
   private readonly _loading = new Map<string, Loading>()
   private readonly _retries = new Map<string, { failures: number, dueAtMs: number }>()
+  private readonly _swapOrder: ISwapOrder
   private _wake = new AbortController()
 
   constructor (
@@ -48,7 +50,9 @@
     private readonly _engines: () => Upstream[],
     private readonly _targets: () => WeightTarget[],
     private readonly _logger: ILogger
-  ) {}
+  ) {
+    this._swapOrder = createSwapOrder(_service.swapOrder)
+  }
 
   /** Runs until stopped or until an engine refuses the fencing number. */
   async run (): Promise<void> {
@@ -124,7 +128,7 @@
         .filter(({ lag }) => lag > 0)
     })
     const chosen: SwapCandidate[] = []
-    for (const candidate of orderSwaps(candidates)) {
+    for (const candidate of this._swapOrder.sort(candidates)) {
       if (busy.length + chosen.length >= parallel) break
       if (!chosen.some(({ engine }) => engine === candidate.engine)) chosen.push(candidate)
     }
--- a/test/harness/ServicePlan.ts
+++ b/test/harness/ServicePlan.ts
@@ -8,4 +8,7 @@
   checksFence?: boolean
   swapParallel?: number
   balancer?: 'random' | 'round-robin' | 'least-outstanding' | 'expected-wait'
+  admission?: 'bounded' | 'unbounded'
+  hedging?: boolean
+  swapOrder?: 'planned' | 'listed'
 }
--- a/test/harness/entryIni.ts
+++ b/test/harness/entryIni.ts
@@ -59,13 +59,15 @@
 
 function serviceKeys (service: ServicePlan & { addresses: string[] }): Record<string, unknown> {
   const balancer = service.balancer ?? 'expected-wait'
-  if (service.kind === 'plain') return { kind: 'plain', balancer }
+  const policies = { balancer, admission: service.admission ?? 'bounded', hedging: service.hedging ?? true }
+  if (service.kind === 'plain') return { kind: 'plain', ...policies }
   return {
     kind: 'engine',
     checks_fence: service.checksFence ?? true,
     order_addresses: service.addresses.join(', '),
     swap_parallel: service.swapParallel ?? 2,
-    balancer
+    swap_order: service.swapOrder ?? 'planned',
+    ...policies
   }
 }
 
