--- a/bench/scenarios/heavyTail.ts
+++ b/bench/scenarios/heavyTail.ts
@@ -33,7 +33,7 @@
         ...arrivals(random, 80, durationMs, lookup),
         ...arrivals(random, 15, durationMs, ticket),
         ...arrivals(random, 40, durationMs, index => generation('hint', `hint ${index} len=${SHORT_TOKENS}`, 64)),
-        ...arrivals(random, 150, durationMs, index => {
+        ...arrivals(random, 100, durationMs, index => {
           const isStraggler = random() < STRAGGLER_PART
           const tokens = isStraggler ? STRAGGLER_TOKENS : SHORT_TOKENS
           return generation(isStraggler ? 'straggler' : 'advice', `advice ${index} len=${tokens}`, STRAGGLER_TOKENS)
