Revert "Estimate engine speed from the pace of streams in flight"

The tail consists of streams that are already on an engine when it becomes slow, which placement cannot help.

--- a/src/common/admission/Admission.ts
+++ b/src/common/admission/Admission.ts
@@ -220,7 +220,7 @@
     this._counts.addInFlight(customer, 1)
     const queuedMs = nowMs - waiter.enqueuedAtMs
     this._metrics.duration('queue_wait_ms', queuedMs, { service, size })
-    return new Slot(upstream, queuedMs, inFlight, (result) => {
+    return new Slot(upstream, queuedMs, (result) => {
       const outstanding = upstream.outstanding
       this._counts.addInFlight(customer, -1)
       endSuspect?.()
--- a/src/common/admission/ISlot.ts
+++ b/src/common/admission/ISlot.ts
@@ -6,7 +6,5 @@
   readonly upstream: Upstream
   /** Time spent in the queue, milliseconds. */
   readonly queuedMs: number
-  /** A stream on the slot has got this many further units. */
-  progress? (units: number): void
   release (result: SlotResult): void
 }
--- a/src/common/admission/Slot.ts
+++ b/src/common/admission/Slot.ts
@@ -1,5 +1,3 @@
-import type { InFlightRequest } from '../upstream/InFlightRequest.js'
-import { Progress } from '../upstream/Progress.js'
 import type { Upstream } from '../upstream/Upstream.js'
 import type { ISlot } from './ISlot.js'
 import type { SlotResult } from './SlotResult.js'
@@ -11,19 +9,9 @@
   constructor (
     readonly upstream: Upstream,
     readonly queuedMs: number,
-    private readonly _request: InFlightRequest,
     private readonly _onRelease: (result: SlotResult) => void
   ) {}
 
-  progress (units: number): void {
-    const nowMs = performance.now()
-    if (this._request.progress === undefined) {
-      this._request.progress = new Progress(nowMs)
-    } else {
-      this._request.progress.add(units, nowMs)
-    }
-  }
-
   release (result: SlotResult): void {
     if (!this._isReleased) {
       this._isReleased = true
--- a/src/common/generation/GenerationAttempt.ts
+++ b/src/common/generation/GenerationAttempt.ts
@@ -118,7 +118,6 @@
     const choice = parsed.choices[0]
     if (choice === undefined) return undefined
     this._chunks++
-    this._slot.progress?.(choice.token_ids.length)
     if (this._chunks === 1) this._firstChunkAtMs = performance.now()
     const from = this._tokens.length
     const to = from + choice.token_ids.length
--- a/src/common/upstream/IServiceTimes.ts
+++ b/src/common/upstream/IServiceTimes.ts
@@ -2,8 +2,8 @@
 
 /** Time per unit of work on one upstream, by size of work. All times in milliseconds. */
 export interface IServiceTimes {
-  /** A request completed. `paceMs`: time per unit after the first chunk of a stream. */
-  record (size: 'short' | 'long', unitMs: number, startedAtMs: number, nowMs: number, paceMs?: number): void
+  /** A request completed. */
+  record (size: 'short' | 'long', unitMs: number, startedAtMs: number, nowMs: number): void
   /** A request was given up after this time, so that its whole time is longer. */
   recordAtLeast (size: 'short' | 'long', unitMs: number, nowMs: number): void
   /** Expected time of a new request, from completed ones and from the age of those in flight. */
--- a/src/common/upstream/InFlightRequest.ts
+++ b/src/common/upstream/InFlightRequest.ts
@@ -1,5 +1,3 @@
-import type { Progress } from './Progress.js'
-
 /** A request of this entry that runs on an upstream. */
 export interface InFlightRequest {
   size: 'short' | 'long'
@@ -8,6 +6,4 @@
   fingerprint: string
   /** `performance.now()` of the dispatch. */
   startedAtMs: number
-  /** Pace of a stream; absent before its first chunk and for calls. */
-  progress?: Progress
 }
--- a/src/common/upstream/ServiceTimes.ts
+++ b/src/common/upstream/ServiceTimes.ts
@@ -17,15 +17,8 @@
 /** Time constant with which an idle upstream's estimate returns to its best, so that it is tried again. */
 const IDLE_RELAX_MS = 5_000
 
-/** Bounds the effect of the pace of streams in flight on the estimate. */
-const MAX_PACE_FACTOR = 20
-/** Streams in flight that the pace of completed ones counts as. */
-const PRIOR_STREAMS = 0.5
-
 interface SizeTimes {
   fastMs: number
-  /** Smoothed like `fastMs`, so that their ratio is that of a usual stream. */
-  paceMs?: number
   slowMs: number
   bestMs: number
   leastMs: number
@@ -39,12 +32,11 @@
 export class ServiceTimes implements IServiceTimes {
   private readonly _sizes: { short?: SizeTimes, long?: SizeTimes } = {}
 
-  record (size: 'short' | 'long', unitMs: number, startedAtMs: number, nowMs: number, paceMs?: number): void {
+  record (size: 'short' | 'long', unitMs: number, startedAtMs: number, nowMs: number): void {
     const times = this._sizes[size]
     if (times === undefined) {
       this._sizes[size] = {
         fastMs: unitMs,
-        paceMs,
         slowMs: unitMs,
         bestMs: unitMs,
         leastMs: unitMs,
@@ -55,10 +47,6 @@
       return
     }
     times.overtakenBeforeMs = Math.max(times.overtakenBeforeMs, startedAtMs)
-    if (paceMs !== undefined) {
-      const before = times.paceMs ?? paceMs
-      times.paceMs = before + FAST_WEIGHT * (Math.min(paceMs, before * MAX_SAMPLE_FACTOR) - before)
-    }
     this._mix(times, unitMs, nowMs)
   }
 
@@ -74,10 +62,6 @@
     if (times === undefined) {
       return undefined
     }
-    const paceFactor = paceOf(times, size, nowMs, inFlight)
-    if (paceFactor !== undefined) {
-      return times.fastMs * paceFactor
-    }
     let sumMs = 0
     let count = 0
     let active = 0
@@ -126,22 +110,3 @@
     }
   }
 }
-
-/**
- * Present pace of the streams in flight relative to that of completed ones. It shows a slowed upstream,
- * and one that has recovered, within a fraction of a second and without waiting for a completion.
- */
-function paceOf (times: SizeTimes, size: 'short' | 'long', nowMs: number, inFlight: Iterable<InFlightRequest>): number | undefined {
-  if (times.paceMs === undefined || times.paceMs <= 0) return undefined
-  let sumMs = 0
-  let count = 0
-  for (const request of inFlight) {
-    const recentMs = request.size === size ? request.progress?.recentMs(nowMs) : undefined
-    if (recentMs === undefined) continue
-    sumMs += recentMs
-    count++
-  }
-  if (count === 0) return undefined
-  const paceMs = (times.paceMs * PRIOR_STREAMS + sumMs) / (PRIOR_STREAMS + count)
-  return Math.min(MAX_PACE_FACTOR, paceMs / times.paceMs)
-}
--- a/src/common/upstream/UpstreamTable.ts
+++ b/src/common/upstream/UpstreamTable.ts
@@ -154,7 +154,7 @@
     if (result.kind === 'completed') {
       record.lastCompletionMs = nowMs
       record.failuresInRow = 0
-      record.times.record(request.size, result.durationMs / Math.max(1, result.units), request.startedAtMs, nowMs, request.progress?.meanMs(nowMs))
+      record.times.record(request.size, result.durationMs / Math.max(1, result.units), request.startedAtMs, nowMs)
       record.unitTimeMs = record.times.smoothed('short') ?? record.times.smoothed('long') ?? 0
     } else if (result.kind === 'failed') {
       if (result.sent) {
