Resume generations elsewhere when their engine becomes slow

A stream is resumed on another engine, with its tokens so far, when two windows of 100 ms in a row ran at a quarter of the speed that another engine with room has shown lately, once it has produced for as long as its wait and prefill took, within a budget of 20% of the generations. The slot ends as 'moved', which feeds the estimate of the engine but clears no suspect. hedging = false switches it off.

--- a/bench/scenarios/weights.ts
+++ b/bench/scenarios/weights.ts
@@ -6,12 +6,13 @@
 
 const ENGINE_COUNT = 4
 const TRAINERS = ['one', 'two']
+const TRAIN_MS = 300
 const TRAINER_FLAGS = {
   groups: 4,
   samples: 6,
   'max-tokens': 400,
   prompt: 'step {step} group {group} len=pareto:60',
-  'train-ms': 300,
+  'train-ms': TRAIN_MS,
   'weights-every-ms': 3000
 }
 
@@ -36,7 +37,7 @@
         const requests: Array<{ outcome: string, tokens: number }> = ledgers.flatMap(ledger => ledger.requests)
         const tokens = (outcome?: string): number => requests.filter(request => outcome === undefined || request.outcome === outcome)
           .reduce((sum, request) => sum + request.tokens, 0)
-        return { ...await trainerFigures(trainers), 'tokens of cancelled samples %': 100 * tokens('cancelled') / tokens() }
+        return { ...await trainerFigures(trainers, TRAIN_MS), 'tokens of cancelled samples %': 100 * tokens('cancelled') / tokens() }
       },
       dispose: async () => await cluster.dispose()
     }
--- a/bench/trainerFigures.ts
+++ b/bench/trainerFigures.ts
@@ -6,8 +6,11 @@
   groups: Array<{ version_known: number, samples: Array<{ origin: Array<{ version: number, kv_version: number }> }> }>
 }
 
-/** Idle time, step time and staleness of trainers, over all of them. */
-export async function trainerFigures (trainers: readonly StandIn[]): Promise<Figures> {
+/**
+ * Idle time, step time and staleness of trainers, over all of them. Idle is all time but that of training,
+ * the wait for a step that is not whole yet included.
+ */
+export async function trainerFigures (trainers: readonly StandIn[], trainMs: number): Promise<Figures> {
   const stats = await Promise.all(trainers.map(async trainer => await trainer.get('/stats')))
   const received: Received[] = await Promise.all(trainers.map(async trainer => await trainer.get('/received')))
   const lags = received.flatMap(({ groups }) => groups.flatMap(({ version_known: known, samples }) =>
@@ -15,7 +18,7 @@
   const stepMs: number[] = stats.flatMap(stat => stat.step_ms)
   const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0)
   return {
-    'trainer idle %': 100 * sum(stats.map(stat => stat.idle_ms)) / sum(stats.map(stat => stat.elapsed_ms)),
+    'trainer idle %': 100 * (1 - stepMs.length * trainMs / sum(stats.map(stat => stat.elapsed_ms))),
     'step p50 ms': median(stepMs),
     'step max ms': Math.max(...stepMs),
     'steps done': stepMs.length,
--- a/src/common/generation/GenerationAttempt.ts
+++ b/src/common/generation/GenerationAttempt.ts
@@ -12,6 +12,7 @@
 import type { GenerationRequest } from './GenerationRequest.js'
 import { parseEngineChunk } from './parseEngineChunk.js'
 import { raceUntil } from './raceUntil.js'
+import type { SlowStreamDetector } from './SlowStreamDetector.js'
 import { stallBoundMs } from './stallBoundMs.js'
 
 type Item = Result<GenerationChunk, GenerationError>
@@ -34,7 +35,8 @@
     private readonly _table: IUpstreamTable,
     private readonly _tokens: number[],
     private readonly _requestId: string,
-    private readonly _hasAlternative: () => boolean
+    private readonly _hasAlternative: () => boolean,
+    private readonly _slowness: SlowStreamDetector
   ) {
     this._firstToken = _tokens.length
   }
@@ -85,7 +87,7 @@
       if (parsed === undefined) return this._broken('the stream carries an invalid chunk')
       const chunk = this._chunk(parsed)
       if (chunk === undefined || last !== undefined) continue
-      if (this._request.needsOrigin && chunk.tokenIds.length > 0 && chunk.origin === undefined) {
+      if (this._lacksOrigin(chunk)) {
         return { ...this._done(), kind: 'origin_unknown', message: 'a chunk names no weight version' }
       }
       if (chunk.tokenIds.length > 0 && this._tokens.length >= this._request.maxTokens) {
@@ -94,7 +96,10 @@
       }
       // The last chunk counts only with the end marker; without it, it is generated again.
       if (chunk.finishReason !== undefined) last = chunk
-      else yield this._take(chunk)
+      else {
+        yield this._take(chunk)
+        if (this._isSlow(chunk)) return this._moved()
+      }
     }
   }
 
@@ -163,6 +168,19 @@
     return { kind: 'broken', message, result: { kind: 'failed', sent: true } }
   }
 
+  private _lacksOrigin (chunk: GenerationChunk): boolean {
+    return this._request.needsOrigin && chunk.tokenIds.length > 0 && chunk.origin === undefined
+  }
+
+  private _isSlow (chunk: GenerationChunk): boolean {
+    return this._slowness.add(chunk.tokenIds.length) && this._tokens.length < this._request.maxTokens
+  }
+
+  private _moved (): AttemptEnd {
+    const units = this._tokens.length - this._firstToken
+    return { kind: 'slow', message: 'the engine has become slow', result: { kind: 'moved', durationMs: performance.now() - this._startedAtMs, units } }
+  }
+
   private _done (): AttemptEnd {
     const units = this._tokens.length - this._firstToken
     return { kind: 'done', message: '', result: { kind: 'completed', durationMs: performance.now() - this._startedAtMs, units } }
--- a/src/common/generation/Generator.test.ts
+++ b/src/common/generation/Generator.test.ts
@@ -27,7 +27,7 @@
 }
 
 async function collect (engines: FakeEngines, change: Partial<GenerationRequest> = {}) {
-  const generator = new Generator(engines.admission, engines.client, engines.table, fakes.hash, fakes.logger, fakes.metrics)
+  const generator = new Generator(engines.admission, engines.client, engines.table, fakes.hash, fakes.logger, fakes.metrics, fakes.settings)
   const origin = new OriginRanges()
   const tokens: number[] = []
   let finishReason: string | undefined
@@ -160,7 +160,7 @@
     await new Promise((resolve) => setImmediate(resolve))
     controller.abort()
     expect((await running).error?.kind).toEqual('caller_gone')
-    const generator = new Generator(engines.admission, engines.client, engines.table, fakes.hash, fakes.logger, fakes.metrics)
+    const generator = new Generator(engines.admission, engines.client, engines.table, fakes.hash, fakes.logger, fakes.metrics, fakes.settings)
     const items = generator.generate(request())
     expect((await items.next()).done).toEqual(false)
     await items.return(undefined)
--- a/src/common/generation/Generator.ts
+++ b/src/common/generation/Generator.ts
@@ -17,7 +17,13 @@
 import type { GenerationError } from './GenerationError.js'
 import type { GenerationRequest } from './GenerationRequest.js'
 import type { IGenerator } from './IGenerator.js'
+import type { EntrySettings } from '../settings/EntrySettings.js'
+import { entrySettingsId } from '../settings/entrySettingsId.js'
 import type { IHash } from '../hash/IHash.js'
+import type { IMovePolicy } from './IMovePolicy.js'
+import { MoveBudget } from './MoveBudget.js'
+import { NoMoves } from './NoMoves.js'
+import { SlowStreamDetector } from './SlowStreamDetector.js'
 import { admissionFailure } from './admissionFailure.js'
 import { hashId } from '../hash/hashId.js'
 import { raceUntil } from './raceUntil.js'
@@ -39,19 +45,26 @@
   attempts: number
 }
 
-/** Runs generations on engines and resumes them elsewhere when a stream breaks or stalls. */
+/** Runs generations on engines and resumes them elsewhere when a stream breaks, stalls or becomes slow. */
 export class Generator implements IGenerator {
+  private readonly _moves: IMovePolicy
+  private readonly _noMoves = new NoMoves()
+
   constructor (
     @admissionId private readonly _admission: IAdmission,
     @upstreamClientId private readonly _client: IUpstreamClient,
     @upstreamTableId private readonly _table: IUpstreamTable,
     @hashId private readonly _hash: IHash,
     @loggerId private readonly _logger: ILogger,
-    @metricsId private readonly _metrics: IMetrics
-  ) {}
+    @metricsId private readonly _metrics: IMetrics,
+    @entrySettingsId private readonly _settings: EntrySettings
+  ) {
+    this._moves = new MoveBudget(_table)
+  }
 
   async * generate (request: GenerationRequest): AsyncGenerator<Item> {
     const progress: Progress = { tokens: [], excluded: new Set(), wasSent: false, failures: 0, attempts: 0 }
+    this._movesOf(request.service).onRequest()
     for (;;) {
       const attempt = await this._begin(request, progress)
       if (attempt === undefined) continue
@@ -67,6 +80,10 @@
         progress.wasSent ||= attempt.value.isSent
       }
       if (end.kind === 'done') return
+      if (end.kind === 'slow') {
+        this._metrics.count('generations_moved_total', { service: request.service })
+        continue
+      }
       if (progress.tokens.length > tokensBefore) progress.failures = 0
       progress.failures++
       const failure = this._failure(request, progress, end)
@@ -112,7 +129,13 @@
       .some(({ id }) => id !== slot.upstream.id && !progress.excluded.has(id))
     // An engine that failed this request is left out from now on, whatever the failure was.
     progress.excluded.add(slot.upstream.id)
-    return ok(new GenerationAttempt(request, slot, this._client, this._table, progress.tokens, requestId, hasAlternative))
+    const slowness = new SlowStreamDetector(this._movesOf(service), slot.upstream, progress.excluded)
+    return ok(new GenerationAttempt(request, slot, this._client, this._table, progress.tokens, requestId, hasAlternative, slowness))
+  }
+
+  private _movesOf (service: string): IMovePolicy {
+    const isOn = this._settings.services.find(({ name }) => name === service)?.hedging ?? true
+    return isOn ? this._moves : this._noMoves
   }
 
   /** When only engines that failed this request are left, they may be tried again after a pause. */
--- /dev/null
+++ b/src/common/generation/NoMoves.ts
@@ -0,0 +1,12 @@
+import type { IMovePolicy } from './IMovePolicy.js'
+
+/** Leaves every stream where it is. */
+export class NoMoves implements IMovePolicy {
+  onRequest (): void {}
+
+  record (): void {}
+
+  take (): boolean {
+    return false
+  }
+}
--- /dev/null
+++ b/src/common/generation/SlowStreamDetector.ts
@@ -0,0 +1,27 @@
+import type { Upstream } from '../upstream/Upstream.js'
+import type { IMovePolicy } from './IMovePolicy.js'
+import { StreamPace } from './StreamPace.js'
+
+/** Tells when a stream on an engine should be resumed elsewhere because the engine has become slow. */
+export class SlowStreamDetector {
+  private readonly _pace = new StreamPace(performance.now())
+  private _previousMs?: number
+
+  constructor (
+    private readonly _policy: IMovePolicy,
+    private readonly _engine: Upstream,
+    private readonly _excluded: ReadonlySet<string>
+  ) {}
+
+  /** Takes the tokens of a chunk. */
+  add (tokens: number): boolean {
+    const nowMs = performance.now()
+    const paceMs = this._pace.add(tokens, nowMs)
+    if (paceMs === undefined) return false
+    this._policy.record(this._engine, paceMs)
+    // A swap of weights pauses an engine once, which slows one window; two in a row show a slow engine.
+    const bothMs = this._previousMs === undefined ? undefined : Math.min(this._previousMs, paceMs)
+    this._previousMs = paceMs
+    return bothMs !== undefined && this._pace.hasEarnedMove(nowMs) && this._policy.take(this._engine, bothMs, this._excluded)
+  }
+}
--- a/src/common/settings/ServiceSettings.ts
+++ b/src/common/settings/ServiceSettings.ts
@@ -11,7 +11,7 @@
   balancer: 'random' | 'round-robin' | 'least-outstanding' | 'expected-wait'
   /** `unbounded` sends every request at once, whatever its upstream holds; a baseline for measurement. */
   admission: 'bounded' | 'unbounded'
-  /** Whether late lookups that may be repeated are sent to a second upstream. */
+  /** Whether late lookups that may be repeated are sent to a second upstream, and slow streams are moved. */
   hedging: boolean
   /** Order in which engines load new weights; `listed` takes them as they come, a baseline for measurement. */
   swapOrder: 'planned' | 'listed'
--- a/src/common/upstream/UpstreamTable.ts
+++ b/src/common/upstream/UpstreamTable.ts
@@ -161,6 +161,8 @@
         record.recordReset(request.fingerprint, nowMs)
       }
       this.reportFailure(upstreamId, result.sent)
+    } else if (result.kind === 'moved') {
+      record.times.recordAtLeast(request.size, result.durationMs / Math.max(1, result.units), nowMs)
     } else {
       record.times.recordAtLeast(request.size, (nowMs - request.startedAtMs) / request.units, nowMs)
     }
