Learn engine speed from streams shorter than a window

A stream of less than 100 ms gave no measurement, so that with short generations no other engine was known to be faster and slow streams stayed where they were.

--- a/src/common/generation/GenerationAttempt.ts
+++ b/src/common/generation/GenerationAttempt.ts
@@ -182,6 +182,7 @@
   }
 
   private _done (): AttemptEnd {
+    this._slowness.complete()
     const units = this._tokens.length - this._firstToken
     return { kind: 'done', message: '', result: { kind: 'completed', durationMs: performance.now() - this._startedAtMs, units } }
   }
--- a/src/common/generation/SlowStreamDetector.test.ts
+++ b/src/common/generation/SlowStreamDetector.test.ts
@@ -54,6 +54,20 @@
     expect(movesAfter(25)).toEqual(undefined)
   })
 
+  // Guards against streams that stay on a slowed engine because the others ran short streams only.
+  it('learns the speed of an engine from streams shorter than a window', () => {
+    policy = new MoveBudget(engines.table)
+    policy.onRequest()
+    expect(movesAfter(25)).toEqual(undefined)
+    const short = new SlowStreamDetector(policy, engines.upstreams[1]!, new Set())
+    for (let chunk = 0; chunk < 10; chunk++) {
+      short.add(1)
+      mock.timers.tick(5)
+    }
+    short.complete()
+    expect(movesAfter(25)).toEqual(200)
+  })
+
   // Guards against moving all streams of an engine each time it puts new weights in place.
   it('keeps a stream through one pause', () => {
     expect(movesAfter(5, new Set(['slow']), 200)).toEqual(undefined)
--- a/src/common/generation/SlowStreamDetector.ts
+++ b/src/common/generation/SlowStreamDetector.ts
@@ -6,6 +6,7 @@
 export class SlowStreamDetector {
   private readonly _pace = new StreamPace(performance.now())
   private _previousMs?: number
+  private _hasWindow = false
 
   constructor (
     private readonly _policy: IMovePolicy,
@@ -13,11 +14,18 @@
     private readonly _excluded: ReadonlySet<string>
   ) {}
 
+  /** The stream is complete. One that was too short for a window still shows the engine's speed. */
+  complete (): void {
+    const paceMs = this._hasWindow ? undefined : this._pace.mean(performance.now())
+    if (paceMs !== undefined) this._policy.record(this._engine, paceMs)
+  }
+
   /** Takes the tokens of a chunk. */
   add (tokens: number): boolean {
     const nowMs = performance.now()
     const paceMs = this._pace.add(tokens, nowMs)
     if (paceMs === undefined) return false
+    this._hasWindow = true
     this._policy.record(this._engine, paceMs)
     // A swap of weights pauses an engine once, which slows one window; two in a row show a slow engine.
     const bothMs = this._previousMs === undefined ? undefined : Math.min(this._previousMs, paceMs)
--- a/src/common/generation/StreamPace.ts
+++ b/src/common/generation/StreamPace.ts
@@ -6,6 +6,7 @@
   private _firstAtMs?: number
   private _windowAtMs = 0
   private _tokens = 0
+  private _allTokens = 0
 
   constructor (private readonly _startedAtMs: number) {}
 
@@ -17,6 +18,7 @@
       return undefined
     }
     this._tokens += tokens
+    this._allTokens += tokens
     const windowMs = nowMs - this._windowAtMs
     if (windowMs < WINDOW_MS || this._tokens === 0) return undefined
     const paceMs = windowMs / this._tokens
@@ -25,6 +27,11 @@
     return paceMs
   }
 
+  /** Time per token since the first chunk; undefined when there is no second one. */
+  mean (nowMs: number): number | undefined {
+    return this._firstAtMs === undefined || this._allTokens === 0 ? undefined : (nowMs - this._firstAtMs) / this._allTokens
+  }
+
   /** True when the stream has produced for longer than its wait and prefill took, which a move costs again. */
   hasEarnedMove (nowMs: number): boolean {
     return this._firstAtMs !== undefined && nowMs - this._firstAtMs >= this._firstAtMs - this._startedAtMs
