Reorder weights that a late order took back and prove the order rules

On an engine that ignores fencing numbers, a late order of the previous holder can undo a load between two reads of the state. The holder then saw neither loading nor error nor the version, and waited for the timeout of the load.

Change: an engine that was idle, without error and without the ordered version for 3 s is ordered again. A unit test covers it.

--- a/src/common/weights/ServiceRollout.ts
+++ b/src/common/weights/ServiceRollout.ts
@@ -17,6 +17,8 @@
 const LOAD_TIMEOUT_MS = 30_000
 // An engine may show the error of an earlier load until it has begun the ordered one.
 const OLD_ERROR_MS = 1000
+// An engine that is idle without error and without the version has had its load undone by another order.
+const IDLE_MS = 3000
 const RETRY_BASE_MS = 500
 const RETRY_MAX_MS = 15_000
 
@@ -26,6 +28,8 @@
   /** Error that the engine reported before the order. */
   errorBefore: string
   sentAtMs: number
+  /** When the engine was last seen loading or could not be asked. */
+  activeAtMs: number
   /** Until then the engine counts as loading, whatever it reports. */
   untilMs: number
 }
@@ -100,11 +104,13 @@
       this._logger.info({ upstream: engine.id, model: loading.target.model, version: loading.target.version }, 'weights_loaded')
       return
     }
+    if (state === undefined || isLoading(state)) loading.activeAtMs = performance.now()
+    const isIdle = performance.now() - loading.activeAtMs > IDLE_MS
     const hasRestarted = state !== undefined && state.boot_id !== loading.bootId
     const hasError = state !== undefined && !isLoading(state) && Boolean(state.last_error)
     const isNewError = errorOf(state) !== loading.errorBefore || performance.now() - loading.sentAtMs > OLD_ERROR_MS
     const hasFailed = hasError && isNewError
-    if (!hasRestarted && !hasFailed && performance.now() < loading.untilMs) return
+    if (!hasRestarted && !hasFailed && !isIdle && performance.now() < loading.untilMs) return
     this._fail(engine, state?.last_error)
   }
 
@@ -146,7 +152,7 @@
     // Counts as loading from the moment of sending, because a lost response may hide an accepted order.
     const sentAtMs = performance.now()
     const before = { bootId: state?.boot_id ?? '', errorBefore: errorOf(state) }
-    this._loading.set(engine.id, { target, ...before, sentAtMs, untilMs: sentAtMs + LOAD_TIMEOUT_MS })
+    this._loading.set(engine.id, { target, ...before, sentAtMs, activeAtMs: sentAtMs, untilMs: sentAtMs + LOAD_TIMEOUT_MS })
     const result = await this._orders.orderVersion(engine.address, target, lease.fence, this._controller.signal)
     if (result === 'stale_fence') {
       this._logger.warn({ upstream: engine.id, fence: lease.fence }, 'order_fence_stale')
--- a/src/common/weights/WeightRollout.test.ts
+++ b/src/common/weights/WeightRollout.test.ts
@@ -167,6 +167,20 @@
     rollout.dispose()
   })
 
+  // The engine would otherwise keep the older weights until the timeout of the load, 30 s.
+  it('repeats a load that another order undid before the version was seen', async () => {
+    const { leases, states, orders, announce, rollout } = setUp(['a'])
+    leases.gain(1)
+    announce(1)
+    await settle(100)
+    expect(orders.length).toEqual(1)
+    states.get('a')!.loading = 0
+    await settle(7000)
+    expect(orders.length).toEqual(2)
+    expect(states.get('a')!.version).toEqual(1)
+    rollout.dispose()
+  })
+
   it('does not let an engine that hangs while loading hold up the others', async () => {
     const { leases, states, announce, rollout } = setUp(['a', 'b', 'c'])
     states.get('a')!.loadMs = 1e9
