--- a/src/common/admission/hasRoom.ts
+++ b/src/common/admission/hasRoom.ts
@@ -2,7 +2,7 @@
 import type { Upstream } from '../upstream/Upstream.js'
 
 /** Part of an upstream that long work may use while short work is about. */
-const LONG_PART = 0.875
+const LONG_PART = 0.75
 /** Part of the reported capacity up to which all entries together fill an upstream; a little waits there so that it never idles. */
 const FILL = 1.25
 
