Refuse queued calls that would miss their deadline when their turn comes

Queues are ordered by deadline, so under overload each place went to the call that was about to expire; it then ran past its deadline and its place was lost. A call with less time left than calls take on the chosen upstream is now refused as not_run instead.

--- a/src/common/admission/Admission.ts
+++ b/src/common/admission/Admission.ts
@@ -25,6 +25,7 @@
 import { CustomerCounts } from './CustomerCounts.js'
 import { estimateService } from './estimateService.js'
 import type { IAdmission } from './IAdmission.js'
+import { isTooLate } from './isTooLate.js'
 import type { ISlot } from './ISlot.js'
 import { LimitController } from './LimitController.js'
 import { ServiceQueue } from './ServiceQueue.js'
@@ -209,7 +210,12 @@
       // All entries send a suspect to the same upstream, so that repeats of it endanger no second one.
       return pickByHash(this._hasher, fingerprint, candidates)
     }
-    return queue.balancer.pick(withoutRecovering(candidates, nowMs, this._random), request)
+    const upstream = queue.balancer.pick(withoutRecovering(candidates, nowMs, this._random), request)
+    if (isTooLate(waiter, upstream, nowMs)) {
+      this._drop(queue, waiter, { kind: 'deadline_unreachable', message: 'too little time is left to run it' })
+      return undefined
+    }
+    return upstream
   }
 
   private _open (waiter: Waiter, upstream: Upstream, nowMs: number): ISlot {
