--- a/test/once.test.ts
+++ b/test/once.test.ts
@@ -96,6 +96,8 @@
       const startedAtMs = performance.now()
       await fault()
       await repeatEverywhere(name, 40, 1500)
+      // Ends the reads whose answers were discarded; they would otherwise wait for their time-out.
+      await cluster.route('entry-1', 'log').faults({ reset: true })
       await clear()
       await Promise.all(keys(name).map(async (key, n) => await book.call(entry(n % 3), { key, deadlineMs: 500 })))
       console.log(name, `${Math.round(performance.now() - startedAtMs)} ms`, book.summary())
