Keep the failing state of a log stream until a read reaches its end

Cause: when the last queued record of a stream timed out in an outage, the appender cleared its failing mark although the log was still out, so a following ticket waited up to its deadline instead of being refused at once; whether it did depended on the jitter of the backoff. Change: the appender keeps the time of its last failed append, and the hub takes the stream as failing until a read has reached the end after it. Conclusion: the fault was in the product, the test stays as it was.

--- a/src/common/log/LogHub.ts
+++ b/src/common/log/LogHub.ts
@@ -74,7 +74,8 @@
       nextOffset: tail.nextOffset,
       isCaughtUp: tail.isCaughtUp,
       lastAtEndMs: tail.lastAtEndMs,
-      isFailing: tail.isFailing || this._appender(stream).isFailing
+      // A read that reached the end after the failed append shows that the log is back.
+      isFailing: tail.isFailing || this._appender(stream).failedAtMs > tail.lastAtEndMs
     }
   }
 
--- a/src/common/log/StreamAppender.ts
+++ b/src/common/log/StreamAppender.ts
@@ -19,7 +19,8 @@
 
 /** Queue of one stream: appends in batches with one append in flight, and retries until the record is seen. */
 export class StreamAppender extends Disposable {
-  isFailing = false
+  /** `performance.now()` of the last failed append; -Infinity after a successful one. */
+  failedAtMs = Number.NEGATIVE_INFINITY
   private _queue: PendingRecord[] = []
   private _queuedSize = 0
   /** Records by id that are queued, in flight or not read back yet. */
@@ -113,8 +114,6 @@
       }
     }
     this._isRunning = false
-    // With nothing left to append there is no attempt that could clear the mark later.
-    this.isFailing = false
     this._reportIdle()
   }
 
@@ -134,7 +133,7 @@
   }
 
   private _onAppended (batch: PendingRecord[]): void {
-    this.isFailing = false
+    this.failedAtMs = Number.NEGATIVE_INFINITY
     this._backoff.reset()
     for (const record of batch) {
       record.isInFlight = false
@@ -153,7 +152,7 @@
       this._onRefused(batch, error)
       return
     }
-    this.isFailing = true
+    this.failedAtMs = performance.now()
     this._requeue(batch)
     this._logger.warn({ stream: this._stream, records: batch.length, error: error.message }, 'log append failed')
     await new Promise(resolve => setTimeout(resolve, this._backoff.next()))
