Judge leaving upstreams by the entry that sent the work and keep streams in flight at stops

Change: a pause or a route of one entry excuses only work of calls through it, the balancer or samples; three streams of 3.5 s begin at an entry before each stop; direct calls reach every entry.

--- a/chaos/checker/checkHistory.test.ts
+++ b/chaos/checker/checkHistory.test.ts
@@ -77,6 +77,11 @@
     expect(hindered('entry_pause', 'entry-4')).toEqual([])
     expect(hindered('service_freeze', 'order-app-2')).toEqual(['7 leaving'])
     expect(hindered('upstream_leaving', 'order-app-1')).toEqual(['7 leaving'])
+    const ofOtherEntry = (history: History) => {
+      history.runs.push({ upstream: 'order-app-1', requestId: 'c1', key: '', atMs: 7500, hasStarted: true })
+      history.faults.push({ kind: 'entry_pause', target: 'entry-4', fromMs: 1500, toMs: 4000 })
+    }
+    expect(broken(ofOtherEntry)).toEqual(['7 leaving'])
   })
 
   it('8: finds a request cut by a stop, unless a kill or a pause of its entry touched it', () => {
--- a/chaos/driver/EntryPool.ts
+++ b/chaos/driver/EntryPool.ts
@@ -7,6 +7,8 @@
 /** Which entries callers may choose, and their replacement. The balancer's targets follow. */
 export class EntryPool {
   readonly stops: PlannedStop[] = []
+  /** Called before each stop, so that calls are in flight when it begins. */
+  beforeStop: (entry: EntryProcess) => Promise<void> = async () => {}
   private readonly _away = new Set<EntryProcess>()
   private readonly _revivals = new Map<EntryProcess, Promise<void>>()
 
@@ -24,6 +26,7 @@
 
   /** Graceful stop and replacement. */
   async stop (entry: EntryProcess, holdMs: number): Promise<void> {
+    await this.beforeStop(entry)
     this.take(entry)
     if (!entry.isRunning) return await this.revive(entry)
     const stop: PlannedStop = { entry: entry.name, fromMs: Date.now(), exitedAtMs: Infinity, exitCode: null }
--- a/chaos/driver/Workload.ts
+++ b/chaos/driver/Workload.ts
@@ -18,6 +18,10 @@
 const ABANDON_AFTER_MS = 30
 const RETRY_MS = 500
 const POISON_CALLS = 4
+// At 100 tokens/s these run beyond the drain notice of 1.5 s.
+const STREAMS_AT_STOP = 3
+const STOP_TOKENS = 350
+const STOP_DELAY_MS = 200
 // Every third call goes through the balancer.
 const BALANCER_EVERY = 3
 
@@ -29,7 +33,15 @@
   readonly unsettled: string[] = []
   private _ids = 0
 
-  constructor (private readonly _seed: number, private readonly _site: Site, private readonly _pool: EntryPool) {}
+  constructor (private readonly _seed: number, private readonly _site: Site, private readonly _pool: EntryPool) {
+    _pool.beforeStop = async ({ name, listen }) => {
+      for (let call = 0; call < STREAMS_AT_STOP; call++) {
+        // Recorded like every call; settling comes long after its deadline.
+        this._makeStream('lin-shun', STOP_TOKENS, '', { entry: name, address: listen }).catch(() => {})
+      }
+      await sleep(STOP_DELAY_MS)
+    }
+  }
 
   /** Makes all calls; tickets without a final answer are repeated until the given time after the start. */
   async run (items: WorkItem[], settleMs: number): Promise<void> {
@@ -132,7 +144,7 @@
 
   private _target (via: number): Target {
     const { open } = this._pool
-    const entry = open[via % Math.max(1, open.length)]
+    const entry = open[Math.floor(via / BALANCER_EVERY) % Math.max(1, open.length)]
     if (entry === undefined || via % BALANCER_EVERY === 0) return { entry: 'balancer', address: this._site.front }
     return { entry: entry.name, address: entry.listen }
   }
