Keep an upstream leaving while a second mark is in force and document the fault run

In a doubled mark the driver took back the first one and made the upstream live although the second was still in force. Change: the last mark in force makes the upstream live again; docs/chaos.md and KNOWN-RED.txt state what is open.

--- a/chaos/driver/FaultInjector.ts
+++ b/chaos/driver/FaultInjector.ts
@@ -60,6 +60,8 @@
     await sleep(holdMs)
     // From here on the upstream may be taken for live again.
     mark.toMs = Date.now()
+    // A second mark of the same upstream keeps it leaving.
+    if (this.marks.some(other => other.upstream === id && other.toMs === Infinity)) return
     await this._site.cluster.updateMember(id, { state: 'live', incarnation: `${id}-back-${++this._marks}` })
   }
 
