Name log events and fields in one style

Cause: events of the log, contract, claim and lease layers were sentences, others snake_case names, and some fields were in camel case, so that operators could not search them by one pattern. Conclusion: a line can be found by event=name.

--- a/src/common/claim/ClaimFold.ts
+++ b/src/common/claim/ClaimFold.ts
@@ -54,7 +54,7 @@
   apply (entry: LogEntry): void {
     const parsed = claimRecordSchema.safeParse(entry.value)
     if (!parsed.success) {
-      this._logger.warn({ stream: 'claims', offset: entry.offset }, 'malformed claim record skipped')
+      this._logger.warn({ stream: 'claims', offset: entry.offset }, 'claim_record_malformed')
       return
     }
     this._timeMs = Math.max(this._timeMs, entry.timeMs)
@@ -146,7 +146,7 @@
     const [name, claim] = oldest
     this._evictedUpToMs = claim.seenAtMs
     this._forget(name)
-    this._logger.error({ stream: 'claims', keys: this._maxKeys }, 'claim key evicted for lack of memory')
+    this._logger.error({ stream: 'claims', keys: this._maxKeys }, 'claim_key_evicted')
     this._listener.onSettled(name, 'forgotten')
   }
 
--- a/src/common/claim/WonClaim.ts
+++ b/src/common/claim/WonClaim.ts
@@ -46,7 +46,7 @@
 
   private _settle (action: string): boolean {
     if (this._isSettled) {
-      this._logger.error({ claim: this.claimId, action }, 'claim settled twice')
+      this._logger.error({ claim: this.claimId, action }, 'claim_settled_twice')
       return false
     }
     this._isSettled = true
--- a/src/common/contract/ContractFold.ts
+++ b/src/common/contract/ContractFold.ts
@@ -54,7 +54,7 @@
   apply (entry: LogEntry): void {
     const parsed = contractRecordSchema.safeParse(entry.value)
     if (!parsed.success) {
-      this._logger.warn({ stream: 'contracts', offset: entry.offset }, 'malformed contract record skipped')
+      this._logger.warn({ stream: 'contracts', offset: entry.offset }, 'contract_record_malformed')
       return
     }
     if (parsed.data.type === 'publish') {
@@ -78,7 +78,7 @@
     if (this._coveredFromOffset > 0 && state?.isExact !== true) this._remember(publish)
     const decision = this._decide(publish, state)
     this._recordDecision(id, decision)
-    this._logger.info({ customer, record: id, offset: publish.offset, ...decision }, 'contract publication decided')
+    this._logger.info({ customer, record: id, offset: publish.offset, ...decision }, 'contract_decided')
     if (decision.kind === 'accepted') this._onChange.fire(customer)
   }
 
--- a/src/common/contract/ContractStore.ts
+++ b/src/common/contract/ContractStore.ts
@@ -68,7 +68,7 @@
     if (revision.revision <= (this._inForce.get(customer)?.revision ?? 0)) return
     const contract = parseContract(customer, revision.text)
     if (contract.isErr()) {
-      this._logger.warn({ customer, revision: revision.revision }, 'invalid contract offered by a peer')
+      this._logger.warn({ customer, revision: revision.revision }, 'peer_contract_invalid')
       return
     }
     this._offers.set(customer, { ...revision, contract: contract.value })
@@ -108,7 +108,7 @@
     this._fold.onGap(earliestOffset)
     this.gapCount++
     this._areAllPeersAsked = false
-    this._logger.warn({ stream: 'contracts', offset: earliestOffset }, 'contracts unverified after a retention gap')
+    this._logger.warn({ stream: 'contracts', offset: earliestOffset }, 'contracts_unverified')
     this._onGap.fire(this.gapCount)
   }
 
@@ -125,7 +125,7 @@
     if (next.revision === before?.revision && next.text === before.text) return
     this._indexTokens()
     this._metrics.gauge('contract_revision', next.revision, { customer })
-    this._logger.info({ customer, revision: next.revision, operator: next.operator }, 'contract in force')
+    this._logger.info({ customer, revision: next.revision, operator: next.operator }, 'contract_in_force')
     this._onChange.fire(next)
   }
 
--- a/src/common/contract/SnapshotRenewer.ts
+++ b/src/common/contract/SnapshotRenewer.ts
@@ -77,7 +77,7 @@
     const done = (result: string): void => {
       this._inFlight.delete(customer)
       this._plans.delete(customer)
-      this._logger.info({ customer, revision: renewal.revisions.at(-1)?.revision, result }, 'contract snapshot renewed')
+      this._logger.info({ customer, revision: renewal.revisions.at(-1)?.revision, result }, 'contract_snapshot_renewed')
     }
     this._hub.append('contracts', record, APPEND_TIMEOUT_MS).match(() => done('ok'), error => done(error.kind))
       .catch((error: unknown) => done(String(error)))
--- a/src/common/crash/SuspectTable.ts
+++ b/src/common/crash/SuspectTable.ts
@@ -77,7 +77,7 @@
     if (fingerprints.length === 0) {
       return
     }
-    this._logger.warn({ upstream: upstreamId, bootId, requests: fingerprints.length }, 'suspects_recorded')
+    this._logger.warn({ upstream: upstreamId, boot_id: bootId, requests: fingerprints.length }, 'suspects_recorded')
     this._merge(upstreamId, bootId, fingerprints, Date.now())
     this._log.appendEventually('claims', {
       type: 'crash', id: crypto.randomUUID(), upstream: upstreamId, boot_id: bootId, fingerprints
--- a/src/common/lease/LeaseFold.ts
+++ b/src/common/lease/LeaseFold.ts
@@ -48,7 +48,7 @@
   apply (entry: LogEntry): void {
     const parsed = leaseRecordSchema.safeParse(entry.value)
     if (!parsed.success) {
-      this._logger.warn({ stream: 'leases', offset: entry.offset }, 'malformed lease record skipped')
+      this._logger.warn({ stream: 'leases', offset: entry.offset }, 'lease_record_malformed')
       return
     }
     this._timeMs = Math.max(this._timeMs, entry.timeMs)
@@ -76,7 +76,7 @@
     if (held === undefined && this._leases.size >= MAX_NAMES) return
     const isTentative = this._isLearning && this._coveredMs() < this._leaseMs * LEASES_OF_DOUBT
     this._hold(record, offset, record.lease_ms, isTentative)
-    this._logger.info({ lease: record.name, holder: record.holder, fence: offset }, 'lease taken')
+    this._logger.info({ lease: record.name, holder: record.holder, fence: offset }, 'lease_taken')
   }
 
   private _applyRenewal (record: LeaseEvent<'renew'>): void {
--- a/src/common/lease/LeaseService.ts
+++ b/src/common/lease/LeaseService.ts
@@ -111,7 +111,7 @@
       this._metrics.count('lease_records', { type: record.type, result })
     }
     this._hub.append('leases', record, this._settings.leaseMs).match(() => done('ok'), error => {
-      this._logger.warn({ lease: name, type: record.type, error: error.message }, 'lease record not confirmed')
+      this._logger.warn({ lease: name, type: record.type, error: error.message }, 'lease_record_not_confirmed')
       done(error.kind)
     }).catch((error: unknown) => done(String(error)))
   }
@@ -142,12 +142,12 @@
     if (before?.fence === now?.fence) return
     if (before !== undefined) {
       this._announced.delete(name)
-      this._logger.info({ lease: name, fence: before.fence }, 'lease lost')
+      this._logger.info({ lease: name, fence: before.fence }, 'lease_lost')
       this._onLost.fire(before)
     }
     if (now === undefined) return
     this._announced.set(name, now)
-    this._logger.info({ lease: name, fence: now.fence }, 'lease gained')
+    this._logger.info({ lease: name, fence: now.fence }, 'lease_gained')
     this._onGained.fire(now)
   }
 }
--- a/src/common/log/LogHub.ts
+++ b/src/common/log/LogHub.ts
@@ -56,7 +56,7 @@
     if (this._isStarted) return
     this._isStarted = true
     for (const tail of this._tails.values()) {
-      tail.run().catch((error: unknown) => this._logger.error({ error: String(error) }, 'log tail stopped'))
+      tail.run().catch((error: unknown) => this._logger.error({ error: String(error) }, 'log_tail_stopped'))
     }
   }
 
--- a/src/common/log/StreamAppender.ts
+++ b/src/common/log/StreamAppender.ts
@@ -60,7 +60,7 @@
   appendEventually (record: { id: string }): void {
     const pending = this._newPending(record)
     if (!this._hasRoom(pending)) {
-      this._logger.error({ stream: this._stream, record: record.id }, 'log record dropped because the queue is full')
+      this._logger.error({ stream: this._stream, record: record.id }, 'log_queue_full')
       this._metrics.count('log_records_dropped', { stream: this._stream })
       return
     }
@@ -96,7 +96,7 @@
     this._queue.push(pending)
     this._queuedSize += pending.size
     if (this._isRunning) return
-    this._run().catch((error: unknown) => this._logger.error({ error: String(error) }, 'log appender stopped'))
+    this._run().catch((error: unknown) => this._logger.error({ error: String(error) }, 'log_appender_stopped'))
   }
 
   private async _run (): Promise<void> {
@@ -154,7 +154,7 @@
     }
     this.failedAtMs = performance.now()
     this._requeue(batch)
-    this._logger.warn({ stream: this._stream, records: batch.length, error: error.message }, 'log append failed')
+    this._logger.warn({ stream: this._stream, records: batch.length, error: error.message }, 'log_append_failed')
     await new Promise(resolve => setTimeout(resolve, this._backoff.next()))
   }
 
@@ -165,7 +165,7 @@
       this._requeue(batch)
       return
     }
-    this._logger.error({ stream: this._stream, record: first.id, error: error.message }, 'log refused a record')
+    this._logger.error({ stream: this._stream, record: first.id, error: error.message }, 'log_record_refused')
     this._pending.delete(first.id)
     first.settle?.(err(first.mayLand ? unavailable(error.message, true) : error))
   }
--- a/src/common/log/StreamTail.ts
+++ b/src/common/log/StreamTail.ts
@@ -95,14 +95,14 @@
     this.lastAtEndMs = performance.now()
     if (this.isCaughtUp) return
     this.isCaughtUp = true
-    this._logger.info({ stream: this._stream, offset: this.nextOffset }, 'log stream caught up')
+    this._logger.info({ stream: this._stream, offset: this.nextOffset }, 'log_stream_caught_up')
     this._onCaughtUp.fire(this._stream)
   }
 
   private _applyEntry (entry: LogEntry): void {
     const id = (entry.value as { id?: unknown } | null)?.id
     if (typeof id !== 'string') {
-      this._logger.warn({ stream: this._stream, offset: entry.offset }, 'log record without id skipped')
+      this._logger.warn({ stream: this._stream, offset: entry.offset }, 'log_record_without_id')
       this._metrics.count('log_records_malformed', { stream: this._stream })
       return
     }
@@ -114,7 +114,7 @@
 
   private _skipGap (earliestOffset: number): void {
     const isAhead = earliestOffset > this.nextOffset
-    this._logger.warn({ stream: this._stream, from: this.nextOffset, to: earliestOffset }, 'log records lost to retention')
+    this._logger.warn({ stream: this._stream, from: this.nextOffset, to: earliestOffset }, 'log_gap')
     this._metrics.count('log_gaps', { stream: this._stream })
     this.isCaughtUp = false
     if (!isAhead) return
@@ -127,13 +127,13 @@
     try {
       action()
     } catch (error) {
-      this._logger.error({ stream: this._stream, offset, error: String(error) }, 'log fold failed on a record')
+      this._logger.error({ stream: this._stream, offset, error: String(error) }, 'log_fold_failed')
       this._metrics.count('log_fold_failures', { stream: this._stream })
     }
   }
 
   private _fail (message: string): void {
-    if (!this.isFailing) this._logger.warn({ stream: this._stream, error: message }, 'log read failed')
+    if (!this.isFailing) this._logger.warn({ stream: this._stream, error: message }, 'log_read_failed')
     this.isFailing = true
     this._metrics.count('log_read_failures', { stream: this._stream })
   }
--- a/src/common/upstream/UpstreamTable.ts
+++ b/src/common/upstream/UpstreamTable.ts
@@ -205,7 +205,7 @@
       return
     }
     this._metrics.count('upstream_crashes_total', { service: record.service })
-    this._logger.warn({ upstream: record.id, bootId, source, inFlight: fingerprints.length }, 'upstream_crashed')
+    this._logger.warn({ upstream: record.id, boot_id: bootId, source, in_flight: fingerprints.length }, 'upstream_crashed')
     this._onCrash.fire({ upstream: record, bootId, fingerprints })
   }
 
@@ -223,7 +223,7 @@
     }
     this._availableByService.clear()
     const { id, service, incarnation, isLeaving, isDown } = record
-    this._logger.info({ upstream: id, service, incarnation, isLeaving, isDown, source }, 'upstream_changed')
+    this._logger.info({ upstream: id, service, incarnation, leaving: isLeaving, down: isDown, source }, 'upstream_changed')
     this._onChange.fire(record)
   }
 }
--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -45,7 +45,7 @@
   /** The entry that gained the service's lease last, and its fencing number. */
   function holderOf (service: string): { entry: EntryProcess, fence: number } {
     const gained = cluster.entries.flatMap((entry) => entry.logs
-      .filter((line) => line.includes('lease gained') && line.includes(`weights/${service}`))
+      .filter((line) => line.includes('lease_gained') && line.includes(`weights/${service}`))
       .map((line) => ({ entry, fence: Number(/fence=(\d+)/.exec(line)?.[1]) })))
     return gained.sort((a, b) => b.fence - a.fence)[0]!
   }
