Decide readiness after a retention gap in one place

Cause: ContractSync kept its own record of retention gaps beside the one of the contract ledger, whose isVerified and markPeersAsked nothing used. Change: ContractSync listens to the ledger's onGap, reports the peers asked to it, and takes the ledger's isVerified after a gap.

--- a/src/common/peer/ContractSync.test.ts
+++ b/src/common/peer/ContractSync.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, it, mock } from 'node:test'
 import { expect } from 'earl'
 import { errAsync, okAsync } from 'neverthrow'
-import type { ILogFold } from '../log/ILogFold.js'
+import { Emitter } from '../kernel/Emitter.js'
 import { ContractSync } from './ContractSync.js'
 
 const logger = { info () {}, warn () {}, error () {}, debug () {} }
@@ -12,7 +12,8 @@
   let answers: Record<string, any>
   let offered: any[]
   let asked: string[]
-  let fold: ILogFold
+  let gap: Emitter<number>
+  let ledger: any
   let sync: ContractSync
   beforeEach(() => {
     mock.timers.enable({ apis: ['setInterval', 'Date'] })
@@ -21,11 +22,21 @@
     answers = { a: errAsync({ kind: 'peer_unavailable', message: 'down' }), b: okAsync([revision]) }
     offered = []
     asked = []
+    gap = new Emitter<number>()
+    ledger = {
+      gapCount: 0,
+      areAsked: false,
+      all: () => offered,
+      offer: (item: any) => offered.push(item),
+      onGap: gap.event,
+      markPeersAsked: (gapCount: number) => { ledger.areAsked = gapCount === ledger.gapCount },
+      isVerified: () => ledger.areAsked && isCaughtUp
+    }
     sync = new ContractSync(
       { hasList: true, rpcAddresses: () => new Map(Object.keys(answers).map(id => [id, id])) } as any,
       { getContracts: address => { asked.push(address); return answers[address] } },
-      { all: () => offered, offer: (item: any) => offered.push(item) } as any,
-      { addFold: (_stream: string, added: ILogFold) => { fold = added }, status: () => ({ isCaughtUp }) } as any,
+      ledger,
+      { status: () => ({ isCaughtUp }) } as any,
       logger)
     sync.start()
   })
@@ -58,7 +69,8 @@
 
   it('needs both the log and the entries after a retention gap', async () => {
     await tick(250)
-    fold.onGap(100)
+    Object.assign(ledger, { gapCount: 1, areAsked: false })
+    gap.fire(1)
     expect(sync.isSettled).toEqual(false)
     await tick(250)
     expect(sync.isSettled).toEqual(false)
--- a/src/common/peer/ContractSync.ts
+++ b/src/common/peer/ContractSync.ts
@@ -1,5 +1,5 @@
-import type { IContractStore } from '../contract/IContractStore.js'
-import { contractStoreId } from '../contract/contractStoreId.js'
+import type { IContractLedger } from '../contract/IContractLedger.js'
+import { contractLedgerId } from '../contract/contractLedgerId.js'
 import { Disposable } from '../kernel/Disposable.js'
 import { toDisposable } from '../kernel/toDisposable.js'
 import type { ILogHub } from '../log/ILogHub.js'
@@ -24,23 +24,21 @@
   private _isAsking = false
   private _mustAsk = true
   private _hasAnswer = false
-  private _hadGap = false
-  private _round = 0
 
   constructor (
     @peerRegistryId private readonly _peers: IPeerRegistry,
     @peerClientId private readonly _client: IPeerClient,
-    @contractStoreId private readonly _contracts: IContractStore,
+    @contractLedgerId private readonly _contracts: IContractLedger,
     @logHubId private readonly _log: ILogHub,
     @loggerId private readonly _logger: ILogger
   ) {
     super()
-    this._log.addFold('contracts', { apply: () => {}, onGap: () => this._onGap() })
+    this._register(this._contracts.onGap(() => this._onGap()))
   }
 
   get isSettled (): boolean {
-    const isCaughtUp = this._log.status('contracts').isCaughtUp
-    return this._hadGap ? isCaughtUp && !this._mustAsk : isCaughtUp || this._hasAnswer
+    if (this._contracts.gapCount > 0) return this._contracts.isVerified()
+    return this._log.status('contracts').isCaughtUp || this._hasAnswer
   }
 
   start (): void {
@@ -54,10 +52,8 @@
   }
 
   private _onGap (): void {
-    this._hadGap = true
     this._hasAnswer = false
     this._mustAsk = true
-    this._round += 1
   }
 
   private _check (): void {
@@ -68,13 +64,14 @@
 
   private async _askAll (): Promise<void> {
     this._isAsking = true
-    const round = this._round
+    const { gapCount } = this._contracts
     const peers = [...this._peers.rpcAddresses()]
     const answers = await Promise.all(peers.map(async ([id, address]) => await this._fetch(id, address)))
     this._isAsking = false
     this._lastRoundAtMs = performance.now()
     // Answers from before a gap must not count as answers after it.
-    if (round !== this._round) return
+    if (gapCount !== this._contracts.gapCount) return
+    this._contracts.markPeersAsked(gapCount)
     this._mustAsk = false
     this._logger.info({ asked: peers.length, answered: answers.filter(Boolean).length }, 'peer_contracts_asked')
   }
@@ -82,7 +79,7 @@
   private async _fetch (peerId: string, address: string): Promise<boolean> {
     if (this._fetching.has(peerId)) return false
     this._fetching.add(peerId)
-    const round = this._round
+    const { gapCount } = this._contracts
     const result = await this._client.getContracts(address, FETCH_TIMEOUT_MS)
     this._fetching.delete(peerId)
     if (result.isErr()) {
@@ -90,7 +87,7 @@
       return false
     }
     for (const revision of result.value) this._contracts.offer(revision)
-    if (result.value.length > 0 && round === this._round) this._hasAnswer = true
+    if (result.value.length > 0 && gapCount === this._contracts.gapCount) this._hasAnswer = true
     return true
   }
 }
--- a/src/node/entry/testing/registerFakes.ts
+++ b/src/node/entry/testing/registerFakes.ts
@@ -3,6 +3,7 @@
 import { okAsync } from 'neverthrow'
 import { admissionId } from '../../../common/admission/admissionId.js'
 import { contractPublisherId } from '../../../common/contract/contractPublisherId.js'
+import { contractLedgerId } from '../../../common/contract/contractLedgerId.js'
 import { contractStoreId } from '../../../common/contract/contractStoreId.js'
 import { suspectGossipId } from '../../../common/crash/suspectGossipId.js'
 import { suspectTableId } from '../../../common/crash/suspectTableId.js'
@@ -24,7 +25,9 @@
   const work = { lookup: { service: 'order-app', kind: 'call', methods: [], path: '/', deadline_ms: options.deadlineMs, repeat: 'allowed' } }
   const revision: any = { customer: 'lin-shun', revision: 1, contract: { access: { token_sha256: [TOKEN_DIGEST] }, work, trainer: {} } }
   const register = (id: any, fake: object): unknown => registry.register(id, fake)
-  register(contractStoreId, { all: () => [revision], current: () => revision, findByTokenDigest: () => revision, offer () {} })
+  const contracts = { all: () => [revision], current: () => revision, findByTokenDigest: () => revision, offer () {} }
+  register(contractStoreId, contracts)
+  register(contractLedgerId, { ...contracts, gapCount: 0, onGap: () => ({ dispose () {} }), markPeersAsked () {} })
   register(logHubId, { addFold () {}, status: () => ({ isCaughtUp: true }), flush: async () => options.onFlush() })
   register(upstreamTableId, { all: () => [], updatePeerOutstanding () {} })
   register(forwarderId, {
--- a/src/node/peer/exchange.test.ts
+++ b/src/node/peer/exchange.test.ts
@@ -16,6 +16,9 @@
   readonly revisions = new Map<string, any>()
   readonly settings: any
   readonly contracts: any = {
+    gapCount: 0,
+    onGap: () => ({ dispose () {} }),
+    markPeersAsked () {},
     all: () => [...this.revisions.values()],
     current: (customer: string) => this.revisions.get(customer),
     offer: (revision: any) => this.revisions.set(revision.customer, revision)
@@ -33,7 +36,7 @@
     this.socket = new UdpPeerSocket(this.settings, new Metrics(), logger)
     this.table = new PeerTable(this.settings, logger)
     this.server = new PeerServer(this.settings, this.contracts, logger)
-    this.sync = new ContractSync(this.table, new PeerClient(this.settings), this.contracts, { addFold () {}, status: () => ({ isCaughtUp: false }) } as any, logger)
+    this.sync = new ContractSync(this.table, new PeerClient(this.settings), this.contracts, { status: () => ({ isCaughtUp: false }) } as any, logger)
     this.gossip = new Gossip(this.settings, this.table, this.socket, this.contracts, this.sync, { all: () => [], updatePeerOutstanding () {} } as any, { suspects: () => [], noteSuspects () {} })
   }
 
