Deliver nothing behind data that the fault proxy discarded

The one-way cut of the fault proxy discarded those bytes and passed on later ones of the same connection after the fault was healed, which TCP never does; the hole fell between two chunks of the body. Ruled out: resumption in the entry. The ledger of mester-1 holds one run of the request and no resumed one, and the cut of entry-1>mester-1 lasted from 1.4 to 2.2 s of the 2.75 s of the stream. Change: a direction that lost data passes nothing on until its connection ends. Conclusion: the violation was one of the stand-in.

--- a/standin/faultproxy/TcpRoute.test.ts
+++ b/standin/faultproxy/TcpRoute.test.ts
@@ -105,6 +105,24 @@
     expect(socket.destroyed).toEqual(false)
   })
 
+  // A stream with a hole in it would be blamed on the processes that read it.
+  it('delivers nothing behind data that was discarded', async () => {
+    const { open, faults, received } = await startRoute()
+    const socket = await open()
+    const answers: string[] = []
+    socket.on('data', data => answers.push(data.toString()))
+    await faults({ one_way_cut: 'to_client' })
+    socket.write('a')
+    await until(() => received.length === 1)
+    await sleep(SETTLE_MS)
+    await faults()
+    socket.write('b')
+    await until(() => received.length === 2)
+    await sleep(SETTLE_MS)
+    expect(answers).toEqual([])
+    expect(await ask(await open(), 'c')).toEqual('echo:c')
+  })
+
   it('discards requests when the direction to the target is cut', async () => {
     const { open, faults, received } = await startRoute()
     const socket = await open()
--- a/standin/faultproxy/pumpData.ts
+++ b/standin/faultproxy/pumpData.ts
@@ -16,6 +16,8 @@
 
 /** Moves data from one socket to the other under the route's faults until the source ends. */
 export async function pumpData (source: Socket, destination: Socket, pump: Pump): Promise<void> {
+  // TCP never delivers data behind a hole, so a direction that lost data stays dead until its connection ends.
+  let hasHole = false
   try {
     for await (const data of source.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
       pump.count(data.length)
@@ -25,7 +27,8 @@
       if (delayMs + throttleMs > 0) await sleep(delayMs + throttleMs)
       // The fault may have been switched on during the delay.
       await pump.untilThawed()
-      if (pump.isDiscarded() || destination.writableEnded || destination.destroyed) continue
+      hasHole ||= pump.isDiscarded()
+      if (hasHole || destination.writableEnded || destination.destroyed) continue
       if (!destination.write(data)) await Promise.race([once(destination, 'drain'), once(destination, 'close')])
     }
     await pump.untilThawed()
