Look for the renamed lease event in the test of orders

Cause: the test of orders searches entry logs for the event that a lease was lost, which is now lease_lost. Change: the test searches for the new name.

--- a/test/orders.test.ts
+++ b/test/orders.test.ts
@@ -89,7 +89,7 @@
     for (const entry of paused) entry.resume()
     for (const { name, entry, fence } of old) {
       await waitUntil(`the old holder for ${name} ends its rollout`, () =>
-        entry.logs.some((line) => line.includes('lease lost') && line.includes(name) && line.includes(`fence=${fence}`)))
+        entry.logs.some((line) => line.includes('lease_lost') && line.includes(name) && line.includes(`fence=${fence}`)))
     }
     await sleep(1000)
     for (const orders of await Promise.all(services.flatMap(({ name }) => enginesOf(name)).map(ordersOf))) {
