--- a/bench/benchContract.ts
+++ b/bench/benchContract.ts
@@ -1,5 +1,5 @@
-import { sha256Hex } from '../test/harness/sha256Hex.js'
-import { tokens } from '../test/harness/tokens.js'
+import { sha256Hex } from '../tools/harness/sha256Hex.js'
+import { tokens } from '../tools/harness/tokens.js'
 
 // High enough that the policies under measurement are the limit, not the contract.
 const LIMITS = 'max_in_flight = 5000\nmax_queue = 5000\nkey_window_s = 600'
--- a/bench/policyPlans.ts
+++ b/bench/policyPlans.ts
@@ -1,4 +1,4 @@
-import type { ServicePlan } from '../test/harness/ServicePlan.js'
+import type { ServicePlan } from '../tools/harness/ServicePlan.js'
 
 /** Settings of a service by the variant's name; `default` keeps the settings' defaults. */
 export const policyPlans: Record<string, Partial<ServicePlan>> = {
--- a/bench/scenarios/overhead.ts
+++ b/bench/scenarios/overhead.ts
@@ -1,5 +1,5 @@
 import { readFile } from 'node:fs/promises'
-import type { ManagedProcess } from '../../test/harness/ManagedProcess.js'
+import type { ManagedProcess } from '../../tools/harness/ManagedProcess.js'
 import { arrivals } from '../arrivals.js'
 import { latencies } from '../latencies.js'
 import { lookup } from '../lookup.js'
--- a/bench/scenarios/prefix.ts
+++ b/bench/scenarios/prefix.ts
@@ -1,4 +1,4 @@
-import type { Cluster } from '../../test/harness/Cluster.js'
+import type { Cluster } from '../../tools/harness/Cluster.js'
 import { latencies } from '../latencies.js'
 import { policyPlans } from '../policyPlans.js'
 import { prefixLoad } from '../prefixLoad.js'
--- a/bench/scenarios/slowed.ts
+++ b/bench/scenarios/slowed.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import type { Cluster } from '../../test/harness/Cluster.js'
+import type { Cluster } from '../../tools/harness/Cluster.js'
 import { arrivals } from '../arrivals.js'
 import { generation } from '../generation.js'
 import { latencies } from '../latencies.js'
--- a/bench/sendArrival.ts
+++ b/bench/sendArrival.ts
@@ -1,5 +1,5 @@
 import { type Agent, request } from 'undici'
-import { tokens } from '../test/harness/tokens.js'
+import { tokens } from '../tools/harness/tokens.js'
 import type { Arrival } from './Arrival.js'
 import type { Outcome } from './Outcome.js'
 
--- a/bench/startCluster.ts
+++ b/bench/startCluster.ts
@@ -1,5 +1,5 @@
-import type { ClusterOptions } from '../test/harness/ClusterOptions.js'
-import { Cluster } from '../test/harness/Cluster.js'
+import type { ClusterOptions } from '../tools/harness/ClusterOptions.js'
+import { Cluster } from '../tools/harness/Cluster.js'
 import { benchContract } from './benchContract.js'
 
 // The contracts name both services, so every cluster has them.
--- a/bench/trainerFigures.ts
+++ b/bench/trainerFigures.ts
@@ -1,4 +1,4 @@
-import type { StandIn } from '../test/harness/StandIn.js'
+import type { StandIn } from '../tools/harness/StandIn.js'
 import type { Figures } from './Figures.js'
 import { median } from './median.js'
 
--- a/chaos/driver/EntryPool.ts
+++ b/chaos/driver/EntryPool.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { PlannedStop } from '../checker/PlannedStop.js'
-import type { EntryProcess } from '../../test/harness/EntryProcess.js'
-import { waitUntil } from '../../test/harness/waitUntil.js'
+import type { EntryProcess } from '../../tools/harness/EntryProcess.js'
+import { waitUntil } from '../../tools/harness/waitUntil.js'
 import type { Site } from './Site.js'
 
 /** Which entries callers may choose, and their replacement. The balancer's targets follow. */
--- a/chaos/driver/LedgerReader.ts
+++ b/chaos/driver/LedgerReader.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import type { StandIn } from '../../test/harness/StandIn.js'
-import { waitUntil } from '../../test/harness/waitUntil.js'
+import type { StandIn } from '../../tools/harness/StandIn.js'
+import { waitUntil } from '../../tools/harness/waitUntil.js'
 import type { FaultRecord } from '../checker/FaultRecord.js'
 import type { LedgerRun } from '../checker/LedgerRun.js'
 import type { Site } from './Site.js'
--- a/chaos/driver/Site.ts
+++ b/chaos/driver/Site.ts
@@ -1,6 +1,6 @@
-import { Cluster } from '../../test/harness/Cluster.js'
-import { exampleContract } from '../../test/harness/exampleContract.js'
-import type { StandIn } from '../../test/harness/StandIn.js'
+import { Cluster } from '../../tools/harness/Cluster.js'
+import { exampleContract } from '../../tools/harness/exampleContract.js'
+import type { StandIn } from '../../tools/harness/StandIn.js'
 import { faultKinds } from './faultKinds.js'
 
 const ROUTES: string[] = [...faultKinds.route_cut.targets, ...faultKinds.gossip_loss.targets.map(route => route.replace('/udp', ''))]
--- a/chaos/driver/makeCall.ts
+++ b/chaos/driver/makeCall.ts
@@ -1,5 +1,5 @@
 import { request } from 'undici'
-import { tokens } from '../../test/harness/tokens.js'
+import { tokens } from '../../tools/harness/tokens.js'
 import type { Call } from '../checker/Call.js'
 import { windows } from '../checker/windows.js'
 import { readStream } from './readStream.js'
--- a/chaos/runChaos.ts
+++ b/chaos/runChaos.ts
@@ -1,7 +1,7 @@
 import { mkdtemp, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { waitUntil } from '../test/harness/waitUntil.js'
+import { waitUntil } from '../tools/harness/waitUntil.js'
 import type { ChaosResult } from './ChaosResult.js'
 import { checkHistory } from './checker/checkHistory.js'
 import type { History } from './checker/History.js'
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 export default [
   ...neostandard({ ts: true, ignores: ['dist/', 'node_modules/', 'src/gen/', 'coverage/'] }),
   {
-    files: ['src/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts'],
+    files: ['src/**/*.ts', 'standin/**/*.ts', 'bench/**/*.ts', 'tools/**/*.ts'],
     rules: {
       'max-lines': ['error', 300],
       'max-lines-per-function': ['error', 60],
--- a/test/contractSpread.test.ts
+++ b/test/contractSpread.test.ts
@@ -1,12 +1,12 @@
 import { after, before, describe, it, type TestContext } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
-import { Cluster } from './harness/Cluster.js'
-import type { EntryProcess } from './harness/EntryProcess.js'
-import { httpJson } from './harness/httpJson.js'
-import { tokens } from './harness/tokens.js'
-import { trainingContract } from './harness/trainingContract.js'
-import { waitUntil } from './harness/waitUntil.js'
+import { Cluster } from '../tools/harness/Cluster.js'
+import type { EntryProcess } from '../tools/harness/EntryProcess.js'
+import { httpJson } from '../tools/harness/httpJson.js'
+import { tokens } from '../tools/harness/tokens.js'
+import { trainingContract } from '../tools/harness/trainingContract.js'
+import { waitUntil } from '../tools/harness/waitUntil.js'
 
 const TIMEOUT_MS = 90_000
 const RETENTION_MS = 4000
--- a/test/exactlyOnce.test.ts
+++ b/test/exactlyOnce.test.ts
@@ -1,13 +1,13 @@
 import { after, before, describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
-import { Cluster } from './harness/Cluster.js'
-import type { ProxyRoute } from './harness/ProxyRoute.js'
-import { receivedFaults } from './harness/receivedFaults.js'
-import type { StandIn } from './harness/StandIn.js'
-import { TrainerClient } from './harness/TrainerClient.js'
-import { trainingContract } from './harness/trainingContract.js'
-import { waitUntil } from './harness/waitUntil.js'
+import { Cluster } from '../tools/harness/Cluster.js'
+import type { ProxyRoute } from '../tools/harness/ProxyRoute.js'
+import { receivedFaults } from '../tools/harness/receivedFaults.js'
+import type { StandIn } from '../tools/harness/StandIn.js'
+import { TrainerClient } from '../tools/harness/TrainerClient.js'
+import { trainingContract } from '../tools/harness/trainingContract.js'
+import { waitUntil } from '../tools/harness/waitUntil.js'
 
 const TIMEOUT_MS = 90_000
 const RETENTION_MS = 5000
--- a/test/failedSamples.test.ts
+++ b/test/failedSamples.test.ts
@@ -1,10 +1,10 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { Cluster } from './harness/Cluster.js'
-import { receivedFaults } from './harness/receivedFaults.js'
-import { TrainerClient } from './harness/TrainerClient.js'
-import { trainingContract } from './harness/trainingContract.js'
-import { waitUntil } from './harness/waitUntil.js'
+import { Cluster } from '../tools/harness/Cluster.js'
+import { receivedFaults } from '../tools/harness/receivedFaults.js'
+import { TrainerClient } from '../tools/harness/TrainerClient.js'
+import { trainingContract } from '../tools/harness/trainingContract.js'
+import { waitUntil } from '../tools/harness/waitUntil.js'
 
 const TIMEOUT_MS = 60_000
 
--- a/test/once.test.ts
+++ b/test/once.test.ts
@@ -1,11 +1,11 @@
 import { after, before, describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
-import { CallBook } from './harness/CallBook.js'
-import { callContract } from './harness/callContract.js'
-import { Cluster } from './harness/Cluster.js'
-import type { EntryProcess } from './harness/EntryProcess.js'
-import { waitUntil } from './harness/waitUntil.js'
+import { CallBook } from '../tools/harness/CallBook.js'
+import { callContract } from '../tools/harness/callContract.js'
+import { Cluster } from '../tools/harness/Cluster.js'
+import type { EntryProcess } from '../tools/harness/EntryProcess.js'
+import { waitUntil } from '../tools/harness/waitUntil.js'
 
 const TIMEOUT_MS = 120_000
 const BATCH = 8
--- a/test/tenants.test.ts
+++ b/test/tenants.test.ts
@@ -1,12 +1,12 @@
 import { connect } from 'node:net'
 import { after, before, describe, it } from 'node:test'
 import { expect } from 'earl'
-import { CallBook } from './harness/CallBook.js'
-import { callContract } from './harness/callContract.js'
-import { Cluster } from './harness/Cluster.js'
-import { sha256Hex } from './harness/sha256Hex.js'
-import { tokens } from './harness/tokens.js'
-import { waitUntil } from './harness/waitUntil.js'
+import { CallBook } from '../tools/harness/CallBook.js'
+import { callContract } from '../tools/harness/callContract.js'
+import { Cluster } from '../tools/harness/Cluster.js'
+import { sha256Hex } from '../tools/harness/sha256Hex.js'
+import { tokens } from '../tools/harness/tokens.js'
+import { waitUntil } from '../tools/harness/waitUntil.js'
 
 const TIMEOUT_MS = 120_000
 const MAX_BODY_BYTES = 65_536
