--- a/src/common/admission/Admission.ts
+++ b/src/common/admission/Admission.ts
@@ -225,7 +225,7 @@
     const inFlight = this._usage.begin(upstream.id, { size, units, fingerprint })
     this._counts.addInFlight(customer, 1)
     const queuedMs = nowMs - waiter.enqueuedAtMs
-    this._metrics.duration('queue_wait_ms', queuedMs, { service, size })
+    this._metrics.duration('queue_wait', queuedMs, { service, size })
     return new Slot(upstream, queuedMs, (result) => {
       const outstanding = upstream.outstanding
       this._counts.addInFlight(customer, -1)
--- a/src/common/forward/Forwarder.ts
+++ b/src/common/forward/Forwarder.ts
@@ -141,7 +141,7 @@
 
   private _report (request: CallRequest, result: Result<UpstreamAnswer, CallError>, durationMs: number): void {
     const { customer, workClassName, requestId, revision } = request
-    this._metrics.duration('call_ms', durationMs, { customer, class: workClassName })
+    this._metrics.duration('call', durationMs, { customer, class: workClassName })
     if (result.isErr()) {
       const { kind, outcome } = result.error
       this._metrics.count('calls_failed_total', { customer, class: workClassName, kind, outcome })
