Share the contract sections of calls between tests and bench

Cause: the contract of the call tests and that of the bench repeated the lookup and ticket sections. Change: callWorkSections writes them for both. Conclusion: one place states how a lookup and a ticket are covered by a contract.

--- a/bench/benchContract.ts
+++ b/bench/benchContract.ts
@@ -1,3 +1,4 @@
+import { callWorkSections } from '../tools/harness/callWorkSections.js'
 import { sha256Hex } from '../tools/harness/sha256Hex.js'
 import { tokens } from '../tools/harness/tokens.js'
 
@@ -16,19 +17,7 @@
 [limits]
 share = ${share}
 ${LIMITS}
-[work.lookup]
-service = order-app
-kind = call
-methods = GET
-path = /orders
-deadline_ms = ${lookupDeadlineMs}
-[work.ticket]
-service = order-app
-kind = call
-methods = POST
-path = /tickets
-deadline_ms = 10000
-repeat = never
+${callWorkSections(lookupDeadlineMs, 10_000)}
 [work.hint]
 service = shaping-llm
 kind = generation
--- a/tools/harness/callContract.ts
+++ b/tools/harness/callContract.ts
@@ -1,3 +1,4 @@
+import { callWorkSections } from './callWorkSections.js'
 import { sha256Hex } from './sha256Hex.js'
 import { tokens } from './tokens.js'
 
@@ -11,18 +12,6 @@
 token_sha256 = ${sha256Hex(tokens['lin-shun'])}
 [limits]
 ${Object.entries({ key_window_s: 600, ...limits }).map(([name, value]) => `${name} = ${value}`).join('\n')}
-[work.lookup]
-service = order-app
-kind = call
-methods = GET
-path = /orders
-deadline_ms = ${lookupMs}
-[work.ticket]
-service = order-app
-kind = call
-methods = POST
-path = /tickets
-deadline_ms = ${ticketMs}
-repeat = never
+${callWorkSections(lookupMs, ticketMs)}
 `
 }
