Serve the platform's batches and calls through an adapter

Cause: the users' platform replaces the log, the membership list and the operators' interface that entries used so far, and gives no host to control.

The upstream client takes a dialect, so that both protocols share it. SIGTERM during the start of an entry no longer kills it: its handler was installed only once the start had ended.

--- /dev/null
+++ b/src/common/batch/Batch.ts
@@ -0,0 +1,42 @@
+import type { BatchItem } from './BatchItem.js'
+import type { BatchResult } from './BatchResult.js'
+import type { BatchSpec } from './BatchSpec.js'
+import { ItemState } from './ItemState.js'
+
+/** One accepted batch: its items, its durable results in their positions, and its end. */
+export class Batch {
+  readonly items: ItemState[]
+  readonly results: BatchResult[] = []
+  /** Positions given out, including those whose records are not durable yet. */
+  positionsTaken = 0
+  isEnded = false
+  /** Groups that an earlier batch of this model left incomplete; the trainer waits for these in any case. */
+  readonly carriedGroups = new Set<string>()
+  readonly itemsByGroup = new Map<string, ItemState[]>()
+  private readonly _byId = new Map<string, ItemState>()
+
+  constructor (readonly spec: BatchSpec, items: readonly BatchItem[]) {
+    this.items = items.map((item, index) => new ItemState(item, index))
+    for (const state of this.items) {
+      this._byId.set(state.item.id, state)
+      const group = this.itemsByGroup.get(state.item.group)
+      if (group === undefined) this.itemsByGroup.set(state.item.group, [state])
+      else group.push(state)
+    }
+  }
+
+  find (itemId: string): ItemState | undefined {
+    return this._byId.get(itemId)
+  }
+
+  get isOpen (): boolean {
+    return !this.isEnded && this.positionsTaken < this.items.length
+  }
+
+  addResult (position: number, result: BatchResult): void {
+    this.results[position] = result
+    this.positionsTaken = Math.max(this.positionsTaken, position + 1)
+    const state = this._byId.get(result.itemId)
+    if (state !== undefined) state.status = 'finished'
+  }
+}
--- /dev/null
+++ b/src/common/batch/BatchLedger.ts
@@ -0,0 +1,138 @@
+import { z } from 'zod'
+import type { ILogger } from '../metrics/ILogger.js'
+import { Batch } from './Batch.js'
+import type { BatchItem } from './BatchItem.js'
+import { batchItemSchema } from './batchItemSchema.js'
+import type { BatchResult } from './BatchResult.js'
+import { batchResultSchema } from './batchResultSchema.js'
+import type { BatchSpec } from './BatchSpec.js'
+import { batchSpecSchema } from './batchSpecSchema.js'
+import type { ItemProgress } from './ItemProgress.js'
+import { itemProgressSchema } from './itemProgressSchema.js'
+
+/** Below the store's limit for one record, with room for its key. */
+const MAX_RECORD_BYTES = 200_000
+
+interface LedgerRecord { key: string, value?: Uint8Array }
+
+/**
+ * Translates batches to records of the store and back. Keys: `batch/ID`, `items/ID/N`, `result/ID/POSITION`,
+ * `text/ID/POSITION/N`, `progress/ID/INDEX` and `end/ID`.
+ */
+export class BatchLedger {
+  private readonly _encoder = new TextEncoder()
+  private readonly _decoder = new TextDecoder()
+
+  constructor (private readonly _logger: ILogger) {}
+
+  submission (spec: BatchSpec, items: readonly BatchItem[]): LedgerRecord[] {
+    const chunks: BatchItem[][] = [[]]
+    let bytes = 0
+    for (const item of items) {
+      const size = JSON.stringify(item).length
+      if (bytes + size > MAX_RECORD_BYTES && bytes > 0) {
+        chunks.push([])
+        bytes = 0
+      }
+      chunks.at(-1)?.push(item)
+      bytes += size
+    }
+    const records = chunks.map((chunk, index) => this._json(`items/${spec.id}/${pad(index)}`, chunk))
+    return [...records, this._json(`batch/${spec.id}`, spec)]
+  }
+
+  result (batchId: string, position: number, result: BatchResult): LedgerRecord[] {
+    const { text, ...head } = result
+    const bytes = this._encoder.encode(text)
+    const records: LedgerRecord[] = []
+    for (let start = 0; start < bytes.length; start += MAX_RECORD_BYTES) {
+      records.push({ key: `text/${batchId}/${pad(position)}/${pad(records.length)}`, value: bytes.subarray(start, start + MAX_RECORD_BYTES) })
+    }
+    return [...records, this._json(`result/${batchId}/${pad(position)}`, head)]
+  }
+
+  progress (batchId: string, index: number, progress: ItemProgress): LedgerRecord {
+    return this._json(`progress/${batchId}/${pad(index)}`, progress)
+  }
+
+  end (batchId: string, endedAtMs: number): LedgerRecord {
+    return this._json(`end/${batchId}`, { endedAtMs })
+  }
+
+  /** Records that remove all that this ledger wrote of a batch. */
+  removal (keys: readonly string[]): LedgerRecord[] {
+    return keys.map(key => ({ key }))
+  }
+
+  /** Restores all batches from the newest record of each key. */
+  restore (records: ReadonlyArray<{ key: string, value?: Uint8Array }>): Map<string, { batch: Batch, keys: string[] }> {
+    const byBatch = new Map<string, Map<string, Uint8Array>>()
+    for (const { key, value } of records) {
+      const id = key.split('/')[1]
+      if (id === undefined || value === undefined) continue
+      const known = byBatch.get(id) ?? new Map<string, Uint8Array>()
+      byBatch.set(id, known.set(key, value))
+    }
+    const restored = new Map<string, { batch: Batch, keys: string[] }>()
+    for (const [id, values] of byBatch) {
+      const batch = this._restoreBatch(id, values)
+      if (batch !== undefined) restored.set(id, { batch, keys: [...values.keys()] })
+    }
+    return restored
+  }
+
+  private _restoreBatch (id: string, values: ReadonlyMap<string, Uint8Array>): Batch | undefined {
+    const spec = this._parse(`batch/${id}`, values.get(`batch/${id}`), batchSpecSchema)
+    if (spec === undefined) return undefined
+    const items: BatchItem[] = []
+    for (let index = 0; items.length < spec.itemCount; index++) {
+      const key = `items/${id}/${pad(index)}`
+      const chunk = this._parse(key, values.get(key), z.array(batchItemSchema))
+      if (chunk === undefined) return undefined
+      items.push(...chunk)
+    }
+    const batch = new Batch(spec, items)
+    batch.isEnded = values.has(`end/${id}`)
+    for (let position = 0; values.has(`result/${id}/${pad(position)}`); position++) {
+      const key = `result/${id}/${pad(position)}`
+      const head = this._parse(key, values.get(key), batchResultSchema)
+      if (head === undefined) return undefined
+      batch.addResult(position, { ...head, text: this._text(id, position, values) })
+    }
+    for (const state of batch.items) {
+      const key = `progress/${id}/${pad(state.index)}`
+      const progress = values.has(key) ? this._parse(key, values.get(key), itemProgressSchema) : undefined
+      if (progress !== undefined) state.progress = progress
+    }
+    return batch
+  }
+
+  private _text (id: string, position: number, values: ReadonlyMap<string, Uint8Array>): string {
+    const decoder = new TextDecoder()
+    let text = ''
+    for (let index = 0; ; index++) {
+      const part = values.get(`text/${id}/${pad(position)}/${pad(index)}`)
+      if (part === undefined) return text + decoder.decode()
+      text += decoder.decode(part, { stream: true })
+    }
+  }
+
+  private _json (key: string, value: unknown): { key: string, value: Uint8Array } {
+    return { key, value: this._encoder.encode(JSON.stringify(value)) }
+  }
+
+  private _parse<T extends z.ZodType> (key: string, bytes: Uint8Array | undefined, schema: T): z.output<T> | undefined {
+    try {
+      if (bytes === undefined) throw new Error('record is missing')
+      return schema.parse(JSON.parse(this._decoder.decode(bytes)))
+    } catch (error) {
+      this._logger.error({ key, reason: (error as Error).message }, 'batch_record_unreadable')
+      return undefined
+    }
+  }
+}
+
+/** Numbers in keys sort like numbers. */
+function pad (value: number): string {
+  return String(value).padStart(6, '0')
+}
--- /dev/null
+++ b/src/common/batch/BatchReadOutcome.ts
@@ -0,0 +1,7 @@
+import type { BatchResult } from './BatchResult.js'
+
+/** Outcome of reading a batch: `absent` only when that is certain. */
+export type BatchReadOutcome =
+  | { kind: 'results', total: number, next: number, results: BatchResult[] }
+  | { kind: 'absent' }
+  | { kind: 'unsure' }
--- /dev/null
+++ b/src/common/batch/BatchStore.ts
@@ -0,0 +1,144 @@
+import { err, ok, type Result } from 'neverthrow'
+import { Disposable } from '../kernel/Disposable.js'
+import { Emitter } from '../kernel/Emitter.js'
+import type { ILogger } from '../metrics/ILogger.js'
+import type { IStoreClient } from '../store/IStoreClient.js'
+import { Journal } from '../store/Journal.js'
+import { readAllNewest } from '../store/readAllNewest.js'
+import type { StoreError } from '../store/StoreError.js'
+import { Batch } from './Batch.js'
+import type { BatchItem } from './BatchItem.js'
+import { BatchLedger } from './BatchLedger.js'
+import type { BatchResult } from './BatchResult.js'
+import type { BatchSpec } from './BatchSpec.js'
+import type { IBatchStore } from './IBatchStore.js'
+import type { ItemProgress } from './ItemProgress.js'
+
+/** Topic of all batches. */
+const TOPIC = 'keyed.batches'
+const WRITER = 'batches'
+/** Kept beyond the time for which results are promised, for readers with other clocks. */
+const KEEP_MARGIN_MS = 30_000
+
+/** IBatchStore on a journal that one leader writes in one epoch. */
+export class BatchStore extends Disposable implements IBatchStore {
+  private readonly _onChanged = this._register(new Emitter<Batch>())
+  readonly onChanged = this._onChanged.event
+  private readonly _onEnded = this._register(new Emitter<Batch>())
+  readonly onEnded = this._onEnded.event
+  private readonly _batches = new Map<string, { batch: Batch, keys: string[] }>()
+  private readonly _submitting = new Map<string, Promise<Result<Batch, StoreError>>>()
+  private readonly _journal: Journal
+  private readonly _ledger: BatchLedger
+
+  constructor (private readonly _client: IStoreClient, epoch: number, private readonly _keepMs: number, private readonly _logger: ILogger) {
+    super()
+    this._journal = new Journal(_client, TOPIC, WRITER, epoch, _logger)
+    this._ledger = new BatchLedger(_logger)
+    this._register({ dispose: () => this._journal.close() })
+  }
+
+  /** Fences the writers before this one and restores what they wrote. */
+  async open (): Promise<Result<void, StoreError>> {
+    const startedAtMs = performance.now()
+    const fenced = await this._journal.open()
+    if (fenced.isErr()) return err(fenced.error)
+    const snapshot = await readAllNewest(this._client, TOPIC)
+    if (snapshot.isErr()) return err(snapshot.error)
+    for (const [id, entry] of this._ledger.restore(snapshot.value.records)) this._batches.set(id, entry)
+    for (const { batch } of this._batches.values()) this._markCarried(batch)
+    this._logger.info({ batches: this._batches.size, records: snapshot.value.records.length, duration_ms: Math.round(performance.now() - startedAtMs) }, 'batches_restored')
+    return ok(undefined)
+  }
+
+  find (id: string): Batch | undefined {
+    return this._batches.get(id)?.batch
+  }
+
+  * all (): Iterable<Batch> {
+    for (const { batch } of this._batches.values()) yield batch
+  }
+
+  async submit (spec: BatchSpec, items: readonly BatchItem[]): Promise<Result<Batch, StoreError>> {
+    const known = this.find(spec.id)
+    if (known !== undefined) return ok(known)
+    const running = this._submitting.get(spec.id)
+    if (running !== undefined) return await running
+    const submitting = this._submit(spec, items)
+    this._submitting.set(spec.id, submitting)
+    const result = await submitting
+    this._submitting.delete(spec.id)
+    return result
+  }
+
+  async addResult (batch: Batch, result: BatchResult): Promise<Result<void, StoreError>> {
+    const position = batch.positionsTaken++
+    const records = this._ledger.result(batch.spec.id, position, result)
+    const written = await this._write(batch.spec.id, records)
+    if (written.isErr()) return written
+    batch.addResult(position, result)
+    this._onChanged.fire(batch)
+    return written
+  }
+
+  async saveProgress (entries: ReadonlyArray<{ batch: Batch, index: number, progress: ItemProgress }>): Promise<Result<void, StoreError>> {
+    const writes = entries.map(async ({ batch, index, progress }) =>
+      await this._write(batch.spec.id, [this._ledger.progress(batch.spec.id, index, progress)]))
+    const results = await Promise.all(writes)
+    return results.find(result => result.isErr()) ?? ok(undefined)
+  }
+
+  async end (batch: Batch): Promise<Result<void, StoreError>> {
+    if (batch.isEnded) return ok(undefined)
+    const written = await this._write(batch.spec.id, [this._ledger.end(batch.spec.id, Date.now())])
+    if (written.isErr()) return written
+    if (!batch.isEnded) {
+      batch.isEnded = true
+      this._onEnded.fire(batch)
+      this._onChanged.fire(batch)
+    }
+    return written
+  }
+
+  failingForMs (): number {
+    return this._journal.failingForMs()
+  }
+
+  /** Removes the batches whose results are no longer promised. */
+  async removeExpired (nowMs: number): Promise<void> {
+    for (const [id, { batch, keys }] of this._batches) {
+      if (nowMs < batch.spec.submittedAtMs + this._keepMs + KEEP_MARGIN_MS) continue
+      this._batches.delete(id)
+      if (!batch.isEnded) this._onEnded.fire(batch)
+      const removed = await this._journal.append(this._ledger.removal(keys))
+      this._logger.info({ batch: id, records: keys.length, ok: removed.isOk() }, 'batch_removed')
+    }
+  }
+
+  private async _submit (spec: BatchSpec, items: readonly BatchItem[]): Promise<Result<Batch, StoreError>> {
+    const records = this._ledger.submission(spec, items)
+    const written = await this._journal.append(records)
+    if (written.isErr()) return err(written.error)
+    const batch = new Batch(spec, items)
+    this._batches.set(spec.id, { batch, keys: records.map(record => record.key) })
+    this._markCarried(batch)
+    this._onChanged.fire(batch)
+    return ok(batch)
+  }
+
+  private async _write (id: string, records: ReadonlyArray<{ key: string, value?: Uint8Array }>): Promise<Result<void, StoreError>> {
+    const written = await this._journal.append(records)
+    if (written.isOk()) this._batches.get(id)?.keys.push(...records.map(record => record.key))
+    return written
+  }
+
+  /** Groups that an earlier batch of the model has not completed come back under the same ids. */
+  private _markCarried (batch: Batch): void {
+    for (const { batch: earlier } of this._batches.values()) {
+      if (earlier === batch || earlier.spec.model !== batch.spec.model || earlier.spec.step >= batch.spec.step) continue
+      for (const group of batch.itemsByGroup.keys()) {
+        if (earlier.itemsByGroup.has(group)) batch.carriedGroups.add(group)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/common/batch/EngineView.ts
@@ -0,0 +1,11 @@
+/** What the choice of an engine for an item rests on. */
+export interface EngineView {
+  id: string
+  version: number
+  freeSlots: number
+  running: number
+  /** Expected time between two events. */
+  paceMs: number
+  isAvoided: boolean
+  isLoading: boolean
+}
--- /dev/null
+++ b/src/common/batch/IBatchStore.ts
@@ -0,0 +1,25 @@
+import type { Result } from 'neverthrow'
+import type { IEvent } from '../kernel/IEvent.js'
+import type { StoreError } from '../store/StoreError.js'
+import type { Batch } from './Batch.js'
+import type { BatchItem } from './BatchItem.js'
+import type { BatchResult } from './BatchResult.js'
+import type { BatchSpec } from './BatchSpec.js'
+import type { ItemProgress } from './ItemProgress.js'
+
+/** All batches of the leader; every change is durable before it is visible. */
+export interface IBatchStore {
+  /** Fires when a batch was accepted, got a result or ended. */
+  readonly onChanged: IEvent<Batch>
+  readonly onEnded: IEvent<Batch>
+  find (id: string): Batch | undefined
+  all (): Iterable<Batch>
+  /** Accepts a batch once; a repeat has no further effect. */
+  submit (spec: BatchSpec, items: readonly BatchItem[]): Promise<Result<Batch, StoreError>>
+  /** Gives the result the next position. */
+  addResult (batch: Batch, result: BatchResult): Promise<Result<void, StoreError>>
+  saveProgress (entries: ReadonlyArray<{ batch: Batch, index: number, progress: ItemProgress }>): Promise<Result<void, StoreError>>
+  end (batch: Batch): Promise<Result<void, StoreError>>
+  /** For how long the store has not taken records, in milliseconds. */
+  failingForMs (): number
+}
--- /dev/null
+++ b/src/common/batch/IEngineLoads.ts
@@ -0,0 +1,10 @@
+/** What the runs of batch items need of engines, for the choice of engines that change versions. */
+export interface IEngineLoads {
+  /** Runs at an engine, of one model or of all. */
+  runningOn (engineId: string, model?: string): number
+  /** Items that wait for an engine, and the oldest version that the newest open batch accepts. */
+  waitingFor (model: string): { count: number, minVersion: number | undefined }
+  /** Keeps new runs away from an engine for a time; 0 lifts that. */
+  noteLoading (engineId: string, forMs: number): void
+  isLoading (engineId: string): boolean
+}
--- /dev/null
+++ b/src/common/batch/ItemState.ts
@@ -0,0 +1,22 @@
+import type { BatchItem } from './BatchItem.js'
+import { emptyProgress } from './emptyProgress.js'
+import type { ItemProgress } from './ItemProgress.js'
+
+/** An item of an open batch, with what this leader knows of its runs. */
+export class ItemState {
+  status: 'waiting' | 'running' | 'finished' = 'waiting'
+  progress: ItemProgress = emptyProgress()
+  /** Answers of upstreams that say that the run failed. */
+  failures = 0
+  /** `performance.now()` before which it is not sent again. */
+  notBeforeMs = 0
+  /** Upstreams that broke off this item last; others are tried first. */
+  readonly avoidedUpstreams = new Set<string>()
+
+  constructor (readonly item: BatchItem, readonly index: number) {}
+
+  /** Drops what was generated, for a run from the start. */
+  restart (): void {
+    this.progress = emptyProgress()
+  }
+}
--- /dev/null
+++ b/src/common/batch/batchResultSchema.ts
@@ -0,0 +1,9 @@
+import { z } from 'zod'
+
+/** Schema of a stored result; its text lies in records of its own. */
+export const batchResultSchema = z.object({
+  itemId: z.string(),
+  state: z.enum(['completed', 'aborted']),
+  /** All weight versions that generated an event of the text. */
+  versions: z.array(z.number())
+})
--- /dev/null
+++ b/src/common/batch/chooseEngine.ts
@@ -0,0 +1,34 @@
+import type { EngineView } from './EngineView.js'
+
+/** Advantage of an engine that keeps the shared part of the prompt. */
+const AFFINITY_FACTOR = 0.92
+/** Slow-down of each stream by one more that runs beside it. */
+const SHARE_PER_RUNNING = 0.01
+
+interface EngineWish {
+  minVersion: number
+  /** The only version that may go on with what has been generated. */
+  onlyVersion?: number
+  /** Engines that broke off this item; used when there is no other. */
+  avoided: ReadonlySet<string>
+  /** Engines that keep the shared part of the prompt. */
+  affine: ReadonlySet<string>
+}
+
+/** Chooses the engine with a free slot on which the item ends soonest. */
+export function chooseEngine (engines: readonly EngineView[], wish: EngineWish): EngineView | undefined {
+  const fitting = engines.filter(engine => engine.freeSlots > 0 && !engine.isLoading && fitsVersion(engine.version, wish))
+  const sound = fitting.filter(engine => !engine.isAvoided && !wish.avoided.has(engine.id))
+  const rest = fitting.filter(engine => !engine.isAvoided)
+  return cheapest(sound, wish) ?? cheapest(rest, wish)
+}
+
+function fitsVersion (version: number, wish: EngineWish): boolean {
+  return version >= wish.minVersion && (wish.onlyVersion === undefined || version === wish.onlyVersion)
+}
+
+function cheapest (engines: readonly EngineView[], wish: EngineWish): EngineView | undefined {
+  const cost = (engine: EngineView): number =>
+    engine.paceMs * (1 + SHARE_PER_RUNNING * engine.running) * (wish.affine.has(engine.id) ? AFFINITY_FACTOR : 1)
+  return engines.reduce<EngineView | undefined>((best, engine) => best === undefined || cost(engine) < cost(best) ? engine : best, undefined)
+}
--- /dev/null
+++ b/src/common/fleet/FleetUpstream.ts
@@ -0,0 +1,76 @@
+import type { FleetMember } from './FleetMember.js'
+import type { LoadReading } from './LoadReading.js'
+
+/** Weight of a new observation in the average of answer times. */
+const LATENCY_WEIGHT = 0.3
+const FIRST_PENALTY_MS = 150
+const MAX_PENALTY_MS = 3000
+/** A report says little about an upstream after this time. */
+const LOAD_MAX_AGE_MS = 1500
+/** Age beyond which a slowness reading, which changes many times a second, is halved in effect. */
+const SLOWNESS_MAX_AGE_MS = 300
+
+/** One life of one upstream, with what this process has seen of it. */
+export class FleetUpstream {
+  outstanding = 0
+  /** Average time of an answer, or of an event for engines; undefined before the first. */
+  averageMs?: number
+  private _load?: LoadReading & { atMs: number }
+  private _failures = 0
+  private _avoidUntilMs = 0
+  private _versions = new Map<string, number>()
+
+  constructor (public member: FleetMember) {
+    this.update(member)
+  }
+
+  /** Versions only grow within one life, so that a late list entry does not hide a newer answer. */
+  update (member: FleetMember): void {
+    this.member = member
+    for (const [model, version] of member.versions) this.noteVersion(model, version)
+  }
+
+  noteVersion (model: string, version: number): void {
+    this._versions.set(model, Math.max(version, this._versions.get(model) ?? 0))
+  }
+
+  versionOf (model: string): number {
+    return this._versions.get(model) ?? 0
+  }
+
+  noteLoad (load: LoadReading): void {
+    this._load = { ...load, atMs: performance.now() }
+  }
+
+  noteAnswer (durationMs: number): void {
+    this._failures = 0
+    this._avoidUntilMs = 0
+    this.averageMs = this.averageMs === undefined ? durationMs : this.averageMs + LATENCY_WEIGHT * (durationMs - this.averageMs)
+  }
+
+  /** Avoids this upstream for a time that doubles with each failure in a row. */
+  noteFailure (): void {
+    this._avoidUntilMs = performance.now() + Math.min(MAX_PENALTY_MS, FIRST_PENALTY_MS * 2 ** this._failures)
+    this._failures += 1
+  }
+
+  get failuresInRow (): number {
+    return this._failures
+  }
+
+  get isAvoided (): boolean {
+    return performance.now() < this._avoidUntilMs
+  }
+
+  /** Requests that others have there, as far as a fresh report tells. */
+  get reportedByOthers (): number {
+    if (this._load === undefined || performance.now() - this._load.atMs > LOAD_MAX_AGE_MS) return 0
+    return Math.max(0, this._load.running + this._load.waiting - this.outstanding)
+  }
+
+  get slowness (): number {
+    if (this._load === undefined) return 1
+    const isFresh = performance.now() - this._load.atMs <= SLOWNESS_MAX_AGE_MS
+    return isFresh ? this._load.slowness : 1
+  }
+}
--- /dev/null
+++ b/src/common/routing/CallerLimits.ts
@@ -0,0 +1,7 @@
+/** What callers may send, and how slowly. */
+export interface CallerLimits {
+  maxHeaderBytes: number
+  maxBodyBytes: number
+  headerTimeoutMs: number
+  idleTimeoutMs: number
+}
--- /dev/null
+++ b/src/common/routing/RouteKind.ts
@@ -0,0 +1,2 @@
+/** What may be repeated: `once` requests run at most once, batch items may run again. */
+export type RouteKind = 'idempotent' | 'once' | 'stream' | 'batch'
--- /dev/null
+++ b/src/common/routing/RouteTable.ts
@@ -0,0 +1,60 @@
+import { Disposable } from '../kernel/Disposable.js'
+import { Emitter } from '../kernel/Emitter.js'
+import type { ILogger } from '../metrics/ILogger.js'
+import type { IRouteTable } from './IRouteTable.js'
+import type { Route } from './Route.js'
+import type { RoutingConfig } from './RoutingConfig.js'
+
+/** Keeps the newest configuration; an older one than was ever used here is ignored. */
+export class RouteTable extends Disposable implements IRouteTable {
+  private readonly _onChanged = this._register(new Emitter<RoutingConfig>())
+  readonly onChanged = this._onChanged.event
+  private _config?: RoutingConfig
+  private _routesByHost = new Map<string, Route[]>()
+
+  constructor (private readonly _logger: ILogger) {
+    super()
+  }
+
+  get config (): RoutingConfig | undefined {
+    return this._config
+  }
+
+  /** Returns whether the configuration is in force now. */
+  apply (config: RoutingConfig): boolean {
+    if (this._config !== undefined && config.version <= this._config.version) {
+      if (config.version < this._config.version) {
+        this._logger.warn({ version: config.version, version_in_force: this._config.version }, 'config_ignored_as_older')
+      }
+      return false
+    }
+    const byHost = new Map<string, Route[]>()
+    for (const route of config.routes) {
+      const host = route.host.toLowerCase()
+      byHost.set(host, [...byHost.get(host) ?? [], route])
+    }
+    // The longest prefix comes first, so that the first match is the right one.
+    for (const routes of byHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+    this._logger.info({ version: config.version, version_before: this._config?.version, routes: config.routes.length }, 'config_applied')
+    this._routesByHost = byHost
+    this._config = config
+    this._onChanged.fire(config)
+    return true
+  }
+
+  find (host: string, path: string): Route | undefined {
+    return this._routesByHost.get(normalizeHost(host))?.find(route => path.startsWith(route.pathPrefix))
+  }
+
+  findByName (name: string): Route | undefined {
+    return this._config?.routes.find(route => route.name === name)
+  }
+
+  hasHost (host: string): boolean {
+    return this._routesByHost.has(normalizeHost(host))
+  }
+}
+
+function normalizeHost (host: string): string {
+  return host.toLowerCase().replace(/:\d+$/, '')
+}
--- /dev/null
+++ b/src/common/store/ILeadership.ts
@@ -0,0 +1,16 @@
+import type { IEvent } from '../kernel/IEvent.js'
+
+/** The one entry that owns the batches and gives orders to engines. */
+export interface ILeadership {
+  /** Fires with the epoch when this entry has become the leader. */
+  readonly onGained: IEvent<number>
+  /** Fires when another claim has replaced this entry's. */
+  readonly onLost: IEvent<void>
+  /** Epoch while no other entry can hold the leadership; undefined otherwise. */
+  validEpoch (): number | undefined
+  /** Address of the newest known leader, unless it has released the leadership. */
+  leaderAddress (): string | undefined
+  readonly isSelf: boolean
+  /** Gives the leadership back and never claims it again. */
+  release (): Promise<void>
+}
--- /dev/null
+++ b/src/common/store/KeyedRecord.ts
@@ -0,0 +1,6 @@
+/** One record of a keyed topic; a record without a value drops its key. */
+export interface KeyedRecord {
+  key: string
+  value?: Uint8Array
+  offset: number
+}
--- /dev/null
+++ b/src/common/version/VersionDuty.ts
@@ -0,0 +1,145 @@
+import type { IEngineLoads } from '../batch/IEngineLoads.js'
+import type { FleetUpstream } from '../fleet/FleetUpstream.js'
+import type { IFleet } from '../fleet/IFleet.js'
+import { Disposable } from '../kernel/Disposable.js'
+import { toDisposable } from '../kernel/toDisposable.js'
+import type { ILogger } from '../metrics/ILogger.js'
+import type { IMetrics } from '../metrics/IMetrics.js'
+import type { ILeadership } from '../store/ILeadership.js'
+import type { HomeTable } from './HomeTable.js'
+import type { IVersionOrders } from './IVersionOrders.js'
+import { planLoads } from './planLoads.js'
+import type { VersionNames } from './VersionNames.js'
+
+const TICK_MS = 50
+/** Share of the engines of a service that load at full speed side by side. */
+const LOADING_SHARE = 0.3
+const MIN_LOADING = 2
+/** After this time an engine that does not show its version is asked again. */
+const LOAD_LIMIT_MS = 4000
+const RETRY_PAUSE_MS = 500
+/** Later than this after the epoch began, no order of the holder before can count as given in turns. */
+const TAKEOVER_MARGIN_MS = 300
+
+interface EngineMemory { acceptedCount?: number, notBeforeMs: number, pendingVersion?: number, pendingModel?: string, sentAtMs: number, isBusy: boolean }
+
+/** Moves engines to the versions that trainers have named, as the one holder of an epoch. */
+export class VersionDuty extends Disposable {
+  private readonly _memory = new WeakMap<FleetUpstream, EngineMemory>()
+  private readonly _startAtMs: number
+
+  constructor (
+    private readonly _epoch: number,
+    private readonly _holder: string,
+    leaseMs: number,
+    private readonly _leadership: ILeadership,
+    private readonly _fleet: IFleet,
+    private readonly _names: VersionNames,
+    private readonly _homes: HomeTable,
+    private readonly _loads: IEngineLoads,
+    private readonly _orders: IVersionOrders,
+    private readonly _logger: ILogger,
+    private readonly _metrics: IMetrics
+  ) {
+    super()
+    this._startAtMs = performance.now() + leaseMs + TAKEOVER_MARGIN_MS
+    const timer = setInterval(() => this._tick(), TICK_MS)
+    this._register(toDisposable(() => clearInterval(timer)))
+  }
+
+  private _tick (): void {
+    if (performance.now() < this._startAtMs || this._leadership.validEpoch() !== this._epoch) return
+    for (const [service, engines] of this._enginesByService()) this._tickService(service, engines)
+  }
+
+  private _enginesByService (): Map<string, FleetUpstream[]> {
+    const byService = new Map<string, FleetUpstream[]>()
+    for (const engine of this._fleet.all()) {
+      if (engine.member.versions.size === 0 || engine.member.isDraining) continue
+      byService.set(engine.member.service, [...byService.get(engine.member.service) ?? [], engine])
+    }
+    return byService
+  }
+
+  private _tickService (service: string, engines: FleetUpstream[]): void {
+    for (const engine of engines) this._noteDone(engine)
+    const maxLoading = Math.max(MIN_LOADING, Math.floor(engines.length * LOADING_SHARE))
+    let freeLoads = maxLoading - engines.filter(engine => this._isPending(engine)).length
+    for (const [model, named] of this._names.all()) {
+      const home = this._homes.of(service, model)
+      const views = engines
+        .filter(engine => engine.versionOf(model) > 0 && (home === undefined || home.has(engine.member.id)))
+        .map(engine => ({
+          id: engine.member.id,
+          version: engine.versionOf(model),
+          running: this._loads.runningOn(engine.member.id, model),
+          isLoading: this._isPending(engine) || engine.isAvoided || performance.now() < this._of(engine).notBeforeMs
+        }))
+      const { count, minVersion } = this._loads.waitingFor(model)
+      const namedForMs = performance.now() - named.namedAtMs
+      const ids = planLoads({ engines: views, newestVersion: named.version, namedForMs, waiting: count, minVersion, freeLoads })
+      for (const id of ids) {
+        const engine = this._fleet.find(id)
+        if (engine === undefined) continue
+        freeLoads -= 1
+        void this._order(engine, model, named.version)
+      }
+    }
+  }
+
+  private _of (engine: FleetUpstream): EngineMemory {
+    const known = this._memory.get(engine) ?? { notBeforeMs: 0, sentAtMs: 0, isBusy: false }
+    this._memory.set(engine, known)
+    return known
+  }
+
+  private _isPending (engine: FleetUpstream): boolean {
+    const memory = this._of(engine)
+    return memory.isBusy || memory.pendingVersion !== undefined
+  }
+
+  private _noteDone (engine: FleetUpstream): void {
+    const memory = this._of(engine)
+    if (memory.isBusy || memory.pendingVersion === undefined || memory.pendingModel === undefined) return
+    const isDone = engine.versionOf(memory.pendingModel) >= memory.pendingVersion
+    const durationMs = performance.now() - memory.sentAtMs
+    if (!isDone && durationMs < LOAD_LIMIT_MS) return
+    if (isDone) this._metrics.duration('version_load', durationMs)
+    this._logger.info({ upstream: engine.member.id, model: memory.pendingModel, version: memory.pendingVersion, duration_ms: Math.round(durationMs) }, isDone ? 'version_loaded' : 'version_load_overdue')
+    memory.pendingVersion = undefined
+    // What the engine has accepted is unknown after an overdue load.
+    if (!isDone) memory.acceptedCount = undefined
+    this._loads.noteLoading(engine.member.id, 0)
+  }
+
+  private async _order (engine: FleetUpstream, model: string, version: number): Promise<void> {
+    const memory = this._of(engine)
+    memory.isBusy = true
+    memory.acceptedCount ??= await this._orders.acceptedCount(engine)
+    const isStillHolder = this._leadership.validEpoch() === this._epoch
+    if (memory.acceptedCount === undefined || !isStillHolder) {
+      memory.isBusy = false
+      memory.notBeforeMs = performance.now() + RETRY_PAUSE_MS
+      return
+    }
+    const expectedCount = memory.acceptedCount
+    memory.sentAtMs = performance.now()
+    memory.pendingModel = model
+    memory.pendingVersion = version
+    this._loads.noteLoading(engine.member.id, LOAD_LIMIT_MS)
+    const end = await this._orders.send(engine, { model, version, mode: 'keep_runs', holder: this._holder, epoch: this._epoch, expectedCount })
+    memory.isBusy = false
+    this._logger.info({ upstream: engine.member.id, model, version, epoch: this._epoch, expected_count: expectedCount, outcome: end }, 'version_ordered')
+    this._metrics.count('version_orders', { outcome: end })
+    if (end === 'accepted') {
+      memory.acceptedCount = expectedCount + 1
+    } else if (end === 'already_done') {
+      engine.noteVersion(model, version)
+    } else if (end !== 'unknown') {
+      memory.pendingVersion = undefined
+      memory.acceptedCount = undefined
+      memory.notBeforeMs = performance.now() + RETRY_PAUSE_MS
+      this._loads.noteLoading(engine.member.id, 0)
+    }
+  }
+}
--- a/src/node/cli/runEntryCommand.test.ts
+++ b/src/node/cli/runEntryCommand.test.ts
@@ -39,6 +39,17 @@
     process.removeAllListeners('SIGTERM').removeAllListeners('SIGINT')
   })
 
+  it('drains and exits with 0 when the signal arrives while it starts', async () => {
+    const io = { out () {}, err () {}, env: {} }
+    const running = runEntryCommand(settings, 'error', io, registry => {
+      // Guards against a start without a signal handler, which ends the process by the signal.
+      process.emit('SIGTERM', 'SIGTERM')
+      return registerFakes(registry, { callMs: () => 0, deadlineMs: 100, otherWork: () => 0, onFlush () {} })
+    })
+    expect(await running).toEqual(0)
+    process.removeAllListeners('SIGTERM').removeAllListeners('SIGINT')
+  })
+
   it('fails with one line when a service is missing or an address is taken', async () => {
     const io = { out () {}, err () {}, env: {} }
     await expect(runEntryCommand(settings, 'error', io, () => ({ startOrder: [], inFlight: () => 0 }))).toBeRejectedWith(CliFault, 'the entry cannot start')
--- a/src/node/cli/runEntryCommand.ts
+++ b/src/node/cli/runEntryCommand.ts
@@ -8,6 +8,8 @@
 /** Runs the entry daemon until a signal has drained it; returns the exit code. */
 export async function runEntryCommand (settings: EntrySettings, logLevel: string, io: CliIo, registerServices: ServiceRegistration): Promise<number> {
   const { logger, close } = await createLogger(logLevel, settings.id)
+  // Registered before the start: without a handler a signal during the start kills the process.
+  const signal = waitForSignal()
   let entry: Entry | undefined
   try {
     entry = new Entry(settings, logger, registerServices)
@@ -19,7 +21,7 @@
     await close()
     throw new CliFault(1, [`the entry cannot start: ${(error as Error).message}`])
   }
-  logger.info({ signal: await waitForSignal() }, 'signal_received')
+  logger.info({ signal: await signal }, 'signal_received')
   const isDrained = await entry.drain()
   entry.dispose()
   await close()
--- /dev/null
+++ b/src/node/front/FrontAnswer.ts
@@ -0,0 +1,6 @@
+/** A whole answer to a caller. */
+export interface FrontAnswer {
+  status: number
+  headers?: Record<string, string>
+  body?: Uint8Array | string
+}
--- /dev/null
+++ b/src/node/front/LeaderGateway.ts
@@ -0,0 +1,76 @@
+import type { ILogger } from '../../common/metrics/ILogger.js'
+import type { ILeadership } from '../../common/store/ILeadership.js'
+import type { IUpstreamClient } from '../../common/upstream/IUpstreamClient.js'
+import type { FrontAnswer } from './FrontAnswer.js'
+import type { FrontRequest } from './FrontRequest.js'
+
+/** Marks an answer of an entry that does not lead; nothing was done. */
+const NOT_LEADER_HEADER = 'hyssopvalve-not-leader'
+const RETRY_PAUSE_MS = 80
+/** One request to the leader is given up after this time beyond the wait that the caller asked for. */
+const HOP_TIMEOUT_MS = 1500
+const REFUSED_RETRY_AFTER_S = '0.4'
+
+interface GatewayOptions {
+  requestId: string
+  /** For how long the request is kept while there is no leader. */
+  patienceMs: number
+  /** Time that the leader may hold the request itself. */
+  heldMs: number
+}
+
+/**
+ * Serves a request at the leader, here or at another entry. Such requests are idempotent, so they are sent
+ * again when a leader does not answer.
+ */
+export class LeaderGateway {
+  constructor (
+    private readonly _leadership: ILeadership,
+    private readonly _ownAddress: string,
+    private readonly _isServing: () => boolean,
+    private readonly _client: IUpstreamClient,
+    private readonly _logger: ILogger
+  ) {}
+
+  /** The answer of an entry that does not lead to another that took it for the leader. */
+  static notLeader (): FrontAnswer {
+    return { status: 503, headers: { [NOT_LEADER_HEADER]: '1' } }
+  }
+
+  async serve (request: FrontRequest, options: GatewayOptions, local: () => Promise<FrontAnswer>): Promise<FrontAnswer> {
+    const untilMs = performance.now() + options.patienceMs
+    let mayHaveRun = false
+    for (;;) {
+      if (this._isServing()) return await local()
+      const address = this._leadership.leaderAddress()
+      if (address !== undefined && address !== this._ownAddress) {
+        const answer = await this._forward(request, options, address)
+        if (answer !== 'not_sent' && answer !== 'lost') return answer
+        mayHaveRun ||= answer === 'lost'
+      }
+      if (performance.now() + RETRY_PAUSE_MS > untilMs || request.signal.aborted) break
+      await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS))
+    }
+    this._logger.warn({ request: options.requestId, target: request.target, leader: this._leadership.leaderAddress(), may_have_run: mayHaveRun }, 'leader_not_reached')
+    return mayHaveRun && request.method !== 'GET' ? { status: 504 } : { status: 503, headers: { 'retry-after': REFUSED_RETRY_AFTER_S } }
+  }
+
+  private async _forward (request: FrontRequest, options: GatewayOptions, address: string): Promise<FrontAnswer | 'not_sent' | 'lost'> {
+    const result = await this._client.call(address, {
+      requestId: options.requestId,
+      method: request.method,
+      path: request.target,
+      headers: request.headers,
+      body: request.body.length > 0 ? request.body : undefined,
+      deadlineAtMs: performance.now() + options.heldMs + HOP_TIMEOUT_MS
+    }, request.signal)
+    if (result.isErr()) {
+      this._logger.warn({ request: options.requestId, leader: address, reason: result.error.message, sent: result.error.sent }, 'leader_hop_failed')
+      return result.error.sent ? 'lost' : 'not_sent'
+    }
+    const { status, headers, body } = result.value
+    if (headers[NOT_LEADER_HEADER] !== undefined) return 'not_sent'
+    delete headers['content-length']
+    return { status, headers, body }
+  }
+}
--- a/src/node/upstream/Exchange.ts
+++ b/src/node/upstream/Exchange.ts
@@ -4,6 +4,7 @@
 import { hasWholeFraming } from './hasWholeFraming.js'
 import type { IExchangeSink } from './IExchangeSink.js'
 import { toAnswerHeaders } from './toAnswerHeaders.js'
+import type { UpstreamDialect } from './UpstreamDialect.js'
 
 /** Longest delay of a timer of the runtime; a longer one would fire at once. */
 const MAX_TIMER_MS = 2_147_483_647
@@ -23,7 +24,8 @@
   constructor (
     private readonly _request: UpstreamRequest,
     private readonly _signal: AbortSignal,
-    private readonly _sink: IExchangeSink
+    private readonly _sink: IExchangeSink,
+    private readonly _dialect: UpstreamDialect
   ) {
     const delayMs = Math.max(0, _request.deadlineAtMs - performance.now())
     this._timer = setTimeout(() => this._onDeadline(), Math.min(delayMs, MAX_TIMER_MS))
@@ -53,16 +55,17 @@
     if (this._isOver || status < 200) {
       return
     }
-    const echo = raw['x-request-id']
+    const echo = raw[this._dialect.requestIdHeader]
     if (echo !== undefined && echo !== this._request.requestId) {
       this.fail({ kind: 'mismatched', message: 'answer carries the id of another request', sent: true })
       return
     }
-    if (!hasWholeFraming(this._request.method, status, raw)) {
+    const isFramed = hasWholeFraming(this._request.method, status, raw)
+    if (!isFramed && !this._dialect.acceptsUnframed) {
       this.fail({ kind: 'truncated', message: 'answer is delimited only by the end of the connection', sent: true })
       return
     }
-    this._failOn(this._sink.onHead(status, toAnswerHeaders(raw)))
+    this._failOn(this._sink.onHead(status, toAnswerHeaders(raw), isFramed))
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
--- a/src/node/upstream/HttpUpstreamClient.ts
+++ b/src/node/upstream/HttpUpstreamClient.ts
@@ -12,7 +12,9 @@
 import { EventStreamSink } from './EventStreamSink.js'
 import { Exchange } from './Exchange.js'
 import type { IExchangeSink } from './IExchangeSink.js'
+import { openDialect } from './openDialect.js'
 import { toRequestHeaders } from './toRequestHeaders.js'
+import type { UpstreamDialect } from './UpstreamDialect.js'
 import { WholeAnswerSink } from './WholeAnswerSink.js'
 
 /** Allows one retransmission of a lost SYN, which the kernel sends after 1 s. */
@@ -26,7 +28,10 @@
 export class HttpUpstreamClient extends Disposable implements IUpstreamClient {
   private readonly _agent: Agent
 
-  constructor (@entrySettingsId private readonly _settings: EntrySettings) {
+  constructor (
+    @entrySettingsId private readonly _settings: Pick<EntrySettings, 'maxBodyBytes' | 'maxHeaderBytes'>,
+    private readonly _dialect: UpstreamDialect = openDialect
+  ) {
     super()
     this._agent = new Agent({
       // One request at a time on a connection, and as many connections as there are requests.
@@ -56,6 +61,16 @@
     })
   }
 
+  /** Sends one request whose answer goes to a sink of the caller. */
+  open (address: string, request: UpstreamRequest, signal: AbortSignal, sink: IExchangeSink): void {
+    const refusal = this._refusal(request, signal)
+    if (refusal !== undefined) {
+      sink.onError(refusal)
+      return
+    }
+    this._dispatch(address, request, new Exchange(request, signal, sink, this._dialect))
+  }
+
   private _start<T> (
     address: string,
     request: UpstreamRequest,
@@ -69,7 +84,7 @@
         return
       }
       const close = (): void => exchange.fail({ kind: 'cancelled', message: 'reader closed the stream', sent: true })
-      const exchange: Exchange = new Exchange(request, signal, createSink(resolve, close))
+      const exchange: Exchange = new Exchange(request, signal, createSink(resolve, close), this._dialect)
       this._dispatch(address, request, exchange)
     }))
   }
@@ -80,7 +95,7 @@
         origin: `http://${address}`,
         path: request.path,
         method: request.method as 'GET',
-        headers: toRequestHeaders(request),
+        headers: toRequestHeaders(request, this._dialect),
         body: request.body ?? null,
         idempotent: false
       }, exchange)
--- a/src/node/upstream/toRequestHeaders.ts
+++ b/src/node/upstream/toRequestHeaders.ts
@@ -1,15 +1,17 @@
 import type { UpstreamRequest } from '../../common/upstream/UpstreamRequest.js'
 import { hopByHopHeaders } from './hopByHopHeaders.js'
+import type { UpstreamDialect } from './UpstreamDialect.js'
 
 /** Headers that the client library sets by itself, or that it does not implement. */
-const CLIENT_HEADERS = new Set(['host', 'content-length', 'expect', 'x-request-id'])
+const CLIENT_HEADERS = new Set(['content-length', 'expect'])
 
 /** Headers to send: hop-by-hop headers are dropped and the request id is added. */
-export function toRequestHeaders (request: UpstreamRequest): Record<string, string> {
+export function toRequestHeaders (request: UpstreamRequest, dialect: UpstreamDialect): Record<string, string> {
   const listed = connectionOptions(request.headers)
-  const headers: Record<string, string> = { 'x-request-id': request.requestId }
+  const headers: Record<string, string> = { [dialect.requestIdHeader]: request.requestId }
   for (const [name, value] of Object.entries(request.headers)) {
     const key = name.toLowerCase()
+    if (key === dialect.requestIdHeader || (key === 'host' && !dialect.forwardsHost)) continue
     if (!hopByHopHeaders.has(key) && !CLIENT_HEADERS.has(key) && !listed.has(key)) {
       headers[key] = value
     }
