Go on behind what the leader before had generated

Cause: after a takeover all running items started anew, so a step of 4 s lost 5 s more; a leader cut off from the store alone went on running items and took slots from the next one; the next one gave no order for 3 s to any engine, while the open batch could use none of them; and slow engines were loaded first.

Change: the events of running items are appended every 0.4 s; a leader without a valid lease asks other entries who leads and yields; orders are on record, so that only engines ordered lately wait for the end of a turn; the fastest engines load first; ended batches keep their head and results only; leases of 1.7 s; moves only for 0.7 s of gain.

--- a/src/common/batch/Batch.ts
+++ b/src/common/batch/Batch.ts
@@ -9,7 +9,7 @@
   readonly results: BatchResult[] = []
   /** Positions given out, including those whose records are not durable yet. */
   positionsTaken = 0
-  isEnded = false
+  private _leftGroups?: ReadonlySet<string>
   /** Groups that an earlier batch of this model left incomplete; the trainer waits for these in any case. */
   readonly carriedGroups = new Set<string>()
   readonly itemsByGroup = new Map<string, ItemState[]>()
@@ -29,6 +29,25 @@
     return this._byId.get(itemId)
   }
 
+  get isEnded (): boolean {
+    return this._leftGroups !== undefined
+  }
+
+  /** Ends the batch; `incompleteGroups` are those that a later batch may ask for again. */
+  end (incompleteGroups: readonly string[]): void {
+    this._leftGroups = new Set(incompleteGroups)
+  }
+
+  incompleteGroups (): string[] {
+    const isWhole = (items: readonly ItemState[]): boolean => items.every(state => state.status === 'finished')
+    return [...this.itemsByGroup].filter(([, items]) => !isWhole(items)).map(([group]) => group)
+  }
+
+  /** Whether a later batch that has this group asks for it again. */
+  mayComeBack (group: string): boolean {
+    return this._leftGroups?.has(group) ?? this.itemsByGroup.has(group)
+  }
+
   get isOpen (): boolean {
     return !this.isEnded && this.positionsTaken < this.items.length
   }
--- a/src/common/batch/BatchDesk.ts
+++ b/src/common/batch/BatchDesk.ts
@@ -11,6 +11,7 @@
 import type { BatchRunner } from './BatchRunner.js'
 import type { BatchSpec } from './BatchSpec.js'
 import { BatchStore } from './BatchStore.js'
+import type { IOrderLog } from '../version/IOrderLog.js'
 import type { IBatchStore } from './IBatchStore.js'
 
 const CLEANUP_INTERVAL_MS = 5000
@@ -20,6 +21,8 @@
 const MAX_PAGE_CHARS = 700_000
 /** Longest wait for a record of a request to become durable. */
 const DURABLE_WAIT_MS = 2500
+/** Longest wait for the progress of all runs to become durable at a planned stop. */
+const HAND_OVER_MS = 600
 /** A store that has failed for so long is not waited for. */
 const STORE_DOWN_MS = 600
 
@@ -34,14 +37,18 @@
   constructor (
     private readonly _client: IStoreClient,
     private readonly _leadership: ILeadership,
-    private readonly _createRunner: (store: IBatchStore, epoch: number) => BatchRunner,
+    private readonly _createRunner: (store: IBatchStore & IOrderLog, epoch: number) => BatchRunner,
     private readonly _keepMs: number,
     private readonly _logger: ILogger
   ) {
     super()
-    this._register(_leadership.onGained(epoch => { void this._begin(epoch) }))
+    this._register(_leadership.onGained(epoch => {
+      this._begin(epoch).catch((fault: unknown) => this._logger.error({ epoch, reason: String(fault) }, 'term_fault'))
+    }))
     this._register(_leadership.onLost(() => this._finishTerm()))
-    const timer = setInterval(() => { void this._term?.store.removeExpired(Date.now()) }, CLEANUP_INTERVAL_MS)
+    const timer = setInterval(() => {
+      this._term?.store.removeExpired(Date.now()).catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'cleanup_fault'))
+    }, CLEANUP_INTERVAL_MS)
     this._register(toDisposable(() => clearInterval(timer)))
     this._register(toDisposable(() => this._finishTerm()))
   }
@@ -71,7 +78,7 @@
     const store = this._readyStore()
     const batch = store?.find(id)
     if (store === undefined || batch === undefined) return this._absent(store !== undefined)
-    if (batch.results.length <= after && batch.isOpen) await this._nextResult(store, batch, after, waitMs)
+    if (batch.results.length <= after && mayGrow(batch)) await this._nextResult(store, batch, after, waitMs)
     const results = []
     let chars = 0
     for (let position = after; position < batch.results.length; position++) {
@@ -83,7 +90,7 @@
     }
     // Another leader may have listed more since this one lost touch with the store.
     if (results.length === 0 && this._leadership.validEpoch() === undefined) return { kind: 'unsure' }
-    return { kind: 'results', total: batch.items.length, next: after + results.length, results }
+    return { kind: 'results', total: batch.spec.itemCount, next: after + results.length, results }
   }
 
   /** Body of an item of a batch that has not ended. */
@@ -100,8 +107,9 @@
     const store = this._readyStore()
     const batch = store?.find(id)
     if (store === undefined || batch === undefined) return this._absent(store !== undefined).kind === 'absent' ? 'absent' : 'refused'
+    if (batch.isEnded) return 'accepted'
     const outcome = await this._inTime(store.end(batch))
-    this._logger.info({ batch: id, results: batch.results.length, items: batch.items.length, outcome }, 'batch_ended')
+    this._logger.info({ batch: id, results: batch.results.length, items: batch.spec.itemCount, outcome }, 'batch_ended')
     return outcome
   }
 
@@ -109,9 +117,8 @@
   async handOver (): Promise<void> {
     const term = this._term
     if (term?.runner === undefined) return
-    const progress = term.runner.stop()
-    const outcome = await this._inTime(term.store.saveProgress(progress))
-    this._logger.info({ epoch: term.epoch, items: progress.length, outcome }, 'batches_handed_over')
+    const items = await Promise.race([term.runner.handOver(), new Promise<undefined>(resolve => { setTimeout(() => resolve(undefined), HAND_OVER_MS) })])
+    this._logger.info({ epoch: term.epoch, items }, items === undefined ? 'hand_over_incomplete' : 'batches_handed_over')
   }
 
   private _readyStore (): BatchStore | undefined {
@@ -156,7 +163,7 @@
       }
       const timer = setTimeout(done, waitMs)
       const subscription = store.onChanged(changed => {
-        if (changed === batch && (batch.results.length > after || !batch.isOpen)) done()
+        if (changed === batch && (batch.results.length > after || !mayGrow(batch))) done()
       })
     })
   }
@@ -169,3 +176,7 @@
     return outcome
   }
 }
+
+function mayGrow (batch: Batch): boolean {
+  return !batch.isEnded && batch.results.length < batch.spec.itemCount
+}
--- a/src/common/batch/BatchLedger.ts
+++ b/src/common/batch/BatchLedger.ts
@@ -7,17 +7,25 @@
 import { batchResultSchema } from './batchResultSchema.js'
 import type { BatchSpec } from './BatchSpec.js'
 import { batchSpecSchema } from './batchSpecSchema.js'
-import type { ItemProgress } from './ItemProgress.js'
-import { itemProgressSchema } from './itemProgressSchema.js'
+import type { ItemState } from './ItemState.js'
+import type { ProgressPart } from './ProgressPart.js'
+import { progressPartSchema } from './progressPartSchema.js'
 
 /** Below the store's limit for one record, with room for its key. */
 const MAX_RECORD_BYTES = 200_000
 
+const endSchema = z.object({
+  endedAtMs: z.number(),
+  /** Their items may come back in a later batch. */
+  incompleteGroups: z.array(z.string())
+})
+
 interface LedgerRecord { key: string, value?: Uint8Array }
 
 /**
  * Translates batches to records of the store and back. Keys: `batch/ID`, `items/ID/N`, `result/ID/POSITION`,
- * `text/ID/POSITION/N`, `progress/ID/INDEX` and `end/ID`.
+ * `text/ID/POSITION/N`, `progress/ID/INDEX/N`, `end/ID`
+ * and `order/ENGINE`.
  */
 export class BatchLedger {
   private readonly _encoder = new TextEncoder()
@@ -51,12 +59,33 @@
     return [...records, this._json(`result/${batchId}/${pad(position)}`, head)]
   }
 
-  progress (batchId: string, index: number, progress: ItemProgress): LedgerRecord {
-    return this._json(`progress/${batchId}/${pad(index)}`, progress)
+  /** The events of an item behind those that are durable. */
+  progress (batchId: string, state: ItemState): LedgerRecord {
+    const { events, versions } = state.progress
+    const part: ProgressPart = { firstEventId: state.savedEventId + 1, events: events.slice(state.savedEventId), versions }
+    return this._json(`progress/${batchId}/${pad(state.index)}/${pad(state.savedParts)}`, part)
+  }
+
+  /** Of an ended batch only its head and its results are kept. */
+  end (batch: Batch, keys: readonly string[], endedAtMs: number): LedgerRecord[] {
+    const dropped = keys.filter(key => key.startsWith('items/') || key.startsWith('progress/'))
+    const end: z.infer<typeof endSchema> = { endedAtMs, incompleteGroups: batch.incompleteGroups() }
+    return [this._json(`end/${batch.spec.id}`, end), ...this.removal(dropped)]
   }
 
-  end (batchId: string, endedAtMs: number): LedgerRecord {
-    return this._json(`end/${batchId}`, { endedAtMs })
+  order (engineId: string, orderedAtMs: number): LedgerRecord {
+    return this._json(`order/${engineId}`, { orderedAtMs })
+  }
+
+  /** When engines were last ordered, from the newest record of each key. */
+  restoreOrders (records: ReadonlyArray<{ key: string, value?: Uint8Array }>): Map<string, number> {
+    const orders = new Map<string, number>()
+    for (const { key, value } of records) {
+      if (!key.startsWith('order/')) continue
+      const order = this._parse(key, value, z.object({ orderedAtMs: z.number() }))
+      if (order !== undefined) orders.set(key.slice('order/'.length), order.orderedAtMs)
+    }
+    return orders
   }
 
   /** Records that remove all that this ledger wrote of a batch. */
@@ -69,7 +98,7 @@
     const byBatch = new Map<string, Map<string, Uint8Array>>()
     for (const { key, value } of records) {
       const id = key.split('/')[1]
-      if (id === undefined || value === undefined) continue
+      if (id === undefined || value === undefined || key.startsWith('order/')) continue
       const known = byBatch.get(id) ?? new Map<string, Uint8Array>()
       byBatch.set(id, known.set(key, value))
     }
@@ -85,14 +114,17 @@
     const spec = this._parse(`batch/${id}`, values.get(`batch/${id}`), batchSpecSchema)
     if (spec === undefined) return undefined
     const items: BatchItem[] = []
+    const end = values.has(`end/${id}`) ? this._parse(`end/${id}`, values.get(`end/${id}`), endSchema) : undefined
     for (let index = 0; items.length < spec.itemCount; index++) {
       const key = `items/${id}/${pad(index)}`
+      // Of an ended batch the items are dropped.
+      if (end !== undefined && !values.has(key)) break
       const chunk = this._parse(key, values.get(key), z.array(batchItemSchema))
       if (chunk === undefined) return undefined
       items.push(...chunk)
     }
     const batch = new Batch(spec, items)
-    batch.isEnded = values.has(`end/${id}`)
+    if (end !== undefined) batch.end(end.incompleteGroups)
     for (let position = 0; values.has(`result/${id}/${pad(position)}`); position++) {
       const key = `result/${id}/${pad(position)}`
       const head = this._parse(key, values.get(key), batchResultSchema)
@@ -100,13 +132,28 @@
       batch.addResult(position, { ...head, text: this._text(id, position, values) })
     }
     for (const state of batch.items) {
-      const key = `progress/${id}/${pad(state.index)}`
-      const progress = values.has(key) ? this._parse(key, values.get(key), itemProgressSchema) : undefined
-      if (progress !== undefined) state.progress = progress
+      if (state.status !== 'finished') this._restoreProgress(id, state, values)
     }
     return batch
   }
 
+  private _restoreProgress (id: string, state: ItemState, values: ReadonlyMap<string, Uint8Array>): void {
+    for (let index = 0; ; index++) {
+      const key = `progress/${id}/${pad(state.index)}/${pad(index)}`
+      if (!values.has(key)) return
+      const part = this._parse(key, values.get(key), progressPartSchema)
+      if (part === undefined) return
+      state.savedParts = index + 1
+      // A part that begins anew belongs to a run from the start.
+      if (part.firstEventId === 1) state.restart()
+      if (part.firstEventId !== state.progress.lastEventId + 1) return
+      state.progress.events.push(...part.events)
+      state.progress.lastEventId += part.events.length
+      state.progress.versions = [...part.versions]
+      state.savedEventId = state.progress.lastEventId
+    }
+  }
+
   private _text (id: string, position: number, values: ReadonlyMap<string, Uint8Array>): string {
     const decoder = new TextDecoder()
     let text = ''
--- a/src/common/batch/BatchRunner.ts
+++ b/src/common/batch/BatchRunner.ts
@@ -10,6 +10,9 @@
 import type { Route } from '../routing/Route.js'
 import type { Batch } from './Batch.js'
 import { chooseEngine } from './chooseEngine.js'
+import { BatchStatusLog } from './BatchStatusLog.js'
+import { describeRun } from './describeRun.js'
+import type { EngineBoard } from './EngineBoard.js'
 import type { EngineRunEnd } from './EngineRunEnd.js'
 import type { EngineView } from './EngineView.js'
 import type { IBatchStore } from './IBatchStore.js'
@@ -19,45 +22,45 @@
 import type { ItemState } from './ItemState.js'
 import { LengthEstimator } from './LengthEstimator.js'
 import { ProgressCache } from './ProgressCache.js'
+import { ProgressSaver } from './ProgressSaver.js'
 import { rankItems } from './rankItems.js'
+import { RunGuard } from './RunGuard.js'
 
 const TICK_MS = 100
-/** Expected time between two events of an engine that has not shown its pace. */
-const DEFAULT_PACE_MS = 45
 /** Pause before an item that its engine refused is sent again. */
 const REFUSED_PAUSE_MS = 60
 const BROKEN_PAUSE_MS = 20
-/** A silent stream is given up after this many usual pauses between events. */
-const STALL_PACES = 14
-const MIN_STALL_MS = 700
-/** A run moves when another engine would end it this much sooner, counting what the move costs. */
-const MOVE_GAIN_MS = 500
-const MOVE_PACE_RATIO = 1.8
-const MIN_RUN_BEFORE_MOVE_MS = 400
-/** A batch is worth nothing to its trainer much later than its deadline. */
-const FIRST_RETRY_FAILURES = 3
+/** An item that broke on so many engines may return to the first. */
+const MAX_AVOIDED = 3
+/** Runs of at least this time are logged when they complete; others are only counted. */
+const LONG_RUN_MS = 3000
 
 /** Sends the items of all open batches to engines and turns what they generate into results. */
 export class BatchRunner extends Disposable implements IEngineLoads {
   private readonly _runs = new Map<ItemState, ItemRun>()
   private readonly _estimator = new LengthEstimator()
   private readonly _progress = new ProgressCache()
+  private readonly _guard: RunGuard
+  private readonly _saver: ProgressSaver
+  private readonly _status: BatchStatusLog
   /** Engines that ran an item of a group, by group. */
   private readonly _enginesByGroup = new Map<string, Set<string>>()
-  private readonly _loadingUntilMs = new Map<string, number>()
   private _isDispatching = false
-  private _isPaused = false
+  private _isStopped = false
 
   constructor (
     private readonly _batches: IBatchStore,
     private readonly _fleet: IFleet,
     private readonly _routes: IRouteTable,
     private readonly _transport: IEngineTransport,
-    private readonly _homeEngines: (service: string, model: string) => ReadonlySet<string> | undefined,
+    private readonly _board: EngineBoard,
     private readonly _logger: ILogger,
     private readonly _metrics: IMetrics
   ) {
     super()
+    this._guard = new RunGuard(_board, this._estimator, _logger)
+    this._saver = new ProgressSaver(_batches, _logger)
+    this._status = new BatchStatusLog(_batches, _fleet, _board, _logger, _metrics)
     this._register(this._batches.onChanged(() => this._dispatchSoon()))
     this._register(this._batches.onEnded(batch => this._onEnded(batch)))
     this._register(this._fleet.onChanged(() => this._dispatchSoon()))
@@ -65,8 +68,7 @@
     const timer = setInterval(() => this._tick(), TICK_MS)
     this._register(toDisposable(() => {
       clearInterval(timer)
-      this._isPaused = true
-      for (const run of this._runs.values()) run.cancel('stopped')
+      this._stopRuns('stopped')
     }))
     this._dispatchSoon()
   }
@@ -96,35 +98,36 @@
   }
 
   noteLoading (engineId: string, forMs: number): void {
-    if (forMs > 0) this._loadingUntilMs.set(engineId, performance.now() + forMs)
-    else this._loadingUntilMs.delete(engineId)
+    this._board.noteLoading(engineId, forMs)
     this._dispatchSoon()
   }
 
-  isLoading (engineId: string): boolean {
-    return performance.now() < (this._loadingUntilMs.get(engineId) ?? 0)
+  /** Stops all runs and makes durable what they have generated. */
+  async handOver (): Promise<number> {
+    const running = [...this._runs.values()].map(run => ({ batch: run.batch, state: run.state }))
+    this._stopRuns('handed over')
+    await this._saver.save(running)
+    return running.length
   }
 
-  /** Stops all runs and returns what they have generated. */
-  stop (): Array<{ batch: Batch, index: number, progress: ItemState['progress'] }> {
-    this._isPaused = true
-    const saved = [...this._runs.values()].map(run => ({ batch: run.batch, index: run.state.index, progress: run.state.progress }))
-    for (const run of this._runs.values()) run.cancel('handed over')
-    return saved.filter(entry => entry.progress.events.length > 0)
+  private _stopRuns (reason: string): void {
+    this._isStopped = true
+    for (const run of this._runs.values()) run.cancel(reason)
   }
 
   private _tick (): void {
-    for (const run of this._runs.values()) this._checkRun(run)
+    this._guard.check(this._runs.values())
+    this._saver.saveDue(this._runs.values())
     this._dispatchSoon()
-    this._metrics.gauge('batch_items_running', this._runs.size)
+    this._status.writeDue(this._runs.size, engineId => this.runningOn(engineId))
   }
 
   private _dispatchSoon (): void {
-    if (this._isDispatching || this._isPaused) return
+    if (this._isDispatching || this._isStopped) return
     this._isDispatching = true
     setImmediate(() => {
       this._isDispatching = false
-      if (!this._isPaused) this._dispatch()
+      if (!this._isStopped) this._dispatch()
     })
   }
 
@@ -135,28 +138,26 @@
     const views = new Map<string, EngineView[]>()
     for (const batch of open) {
       const route = this._routes.find(batch.spec.host, batch.spec.path)
-      if (route === undefined || route.kind !== 'batch') continue
-      const service = pickService(route, 0)
-      if (service === undefined) continue
+      const service = route === undefined ? undefined : pickService(route, 0)
+      if (route === undefined || service === undefined || route.kind !== 'batch') continue
       if (nowMs > batch.spec.submittedAtMs + route.batchRetentionMs) {
         this._giveUp(batch)
         continue
       }
       const key = `${service} ${batch.spec.model}`
-      const engines = views.get(key) ?? this._views(service, batch.spec.model)
+      const engines = views.get(key) ?? this._board.views(service, batch.spec.model)
       views.set(key, engines)
-      this._dispatchBatch(batch, route, engines)
+      this._dispatchBatch(batch, route, service, engines)
     }
   }
 
-  private _dispatchBatch (batch: Batch, route: Route, engines: EngineView[]): void {
+  private _dispatchBatch (batch: Batch, route: Route, service: string, engines: EngineView[]): void {
     const nowMs = performance.now()
     for (const { state } of rankItems(batch, this._estimator)) {
-      if (engines.every(engine => engine.freeSlots <= 0)) return
       if (nowMs < state.notBeforeMs) continue
       this._reuseProgress(batch, state, route)
       if (state.progress.isComplete) {
-        void this._finish(batch, state, 'completed')
+        this._finish(batch, state, 'completed')
         continue
       }
       const version = state.progress.versions.at(-1)
@@ -172,7 +173,7 @@
       }
       engine.freeSlots -= 1
       engine.running += 1
-      this._start(batch, state, engine.id)
+      this._start(batch, state, route, service, engine.id)
     }
   }
 
@@ -192,54 +193,32 @@
     this._logger.info({ batch: batch.spec.id, item: state.item.id, events: cached.events.length, complete: cached.isComplete }, 'item_progress_reused')
   }
 
-  private _views (service: string, model: string): EngineView[] {
-    const home = this._homeEngines(service, model)
-    return this._fleet.ofService(service)
-      .filter(upstream => home === undefined || home.has(upstream.member.id))
-      .map(upstream => ({
-        id: upstream.member.id,
-        version: upstream.versionOf(model),
-        freeSlots: upstream.member.slots - Math.max(this.runningOn(upstream.member.id), upstream.outstanding),
-        running: upstream.outstanding,
-        paceMs: this._paceMs(upstream),
-        isAvoided: upstream.isAvoided,
-        isLoading: this.isLoading(upstream.member.id)
-      }))
-  }
-
-  private _paceMs (upstream: FleetUpstream): number {
-    return upstream.averageMs ?? DEFAULT_PACE_MS
-  }
-
-  private _start (batch: Batch, state: ItemState, engineId: string): void {
+  private _start (batch: Batch, state: ItemState, route: Route, service: string, engineId: string): void {
     const engine = this._fleet.find(engineId)
     if (engine === undefined) return
     const groupEngines = this._enginesByGroup.get(state.item.group) ?? new Set()
     this._enginesByGroup.set(state.item.group, groupEngines.add(engineId))
     state.status = 'running'
-    const run = new ItemRun(batch, state, engine, this._transport, this._remainingMs(batch))
+    const remainingMs = Math.max(1, Math.round(batch.spec.submittedAtMs + route.batchRetentionMs - Date.now()))
+    const isMovable = route.isResumable && !route.isSingleVersion
+    const run = new ItemRun({ batch, state, engine, service, isMovable, remainingMs }, this._transport)
     this._runs.set(state, run)
-    void run.result().then(end => this._onRunEnd(run, end))
-  }
-
-  private _remainingMs (batch: Batch): number {
-    const route = this._routes.find(batch.spec.host, batch.spec.path)
-    const limitMs = route?.batchRetentionMs ?? 0
-    return Math.max(1, Math.round(batch.spec.submittedAtMs + limitMs - Date.now()))
+    run.result()
+      .then(end => this._onRunEnd(run, end))
+      .catch((fault: unknown) => this._logger.error({ item: state.item.id, reason: String(fault) }, 'item_run_fault'))
   }
 
   private _onRunEnd (run: ItemRun, end: EngineRunEnd): void {
-    const { batch, state, engine } = run
+    const { batch, state } = run
     this._runs.delete(state)
-    this._metrics.count('batch_runs', { outcome: end.kind })
+    this._metrics.count('batch_runs', { outcome: end.kind, cancelled: run.cancelReason ?? '' })
     if (state.status === 'running') state.status = 'waiting'
-    if (end.kind !== 'complete' || run.durationMs > 3000) this._logRun(run, end)
+    if ((end.kind !== 'complete' && run.cancelReason !== 'slow') || run.durationMs > LONG_RUN_MS) this._logger.info(describeRun(run, end), 'item_run_ended')
     if (!batch.isOpen) {
       this._progress.put(state.item.id, state.progress)
       return
     }
     this._settle(run, end)
-    if (engine.isAvoided) this._logger.info({ upstream: engine.member.id, failures: engine.failuresInRow }, 'upstream_avoided')
     this._dispatchSoon()
   }
 
@@ -249,49 +228,48 @@
       if (run.paceMs !== undefined) engine.noteAnswer(run.paceMs)
       this._estimator.onCompleted(state.item.lengthHintTokens, state.progress.events.length)
       state.progress.isComplete = true
-      void this._finish(batch, state, 'completed')
-    } else if (end.kind === 'impossible') {
-      void this._finish(batch, state, 'aborted')
-    } else if (end.kind === 'failed') {
-      this._onFailed(batch, state, engine)
-    } else if (end.kind === 'not_run') {
-      state.notBeforeMs = performance.now() + REFUSED_PAUSE_MS
-      if (end.reason !== 'cancelled') state.avoidedUpstreams.add(engine.member.id)
-      if (end.reason === 'connect_failed' || end.reason === 'wrong_upstream') engine.noteFailure()
-    } else {
-      state.notBeforeMs = performance.now() + BROKEN_PAUSE_MS
-      state.avoidedUpstreams.add(engine.member.id)
-      if (!run.isCancelled) engine.noteFailure()
+      this._finish(batch, state, 'completed')
+      return
+    }
+    if (end.kind === 'impossible') {
+      this._finish(batch, state, 'aborted')
+      return
     }
-    if (state.avoidedUpstreams.size >= FIRST_RETRY_FAILURES) state.avoidedUpstreams.clear()
+    state.notBeforeMs = performance.now() + (end.kind === 'broken' ? BROKEN_PAUSE_MS : REFUSED_PAUSE_MS)
+    if (end.kind === 'not_run' && end.reason === 'cancelled') return
+    if (state.avoidedUpstreams.size >= MAX_AVOIDED) state.avoidedUpstreams.clear()
+    state.avoidedUpstreams.add(engine.member.id)
+    if (end.kind === 'failed') this._onFailed(run)
+    else if (!run.isCancelled && !(end.kind === 'not_run' && end.reason === 'full')) engine.noteFailure()
   }
 
-  private _onFailed (batch: Batch, state: ItemState, engine: FleetUpstream): void {
+  private _onFailed ({ batch, state }: ItemRun): void {
     state.failures += 1
-    state.avoidedUpstreams.add(engine.member.id)
-    state.notBeforeMs = performance.now() + REFUSED_PAUSE_MS
     const route = this._routes.find(batch.spec.host, batch.spec.path)
-    if (route !== undefined && state.failures >= route.maxAttempts) void this._finish(batch, state, 'aborted')
+    if (route !== undefined && state.failures >= route.maxAttempts) this._finish(batch, state, 'aborted')
   }
 
-  private async _finish (batch: Batch, state: ItemState, outcome: 'completed' | 'aborted'): Promise<void> {
+  private _finish (batch: Batch, state: ItemState, outcome: 'completed' | 'aborted'): void {
     if (state.status === 'finished') return
     state.status = 'finished'
     const { events, versions } = state.progress
-    const result = outcome === 'completed'
-      ? { itemId: state.item.id, state: outcome, text: events.join('\n'), versions: [...versions] }
-      : { itemId: state.item.id, state: outcome, text: '', versions: [] }
     if (outcome === 'aborted') this._logger.warn({ batch: batch.spec.id, item: state.item.id, failures: state.failures }, 'item_aborted')
-    const added = await this._batches.addResult(batch, result)
-    if (added.isErr()) this._logger.error({ batch: batch.spec.id, item: state.item.id, reason: added.error.message }, 'result_not_stored')
-    this._metrics.count('batch_results', { state: outcome })
+    this._batches.addResult(batch, {
+      itemId: state.item.id,
+      state: outcome,
+      text: outcome === 'completed' ? events.join('\n') : '',
+      versions: outcome === 'completed' ? [...versions] : []
+    }).then(added => {
+      if (added.isErr()) this._logger.error({ batch: batch.spec.id, item: state.item.id, reason: added.error.message }, 'result_not_stored')
+      this._metrics.count('batch_results', { state: outcome })
+    }).catch((fault: unknown) => this._logger.error({ item: state.item.id, reason: String(fault) }, 'result_fault'))
   }
 
   private _giveUp (batch: Batch): void {
     for (const state of batch.items) {
       if (state.status === 'finished') continue
       this._runs.get(state)?.cancel('given up')
-      void this._finish(batch, state, 'aborted')
+      this._finish(batch, state, 'aborted')
     }
   }
 
@@ -310,44 +288,4 @@
     if (successor === undefined || successor === upstream) return
     for (const run of this._runs.values()) if (run.engine === upstream) run.cancel('engine restarted')
   }
-
-  private _checkRun (run: ItemRun): void {
-    const paceMs = this._paceMs(run.engine)
-    const silentMs = run.silentMs()
-    if (silentMs > Math.max(MIN_STALL_MS, STALL_PACES * paceMs) && !this.isLoading(run.engine.member.id)) {
-      run.engine.noteFailure()
-      run.cancel('silent')
-      return
-    }
-    this._moveIfSlow(run)
-  }
-
-  /** Streams on an engine that has become slow go on where they end sooner. */
-  private _moveIfSlow (run: ItemRun): void {
-    if (run.durationMs < MIN_RUN_BEFORE_MOVE_MS || run.paceMs === undefined) return
-    const route = this._routes.find(run.batch.spec.host, run.batch.spec.path)
-    const service = route === undefined ? undefined : pickService(route, 0)
-    if (route === undefined || service === undefined || route.isSingleVersion || !route.isResumable) return
-    const remaining = this._estimator.remainingEvents(run.state)
-    if (remaining * run.paceMs < MOVE_GAIN_MS) return
-    const engines = this._views(service, run.batch.spec.model).filter(engine => engine.id !== run.engine.member.id)
-    const target = chooseEngine(engines, { minVersion: run.batch.spec.minVersion, avoided: new Set(), affine: new Set() })
-    if (target === undefined || run.paceMs < MOVE_PACE_RATIO * target.paceMs || remaining * (run.paceMs - target.paceMs) < MOVE_GAIN_MS) return
-    run.engine.noteAnswer(run.paceMs)
-    run.cancel('slow')
-  }
-
-  private _logRun (run: ItemRun, end: EngineRunEnd): void {
-    this._logger.info({
-      batch: run.batch.spec.id,
-      item: run.state.item.id,
-      upstream: run.engine.member.id,
-      outcome: end.kind,
-      reason: 'reason' in end ? end.reason : undefined,
-      cancelled: run.cancelReason,
-      events: run.state.progress.events.length,
-      pace_ms: Math.round(run.paceMs ?? 0),
-      duration_ms: Math.round(run.durationMs)
-    }, 'item_run_ended')
-  }
 }
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -11,8 +11,9 @@
 import { BatchLedger } from './BatchLedger.js'
 import type { BatchResult } from './BatchResult.js'
 import type { BatchSpec } from './BatchSpec.js'
+import type { IOrderLog } from '../version/IOrderLog.js'
 import type { IBatchStore } from './IBatchStore.js'
-import type { ItemProgress } from './ItemProgress.js'
+import type { ItemState } from './ItemState.js'
 
 /** Topic of all batches. */
 const TOPIC = 'keyed.batches'
@@ -21,12 +22,13 @@
 const KEEP_MARGIN_MS = 30_000
 
 /** IBatchStore on a journal that one leader writes in one epoch. */
-export class BatchStore extends Disposable implements IBatchStore {
+export class BatchStore extends Disposable implements IBatchStore, IOrderLog {
   private readonly _onChanged = this._register(new Emitter<Batch>())
   readonly onChanged = this._onChanged.event
   private readonly _onEnded = this._register(new Emitter<Batch>())
   readonly onEnded = this._onEnded.event
   private readonly _batches = new Map<string, { batch: Batch, keys: string[] }>()
+  private readonly _orders = new Map<string, number>()
   private readonly _submitting = new Map<string, Promise<Result<Batch, StoreError>>>()
   private readonly _journal: Journal
   private readonly _ledger: BatchLedger
@@ -47,6 +49,7 @@
     if (snapshot.isErr()) return err(snapshot.error)
     for (const [id, entry] of this._ledger.restore(snapshot.value.records)) this._batches.set(id, entry)
     for (const { batch } of this._batches.values()) this._markCarried(batch)
+    for (const [engineId, orderedAtMs] of this._ledger.restoreOrders(snapshot.value.records)) this._orders.set(engineId, orderedAtMs)
     this._logger.info({ batches: this._batches.size, records: snapshot.value.records.length, duration_ms: Math.round(performance.now() - startedAtMs) }, 'batches_restored')
     return ok(undefined)
   }
@@ -81,25 +84,38 @@
     return written
   }
 
-  async saveProgress (entries: ReadonlyArray<{ batch: Batch, index: number, progress: ItemProgress }>): Promise<Result<void, StoreError>> {
-    const writes = entries.map(async ({ batch, index, progress }) =>
-      await this._write(batch.spec.id, [this._ledger.progress(batch.spec.id, index, progress)]))
+  async saveProgress (entries: ReadonlyArray<{ batch: Batch, state: ItemState }>): Promise<Result<void, StoreError>> {
+    const writes = entries.map(async ({ batch, state }) => {
+      const record = this._ledger.progress(batch.spec.id, state)
+      state.savedEventId = state.progress.lastEventId
+      state.savedParts += 1
+      return await this._write(batch.spec.id, [record])
+    })
     const results = await Promise.all(writes)
     return results.find(result => result.isErr()) ?? ok(undefined)
   }
 
   async end (batch: Batch): Promise<Result<void, StoreError>> {
     if (batch.isEnded) return ok(undefined)
-    const written = await this._write(batch.spec.id, [this._ledger.end(batch.spec.id, Date.now())])
+    const written = await this._write(batch.spec.id, this._ledger.end(batch, this._batches.get(batch.spec.id)?.keys ?? [], Date.now()))
     if (written.isErr()) return written
     if (!batch.isEnded) {
-      batch.isEnded = true
+      batch.end(batch.incompleteGroups())
       this._onEnded.fire(batch)
       this._onChanged.fire(batch)
     }
     return written
   }
 
+  lastOrderedAtMs (engineId: string): number | undefined {
+    return this._orders.get(engineId)
+  }
+
+  async noteOrder (engineId: string, orderedAtMs: number): Promise<boolean> {
+    this._orders.set(engineId, orderedAtMs)
+    return (await this._journal.append([this._ledger.order(engineId, orderedAtMs)])).isOk()
+  }
+
   failingForMs (): number {
     return this._journal.failingForMs()
   }
@@ -137,7 +153,7 @@
     for (const { batch: earlier } of this._batches.values()) {
       if (earlier === batch || earlier.spec.model !== batch.spec.model || earlier.spec.step >= batch.spec.step) continue
       for (const group of batch.itemsByGroup.keys()) {
-        if (earlier.itemsByGroup.has(group)) batch.carriedGroups.add(group)
+        if (earlier.mayComeBack(group)) batch.carriedGroups.add(group)
       }
     }
   }
--- a/src/common/batch/IBatchStore.ts
+++ b/src/common/batch/IBatchStore.ts
@@ -5,7 +5,7 @@
 import type { BatchItem } from './BatchItem.js'
 import type { BatchResult } from './BatchResult.js'
 import type { BatchSpec } from './BatchSpec.js'
-import type { ItemProgress } from './ItemProgress.js'
+import type { ItemState } from './ItemState.js'
 
 /** All batches of the leader; every change is durable before it is visible. */
 export interface IBatchStore {
@@ -18,7 +18,8 @@
   submit (spec: BatchSpec, items: readonly BatchItem[]): Promise<Result<Batch, StoreError>>
   /** Gives the result the next position. */
   addResult (batch: Batch, result: BatchResult): Promise<Result<void, StoreError>>
-  saveProgress (entries: ReadonlyArray<{ batch: Batch, index: number, progress: ItemProgress }>): Promise<Result<void, StoreError>>
+  /** Makes the events of items durable that are new since the last time. */
+  saveProgress (entries: ReadonlyArray<{ batch: Batch, state: ItemState }>): Promise<Result<void, StoreError>>
   end (batch: Batch): Promise<Result<void, StoreError>>
   /** For how long the store has not taken records, in milliseconds. */
   failingForMs (): number
--- a/src/common/batch/IEngineLoads.ts
+++ b/src/common/batch/IEngineLoads.ts
@@ -6,5 +6,4 @@
   waitingFor (model: string): { count: number, minVersion: number | undefined }
   /** Keeps new runs away from an engine for a time; 0 lifts that. */
   noteLoading (engineId: string, forMs: number): void
-  isLoading (engineId: string): boolean
 }
--- a/src/common/batch/ItemProgress.ts
+++ b/src/common/batch/ItemProgress.ts
@@ -1,5 +1,9 @@
-import type { z } from 'zod'
-import type { itemProgressSchema } from './itemProgressSchema.js'
-
 /** What has been generated of an item so far. */
-export type ItemProgress = z.infer<typeof itemProgressSchema>
+export interface ItemProgress {
+  /** Data of the events in order. */
+  events: string[]
+  /** Id of the last event; 0 before the first. */
+  lastEventId: number
+  versions: number[]
+  isComplete: boolean
+}
--- a/src/common/batch/ItemRun.ts
+++ b/src/common/batch/ItemRun.ts
@@ -7,6 +7,16 @@
 /** Events of a run before its pace counts. */
 const MIN_EVENTS_FOR_PACE = 3
 
+interface ItemRunPlan {
+  batch: Batch
+  state: ItemState
+  engine: FleetUpstream
+  service: string
+  isMovable: boolean
+  /** Time after which the engine need not go on. */
+  remainingMs: number
+}
+
 /** One run of an item at one engine. Its events go into the item's progress as they arrive. */
 export class ItemRun {
   private readonly _controller = new AbortController()
@@ -18,13 +28,22 @@
   private _isStale = false
   cancelReason?: string
 
-  constructor (
-    readonly batch: Batch,
-    readonly state: ItemState,
-    readonly engine: FleetUpstream,
-    private readonly _transport: IEngineTransport,
-    private readonly _remainingMs: number
-  ) {}
+  readonly batch: Batch
+  readonly state: ItemState
+  readonly engine: FleetUpstream
+  readonly service: string
+  /** Whether another engine may go on with the text at any moment. */
+  readonly isMovable: boolean
+  private readonly _remainingMs: number
+
+  constructor (plan: ItemRunPlan, private readonly _transport: IEngineTransport) {
+    this.batch = plan.batch
+    this.state = plan.state
+    this.engine = plan.engine
+    this.service = plan.service
+    this.isMovable = plan.isMovable
+    this._remainingMs = plan.remainingMs
+  }
 
   get isCancelled (): boolean {
     return this.cancelReason !== undefined
--- a/src/common/batch/ItemState.ts
+++ b/src/common/batch/ItemState.ts
@@ -6,6 +6,10 @@
 export class ItemState {
   status: 'waiting' | 'running' | 'finished' = 'waiting'
   progress: ItemProgress = emptyProgress()
+  /** Last event whose data is durable. */
+  savedEventId = 0
+  /** Parts of the progress that were written. */
+  savedParts = 0
   /** Answers of upstreams that say that the run failed. */
   failures = 0
   /** `performance.now()` before which it is not sent again. */
@@ -18,5 +22,6 @@
   /** Drops what was generated, for a run from the start. */
   restart (): void {
     this.progress = emptyProgress()
+    this.savedEventId = 0
   }
 }
--- /dev/null
+++ b/src/common/batch/RunGuard.ts
@@ -0,0 +1,51 @@
+import type { ILogger } from '../metrics/ILogger.js'
+import { chooseEngine } from './chooseEngine.js'
+import type { EngineBoard } from './EngineBoard.js'
+import type { ItemRun } from './ItemRun.js'
+import type { LengthEstimator } from './LengthEstimator.js'
+import { shouldMove } from './shouldMove.js'
+
+/** A silent stream is given up after this many usual pauses between events. */
+const STALL_PACES = 14
+const MIN_STALL_MS = 700
+const MAX_STALL_MS = 2000
+const MIN_RUN_BEFORE_MOVE_MS = 500
+
+/** Ends runs that have gone silent, and moves those that end sooner elsewhere. */
+export class RunGuard {
+  constructor (private readonly _board: EngineBoard, private readonly _estimator: LengthEstimator, private readonly _logger: ILogger) {}
+
+  /** Checks all runs; those with most left come first, because free slots of fast engines are few. */
+  check (runs: Iterable<ItemRun>): void {
+    const candidates: Array<{ run: ItemRun, remaining: number }> = []
+    for (const run of runs) {
+      if (run.isCancelled || this._endSilent(run)) continue
+      if (run.durationMs >= MIN_RUN_BEFORE_MOVE_MS && run.isMovable) candidates.push({ run, remaining: this._estimator.remainingEvents(run.state) })
+    }
+    candidates.sort((a, b) => b.remaining - a.remaining)
+    const taken = new Map<string, number>()
+    for (const { run, remaining } of candidates) this._moveIfSlow(run, remaining, taken)
+  }
+
+  private _endSilent (run: ItemRun): boolean {
+    const limitMs = Math.min(MAX_STALL_MS, Math.max(MIN_STALL_MS, STALL_PACES * (run.engine.averageMs ?? 0)))
+    // An engine that loads a version pauses its runs.
+    if (run.silentMs() <= limitMs || this._board.isLoading(run.engine.member.id)) return false
+    run.engine.noteFailure()
+    run.cancel('silent')
+    return true
+  }
+
+  private _moveIfSlow (run: ItemRun, remainingEvents: number, taken: Map<string, number>): void {
+    const { paceMs } = run
+    if (paceMs === undefined) return
+    const engines = this._board.views(run.service, run.batch.spec.model)
+      .filter(engine => engine.id !== run.engine.member.id && engine.freeSlots > (taken.get(engine.id) ?? 0))
+    const target = chooseEngine(engines, { minVersion: run.batch.spec.minVersion, avoided: new Set(), affine: new Set() })
+    if (target === undefined || !shouldMove({ paceMs, targetPaceMs: target.paceMs, remainingEvents })) return
+    taken.set(target.id, (taken.get(target.id) ?? 0) + 1)
+    run.engine.noteAnswer(paceMs)
+    this._logger.info({ batch: run.batch.spec.id, item: run.state.item.id, from: run.engine.member.id, to: target.id, pace_ms: Math.round(paceMs), target_pace_ms: Math.round(target.paceMs), remaining_events: Math.round(remainingEvents) }, 'item_moved')
+    run.cancel('slow')
+  }
+}
--- a/src/common/store/ILeadership.ts
+++ b/src/common/store/ILeadership.ts
@@ -11,6 +11,10 @@
   /** Address of the newest known leader, unless it has released the leadership. */
   leaderAddress (): string | undefined
   readonly isSelf: boolean
+  /** Epoch of the newest known leader. */
+  readonly seenEpoch: number | undefined
+  /** Ends this entry's leadership if a newer epoch has been seen elsewhere. */
+  yieldTo (epoch: number): void
   /** Gives the leadership back and never claims it again. */
   release (): Promise<void>
 }
--- a/src/common/store/Journal.ts
+++ b/src/common/store/Journal.ts
@@ -44,7 +44,7 @@
     const bytes = records.reduce((sum, record) => sum + RECORD_OVERHEAD_BYTES + record.key.length + (record.value?.length ?? 0), 0)
     return await new Promise(resolve => {
       this._queue.push({ records, bytes, resolve })
-      if (!this._isBusy) void this._drain()
+      if (!this._isBusy) this._drain().catch((fault: unknown) => this._logger.error({ topic: this._topic, reason: String(fault) }, 'journal_fault'))
     })
   }
 
--- a/src/common/store/KeyedTail.ts
+++ b/src/common/store/KeyedTail.ts
@@ -48,7 +48,7 @@
   }
 
   start (): void {
-    void this._run()
+    this._run().catch((fault: unknown) => this._logger.error({ topic: this._topic, reason: String(fault) }, 'tail_fault'))
   }
 
   override dispose (): void {
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -13,11 +13,11 @@
 const TOPIC = 'keyed.leader'
 const KEY = 'leader'
 /** Time without a renewal after which others may claim. Four renewals fit, so that single lost responses do no harm. */
-const LEASE_MS = 2200
+const LEASE_MS = 1700
 /** Part of the lease that its holder gives up, for timers that fire late. */
-const GUARD_MS = 300
-const RENEW_INTERVAL_MS = 500
-const APPEND_TIMEOUT_MS = 450
+const GUARD_MS = 200
+const RENEW_INTERVAL_MS = 350
+const APPEND_TIMEOUT_MS = 400
 const TICK_MS = 50
 /** Spreads the claims of several entries, so that a returning leader and one of the others come first. */
 const MAX_CLAIM_DELAY_MS = 250
@@ -68,6 +68,14 @@
     return this._heldEpoch !== undefined
   }
 
+  get seenEpoch (): number | undefined {
+    return this._seen === undefined ? undefined : this._seen.epoch ?? this._seen.offset
+  }
+
+  yieldTo (epoch: number): void {
+    if (this._heldEpoch !== undefined && epoch > this._heldEpoch) this._lose('a newer leader was reported')
+  }
+
   validEpoch (): number | undefined {
     this._checkPause()
     return this._heldEpoch !== undefined && performance.now() < this._validUntilMs ? this._heldEpoch : undefined
@@ -100,9 +108,9 @@
     if (this._isAppending || this._isRetired || !this._tail.isSynced) return
     const nowMs = performance.now()
     if (this._heldEpoch !== undefined) {
-      if (nowMs - this._renewedAtMs >= RENEW_INTERVAL_MS) void this._append({ epoch: this._heldEpoch })
+      if (nowMs - this._renewedAtMs >= RENEW_INTERVAL_MS) this._appendSoon({ epoch: this._heldEpoch })
     } else if (this._mayClaim(nowMs)) {
-      void this._append({})
+      this._appendSoon({})
     }
   }
 
@@ -114,6 +122,10 @@
     return nowMs >= claimAtMs && nowMs - this._tail.contactAtMs < FRESH_CONTACT_MS
   }
 
+  private _appendSoon (content: { epoch?: number }): void {
+    this._append(content).catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'leader_append_fault'))
+  }
+
   private async _append (content: { epoch?: number, released?: boolean }): Promise<void> {
     this._isAppending = true
     const sequence = ++this._sequence
--- a/src/common/version/EngineVersionView.ts
+++ b/src/common/version/EngineVersionView.ts
@@ -4,5 +4,8 @@
   version: number
   /** Runs of the model there. */
   running: number
+  /** Expected time between two events. */
+  paceMs: number
+  /** Whether it loads already or may not be ordered now. */
   isLoading: boolean
 }
--- a/src/common/version/VersionDuty.ts
+++ b/src/common/version/VersionDuty.ts
@@ -5,6 +5,7 @@
 import { toDisposable } from '../kernel/toDisposable.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IMetrics } from '../metrics/IMetrics.js'
+import type { IOrderLog } from './IOrderLog.js'
 import type { ILeadership } from '../store/ILeadership.js'
 import type { HomeTable } from './HomeTable.js'
 import type { IVersionOrders } from './IVersionOrders.js'
@@ -18,37 +19,45 @@
 /** After this time an engine that does not show its version is asked again. */
 const LOAD_LIMIT_MS = 4000
 const RETRY_PAUSE_MS = 500
-/** Later than this after the epoch began, no order of the holder before can count as given in turns. */
+/** Beyond the time in which orders of two holders count as turns. */
 const TAKEOVER_MARGIN_MS = 300
+/** Wall clocks of two hosts may differ so much. */
+const CLOCK_ERROR_MS = 2500
 
 interface EngineMemory { acceptedCount?: number, notBeforeMs: number, pendingVersion?: number, pendingModel?: string, sentAtMs: number, isBusy: boolean }
 
+interface VersionTerm {
+  epoch: number
+  /** Name of this host in orders. */
+  holder: string
+  /** Two holders may not give orders within this time. */
+  turnsMs: number
+  loads: IEngineLoads
+  orders: IOrderLog
+}
+
 /** Moves engines to the versions that trainers have named, as the one holder of an epoch. */
 export class VersionDuty extends Disposable {
   private readonly _memory = new WeakMap<FleetUpstream, EngineMemory>()
-  private readonly _startAtMs: number
+  private readonly _startedAtMs = performance.now()
 
   constructor (
-    private readonly _epoch: number,
-    private readonly _holder: string,
-    leaseMs: number,
+    private readonly _term: VersionTerm,
     private readonly _leadership: ILeadership,
     private readonly _fleet: IFleet,
     private readonly _names: VersionNames,
     private readonly _homes: HomeTable,
-    private readonly _loads: IEngineLoads,
     private readonly _orders: IVersionOrders,
     private readonly _logger: ILogger,
     private readonly _metrics: IMetrics
   ) {
     super()
-    this._startAtMs = performance.now() + leaseMs + TAKEOVER_MARGIN_MS
     const timer = setInterval(() => this._tick(), TICK_MS)
     this._register(toDisposable(() => clearInterval(timer)))
   }
 
   private _tick (): void {
-    if (performance.now() < this._startAtMs || this._leadership.validEpoch() !== this._epoch) return
+    if (this._leadership.validEpoch() !== this._term.epoch) return
     for (const [service, engines] of this._enginesByService()) this._tickService(service, engines)
   }
 
@@ -72,27 +81,35 @@
         .map(engine => ({
           id: engine.member.id,
           version: engine.versionOf(model),
-          running: this._loads.runningOn(engine.member.id, model),
+          running: this._term.loads.runningOn(engine.member.id, model),
+          paceMs: engine.averageMs ?? 0,
           isLoading: this._isPending(engine) || engine.isAvoided || performance.now() < this._of(engine).notBeforeMs
         }))
-      const { count, minVersion } = this._loads.waitingFor(model)
+      const { count, minVersion } = this._term.loads.waitingFor(model)
       const namedForMs = performance.now() - named.namedAtMs
       const ids = planLoads({ engines: views, newestVersion: named.version, namedForMs, waiting: count, minVersion, freeLoads })
       for (const id of ids) {
         const engine = this._fleet.find(id)
         if (engine === undefined) continue
         freeLoads -= 1
-        void this._order(engine, model, named.version)
+        this._order(engine, model, named.version).catch((fault: unknown) => this._logger.error({ upstream: id, reason: String(fault) }, 'version_order_fault'))
       }
     }
   }
 
   private _of (engine: FleetUpstream): EngineMemory {
-    const known = this._memory.get(engine) ?? { notBeforeMs: 0, sentAtMs: 0, isBusy: false }
+    const known = this._memory.get(engine) ?? { notBeforeMs: this._turnEndsAtMs(engine), sentAtMs: 0, isBusy: false }
     this._memory.set(engine, known)
     return known
   }
 
+  /** An engine that the holder before may have ordered lately has to wait until that is no turn any more. */
+  private _turnEndsAtMs (engine: FleetUpstream): number {
+    const orderedAtMs = this._term.orders.lastOrderedAtMs(engine.member.id)
+    const isRecent = orderedAtMs !== undefined && Date.now() - orderedAtMs < this._term.turnsMs + CLOCK_ERROR_MS
+    return isRecent ? this._startedAtMs + this._term.turnsMs + TAKEOVER_MARGIN_MS : 0
+  }
+
   private _isPending (engine: FleetUpstream): boolean {
     const memory = this._of(engine)
     return memory.isBusy || memory.pendingVersion !== undefined
@@ -109,14 +126,15 @@
     memory.pendingVersion = undefined
     // What the engine has accepted is unknown after an overdue load.
     if (!isDone) memory.acceptedCount = undefined
-    this._loads.noteLoading(engine.member.id, 0)
+    this._term.loads.noteLoading(engine.member.id, 0)
   }
 
   private async _order (engine: FleetUpstream, model: string, version: number): Promise<void> {
     const memory = this._of(engine)
     memory.isBusy = true
     memory.acceptedCount ??= await this._orders.acceptedCount(engine)
-    const isStillHolder = this._leadership.validEpoch() === this._epoch
+    const isNoted = memory.acceptedCount !== undefined && await this._term.orders.noteOrder(engine.member.id, Date.now())
+    const isStillHolder = isNoted && this._leadership.validEpoch() === this._term.epoch
     if (memory.acceptedCount === undefined || !isStillHolder) {
       memory.isBusy = false
       memory.notBeforeMs = performance.now() + RETRY_PAUSE_MS
@@ -126,10 +144,10 @@
     memory.sentAtMs = performance.now()
     memory.pendingModel = model
     memory.pendingVersion = version
-    this._loads.noteLoading(engine.member.id, LOAD_LIMIT_MS)
-    const end = await this._orders.send(engine, { model, version, mode: 'keep_runs', holder: this._holder, epoch: this._epoch, expectedCount })
+    this._term.loads.noteLoading(engine.member.id, LOAD_LIMIT_MS)
+    const end = await this._orders.send(engine, { model, version, mode: 'keep_runs', holder: this._term.holder, epoch: this._term.epoch, expectedCount })
     memory.isBusy = false
-    this._logger.info({ upstream: engine.member.id, model, version, epoch: this._epoch, expected_count: expectedCount, outcome: end }, 'version_ordered')
+    this._logger.info({ upstream: engine.member.id, model, version, epoch: this._term.epoch, expected_count: expectedCount, outcome: end }, 'version_ordered')
     this._metrics.count('version_orders', { outcome: end })
     if (end === 'accepted') {
       memory.acceptedCount = expectedCount + 1
@@ -139,7 +157,7 @@
       memory.pendingVersion = undefined
       memory.acceptedCount = undefined
       memory.notBeforeMs = performance.now() + RETRY_PAUSE_MS
-      this._loads.noteLoading(engine.member.id, 0)
+      this._term.loads.noteLoading(engine.member.id, 0)
     }
   }
 }
--- a/src/common/version/planLoads.ts
+++ b/src/common/version/planLoads.ts
@@ -27,7 +27,8 @@
   const useless = behind.filter(engine => minVersion !== undefined && engine.version < minVersion)
   const mayLoadIdle = waiting === 0 && namedForMs >= ARRIVAL_GRACE_MS
   const idle = behind.filter(engine => !useless.includes(engine) && engine.running === 0 && mayLoadIdle)
-  useless.sort((a, b) => a.running - b.running)
-  idle.sort((a, b) => a.version - b.version)
+  // The fastest come first: the longest items wait for them.
+  useless.sort((a, b) => a.paceMs - b.paceMs)
+  idle.sort((a, b) => a.version - b.version || a.paceMs - b.paceMs)
   return [...useless, ...idle].slice(0, Math.max(0, freeLoads)).map(engine => engine.id)
 }
--- a/src/node/front/FrontListener.ts
+++ b/src/node/front/FrontListener.ts
@@ -41,7 +41,7 @@
   ) {
     super()
     this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, requireHostHeader: false, connectionsCheckingInterval: CHECK_INTERVAL_MS }, (request, response) => {
-      void this._serve(request, response)
+      this._serve(request, response).catch((fault: unknown) => this._logger.error({ listener: this._name, reason: String(fault) }, 'request_fault'))
     })
     this._server.maxConnections = MAX_CONNECTIONS
     this._server.headersTimeout = DEFAULT_HEADER_TIMEOUT_MS
--- a/src/node/front/LeaderGateway.ts
+++ b/src/node/front/LeaderGateway.ts
@@ -6,6 +6,8 @@
 
 /** Marks an answer of an entry that does not lead; nothing was done. */
 const NOT_LEADER_HEADER = 'hyssopvalve-not-leader'
+/** Address of the entry that sends a request on. */
+const SENDER_HEADER = 'hyssopvalve-entry'
 const RETRY_PAUSE_MS = 80
 /** One request to the leader is given up after this time beyond the wait that the caller asked for. */
 const HOP_TIMEOUT_MS = 1500
@@ -37,6 +39,11 @@
     return { status: 503, headers: { [NOT_LEADER_HEADER]: '1' } }
   }
 
+  /** Address of the entry that sent a request on, if it was sent on. */
+  static sender (request: FrontRequest): string | undefined {
+    return request.headers[SENDER_HEADER]
+  }
+
   async serve (request: FrontRequest, options: GatewayOptions, local: () => Promise<FrontAnswer>): Promise<FrontAnswer> {
     const untilMs = performance.now() + options.patienceMs
     let mayHaveRun = false
@@ -60,7 +67,7 @@
       requestId: options.requestId,
       method: request.method,
       path: request.target,
-      headers: request.headers,
+      headers: { ...request.headers, [SENDER_HEADER]: this._ownAddress },
       body: request.body.length > 0 ? request.body : undefined,
       deadlineAtMs: performance.now() + options.heldMs + HOP_TIMEOUT_MS
     }, request.signal)
