Stop using servers whose entries went later than two seconds after an outage

Change: a removal is a lapse only until 2.3 s after the store's return. An append that the store answers without having appended is reported and repeated under the next number.

--- a/src/common/fleet/FleetTable.ts
+++ b/src/common/fleet/FleetTable.ts
@@ -5,9 +5,6 @@
 import { FleetUpstream } from './FleetUpstream.js'
 import type { IFleet } from './IFleet.js'
 
-/** Entries that lapsed in an outage of the store are back within two seconds of its return, if the upstream lives. */
-const LAPSE_GRACE_MS = 2300
-
 /** The list of upstreams as the store tells it, one record per life. */
 export class FleetTable extends Disposable implements IFleet {
   private readonly _onChanged = this._register(new Emitter<void>())
@@ -38,11 +35,11 @@
     this._onChanged.fire()
   }
 
-  /** `isAfterOutage` tells that the store was away lately, so that a missing entry may come back. */
-  remove (id: string, isAfterOutage: boolean): void {
+  /** An entry that may have lapsed in an outage of the store stays in use for `keepMs`, in which it may come back. */
+  remove (id: string, keepMs: number): void {
     const known = this._upstreams.get(id)
     if (known === undefined || this._lapsed.has(id)) return
-    if (!isAfterOutage) {
+    if (keepMs <= 0) {
       this._drop(known, 'entry removed')
       this._onChanged.fire()
       return
@@ -52,7 +49,7 @@
       this._lapsed.delete(id)
       this._drop(known, 'entry lapsed')
       this._onChanged.fire()
-    }, LAPSE_GRACE_MS)
+    }, keepMs)
     this._lapsed.set(id, timer)
   }
 
--- a/src/common/store/IStoreClient.ts
+++ b/src/common/store/IStoreClient.ts
@@ -1,4 +1,5 @@
 import type { ResultAsync } from 'neverthrow'
+import type { AppendedRange } from './AppendedRange.js'
 import type { StoreAppend } from './StoreAppend.js'
 import type { StoreError } from './StoreError.js'
 import type { StorePage } from './StorePage.js'
@@ -6,8 +7,8 @@
 
 /** The durable store of keyed topics; each call is one attempt. */
 export interface IStoreClient {
-  /** Appends all records or none and returns the offset of the first. */
-  append (append: StoreAppend): ResultAsync<number, StoreError>
+  /** Appends all records or none. */
+  append (append: StoreAppend): ResultAsync<AppendedRange, StoreError>
   /** Reads from an offset on; waits up to `waitMs` for a record. */
   read (topic: string, fromOffset: number, waitMs: number): ResultAsync<StoreSlice, StoreError>
   /** Reads one page of the newest record of each key, in order of keys after `afterKey`. */
--- a/src/common/store/Journal.ts
+++ b/src/common/store/Journal.ts
@@ -95,10 +95,14 @@
         timeoutMs: APPEND_TIMEOUT_MS
       })
       if (result.isOk()) {
-        // An append without records sets the epoch and takes no number.
         if (records.length > 0) this._sequence = sequence + 1
         this._failingSinceMs = undefined
-        return ok(undefined)
+        const { firstOffset, endOffset } = result.value
+        if (endOffset - firstOffset === records.length) return ok(undefined)
+        // The store took this append for a repeat of another one under the same number.
+        this._logger.error({ topic: this._topic, epoch: this._epoch, sequence, first_offset: firstOffset, end_offset: endOffset, records: records.length }, 'journal_append_not_applied')
+        sequence = this._sequence
+        continue
       }
       const { error } = result
       if (error.kind === 'fenced' || error.kind === 'rejected') {
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -142,7 +142,7 @@
     })
     this._isAppending = false
     if (result.isOk()) {
-      this._apply(record, result.value)
+      this._apply(record, result.value.firstOffset)
     } else {
       // A refused or lost append is decided by what the tail reads.
       this._claimDelayMs = Math.random() * MAX_CLAIM_DELAY_MS
