--- /dev/null
+++ b/src/common/fleet/chooseUpstream.test.ts
@@ -0,0 +1,35 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { chooseUpstream } from './chooseUpstream.js'
+import { FleetUpstream } from './FleetUpstream.js'
+
+function upstream (id: string, averageMs: number, outstanding = 0): FleetUpstream {
+  const created = new FleetUpstream({ id, bornAtMs: 0, service: 's', address: '', failureDomain: 'd', slots: 2, isDraining: false, versions: new Map() })
+  created.averageMs = averageMs
+  created.outstanding = outstanding
+  return created
+}
+
+const choose = (...candidates: FleetUpstream[]): string | undefined => chooseUpstream(candidates, () => 0)?.member.id
+
+describe('chooseUpstream', () => {
+  // Load: one of several upstreams turns slow, and the others are half busy.
+  it('sends to a busy fast upstream rather than to an idle slow one, until it queues', () => {
+    expect(choose(upstream('fast', 30, 1), upstream('slow', 120))).toEqual('fast')
+    expect(choose(upstream('fast', 30, 9), upstream('slow', 120))).toEqual('slow')
+  })
+
+  it('counts what others send there, as long as the report is fresh', () => {
+    const reported = upstream('reported', 30)
+    reported.noteLoad({ running: 2, waiting: 8, slots: 2, slowness: 1 })
+    expect(choose(reported, upstream('other', 40))).toEqual('other')
+  })
+
+  it('uses one that failed lately only when there is no other', () => {
+    const failing = upstream('failing', 10)
+    failing.noteFailure()
+    expect(choose(failing, upstream('other', 300))).toEqual('other')
+    expect(choose(failing)).toEqual('failing')
+    expect(choose()).toEqual(undefined)
+  })
+})
