Restore without the texts of results, and lead again at once on the same host

Change: a process at the address of the last leader knows that the leader is gone and claims at once; the end of a batch replaces the heads of its results; texts sort last and are read when they are asked for, and those of ended batches leave memory after 30 s; leases of 1.3 s.

--- a/src/common/batch/Batch.ts
+++ b/src/common/batch/Batch.ts
@@ -7,6 +7,8 @@
 export class Batch {
   readonly items: ItemState[]
   readonly results: BatchResult[] = []
+  /** Number of results, from the first, whose texts have to be read from the store. */
+  textsMissing = 0
   /** Positions given out, including those whose records are not durable yet. */
   positionsTaken = 0
   private _leftGroups?: ReadonlySet<string>
@@ -33,6 +35,12 @@
     return this._leftGroups !== undefined
   }
 
+  /** Forgets the texts, which the store keeps. */
+  dropTexts (): void {
+    for (const result of this.results) result.text = ''
+    this.textsMissing = this.results.length
+  }
+
   /** Ends the batch; `incompleteGroups` are those that a later batch may ask for again. */
   end (incompleteGroups: readonly string[]): void {
     this._leftGroups = new Set(incompleteGroups)
--- /dev/null
+++ b/src/common/batch/BatchDesk.test.ts
@@ -0,0 +1,199 @@
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import { FleetTable } from '../fleet/FleetTable.js'
+import { Emitter } from '../kernel/Emitter.js'
+import { testServices } from '../log/test/testServices.js'
+import { VirtualTime } from '../log/test/VirtualTime.test.js'
+import type { Route } from '../routing/Route.js'
+import { RouteTable } from '../routing/RouteTable.js'
+import type { ILeadership } from '../store/ILeadership.js'
+import { MemoryStore } from '../store/test/MemoryStore.js'
+import { BatchDesk } from './BatchDesk.js'
+import { BatchRunner } from './BatchRunner.js'
+import { EngineBoard } from './EngineBoard.js'
+import { createItem } from './test/createItem.js'
+import { createSpec } from './test/createSpec.js'
+import { FakeEngines } from './test/FakeEngines.js'
+
+const { logger, metrics } = testServices()
+const KEEP_MS = 120_000
+const PACE_MS = 50
+
+/** A leadership that the test gives and takes. */
+class FakeLeadership implements ILeadership {
+  private readonly _gained = new Emitter<number>()
+  private readonly _lost = new Emitter<void>()
+  readonly onGained = this._gained.event
+  readonly onLost = this._lost.event
+  isValid = true
+  seenEpoch: number | undefined
+
+  get isSelf (): boolean { return this.seenEpoch !== undefined }
+  validEpoch (): number | undefined { return this.isValid ? this.seenEpoch : undefined }
+  leaderAddress (): string | undefined { return undefined }
+  yieldTo (): void {}
+  async release (): Promise<void> { this.lose() }
+
+  gain (epoch: number): void {
+    this.seenEpoch = epoch
+    this._gained.fire(epoch)
+  }
+
+  lose (): void {
+    this.seenEpoch = undefined
+    this._lost.fire()
+  }
+}
+
+describe('BatchDesk', () => {
+  let time: VirtualTime
+  let store: MemoryStore
+  let engines: FakeEngines
+  let fleet: FleetTable
+  let routes: RouteTable
+  const opened: BatchDesk[] = []
+
+  beforeEach(() => {
+    time = new VirtualTime()
+    store = new MemoryStore()
+    engines = new FakeEngines(PACE_MS)
+    fleet = new FleetTable(logger)
+    routes = new RouteTable(logger)
+    const route: Route = {
+      name: 'r',
+      host: 'host.example',
+      pathPrefix: '/batches/',
+      kind: 'batch',
+      services: [{ name: 'engines', weight: 1 }],
+      maxAttempts: 2,
+      timeoutMs: 1000,
+      targetLatencyMs: 100,
+      priority: 0,
+      isResumable: true,
+      batchDeadlineMs: 7500,
+      batchRetentionMs: 40_000,
+      isSingleVersion: false
+    }
+    routes.apply({ version: 1, routes: [route], services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
+    for (const id of ['e1', 'e2']) {
+      fleet.apply({ id, bornAtMs: 1, service: 'engines', address: id, failureDomain: 'd', slots: 4, isDraining: false, versions: new Map([['model-a', 1]]) })
+    }
+  })
+  afterEach(() => {
+    for (const desk of opened.splice(0)) desk.dispose()
+    fleet.dispose()
+    time.restore()
+  })
+
+  async function lead (epoch: number): Promise<{ desk: BatchDesk, leadership: FakeLeadership }> {
+    const leadership = new FakeLeadership()
+    const desk = new BatchDesk(store, leadership, batches =>
+      new BatchRunner(batches, fleet, routes, engines, new EngineBoard(fleet, () => undefined), logger, metrics), KEEP_MS, logger)
+    opened.push(desk)
+    leadership.gain(epoch)
+    await time.advance(50)
+    return { desk, leadership }
+  }
+
+  const items = [createItem('a', 'g'), createItem('b', 'g')]
+  const spec = (): ReturnType<typeof createSpec> => createSpec({ itemCount: 2 })
+  const textsOf = async (desk: BatchDesk, after = 0): Promise<string[] | string> => {
+    const reading = desk.read('batch-1', after, 0)
+    await time.advance(20)
+    const outcome = await reading
+    return outcome.kind === 'results' ? outcome.results.map(result => result.text) : outcome.kind
+  }
+
+  it('accepts a batch once its records are durable, runs its items and lists them in fixed positions', async () => {
+    engines.lengths = { a: 10, b: 4 }
+    const { desk } = await lead(1)
+    const submitted = desk.submit(spec(), items)
+    await time.advance(10)
+    expect(await submitted).toEqual('accepted')
+    expect(store.keys('keyed.batches')).toInclude('batch/batch-1')
+    await time.advance(1000)
+    expect(await textsOf(desk)).toEqual([engines.textOf('b'), engines.textOf('a')])
+    expect(await textsOf(desk, 1)).toEqual([engines.textOf('a')])
+  })
+
+  it('accepts nothing that the store has not taken', async () => {
+    const { desk } = await lead(1)
+    store.isDown = true
+    const submitted = desk.submit(spec(), items)
+    await time.advance(3000)
+    expect(await submitted).toEqual('unknown')
+    const refused = desk.submit(createSpec({ id: 'batch-2' }), items)
+    await time.advance(10)
+    expect(await refused).toEqual('refused')
+  })
+
+  // Load: the leader is lost while long items run.
+  it('goes on behind the saved events after a takeover, with all texts whole and in their positions', async () => {
+    engines.lengths = { a: 60, b: 5 }
+    const first = await lead(1)
+    const submitted = first.desk.submit(spec(), items)
+    await time.advance(1500)
+    await submitted
+    const before = await textsOf(first.desk)
+    first.desk.dispose()
+    const second = await lead(2)
+    expect(engines.resumedAt('a') > 10).toEqual(true)
+    await time.advance(3000)
+    expect(await textsOf(second.desk)).toEqual([...before, engines.textOf('a')])
+  })
+
+  it('runs no item of a batch that an earlier leader has ended, and still lists what it had', async () => {
+    engines.lengths = { a: 60, b: 5 }
+    const first = await lead(1)
+    const submitted = first.desk.submit(spec(), items)
+    await time.advance(800)
+    await submitted
+    const ended = first.desk.end('batch-1')
+    await time.advance(20)
+    expect(await ended).toEqual('accepted')
+    first.desk.dispose()
+    const runs = engines.runs.length
+    const second = await lead(2)
+    await time.advance(1000)
+    expect(engines.runs.length).toEqual(runs)
+    expect(await textsOf(second.desk)).toEqual([engines.textOf('b')])
+    const repeated = second.desk.end('batch-1')
+    await time.advance(20)
+    expect(await repeated).toEqual('accepted')
+  })
+
+  it('cannot say that a batch is absent while it has no valid lease, but gives the results that it has', async () => {
+    engines.lengths = { a: 2, b: 2 }
+    const { desk, leadership } = await lead(1)
+    const submitted = desk.submit(spec(), items)
+    await time.advance(500)
+    await submitted
+    leadership.isValid = false
+    const absent = desk.read('batch-9', 0, 0)
+    await time.advance(5)
+    expect((await absent).kind).toEqual('unsure')
+    expect((await textsOf(desk)).length).toEqual(2)
+    expect(await textsOf(desk, 2)).toEqual('unsure')
+    leadership.isValid = true
+    const sure = desk.read('batch-9', 0, 0)
+    await time.advance(5)
+    expect((await sure).kind).toEqual('absent')
+  })
+
+  it('moves on when an engine breaks a stream off, and gives an item up after as many failures as the route allows', async () => {
+    engines.lengths = { a: 20, b: 5 }
+    engines.breakAt = { a: 7 }
+    engines.failing.add('b')
+    const { desk } = await lead(1)
+    const submitted = desk.submit(spec(), items)
+    await time.advance(2500)
+    await submitted
+    const outcome = desk.read('batch-1', 0, 0)
+    await time.advance(5)
+    const read = await outcome
+    const results = read.kind === 'results' ? read.results.map(({ itemId, state }) => `${itemId} ${state}`) : []
+    expect(results.sort()).toEqual(['a completed', 'b aborted'])
+    expect(engines.runs.filter(run => run.startsWith('b')).length).toEqual(2)
+    expect(await textsOf(desk)).toInclude(engines.textOf('a'))
+  })
+})
--- a/src/common/batch/BatchDesk.ts
+++ b/src/common/batch/BatchDesk.ts
@@ -79,6 +79,13 @@
     const batch = store?.find(id)
     if (store === undefined || batch === undefined) return this._absent(store !== undefined)
     if (batch.results.length <= after && mayGrow(batch)) await this._nextResult(store, batch, after, waitMs)
+    if (batch.textsMissing > after) {
+      const loaded = await store.loadTexts(batch)
+      if (loaded.isErr()) {
+        this._logger.warn({ batch: id, reason: loaded.error.message }, 'batch_texts_not_loaded')
+        return { kind: 'unsure' }
+      }
+    }
     const results = []
     let chars = 0
     for (let position = after; position < batch.results.length; position++) {
--- a/src/common/batch/BatchLedger.test.ts
+++ b/src/common/batch/BatchLedger.test.ts
@@ -21,6 +21,7 @@
         ...all.flatMap((text, position) => ledger.result(spec.id, position, { itemId: `i${position}`, state: 'completed', versions: [3, 4], text }))
       ]
       const batch = ledger.restore(records).get(spec.id)?.batch
+      if (batch !== undefined) ledger.restoreTexts(batch, records)
       expect(batch?.results.map(result => result.text)).toEqual(all)
       expect(batch?.items.map(state => state.item)).toEqual(items)
       expect(batch?.isOpen).toEqual(false)
@@ -66,6 +67,8 @@
     for (const record of ledger.result('batch-1', 0, batch.results[0] ?? { itemId: '', state: 'aborted', versions: [], text: '' })) kept.set(record.key, record.value)
     for (const record of ledger.end(batch, [...kept.keys()], 0)) kept.set(record.key, record.value)
     const records = [...kept].map(([key, value]) => ({ key, value }))
+    const heads = records.filter(record => record.value !== undefined).map(record => record.key)
+    expect(heads).toEqual(['batch/batch-1', 'text/batch-1/000000/000000', 'end/batch-1'])
     const restored = ledger.restore(records).get('batch-1')?.batch
     expect(restored?.isEnded).toEqual(true)
     expect(restored?.results.length).toEqual(1)
--- a/src/common/batch/BatchLedger.ts
+++ b/src/common/batch/BatchLedger.ts
@@ -17,7 +17,9 @@
 const endSchema = z.object({
   endedAtMs: z.number(),
   /** Their items may come back in a later batch. */
-  incompleteGroups: z.array(z.string())
+  incompleteGroups: z.array(z.string()),
+  /** The results up to then, in their positions. */
+  results: z.array(batchResultSchema)
 })
 
 interface LedgerRecord { key: string, value?: Uint8Array }
@@ -66,10 +68,11 @@
     return this._json(`progress/${batchId}/${pad(state.index)}/${pad(state.savedParts)}`, part)
   }
 
-  /** Of an ended batch only its head and its results are kept. */
+  /** Of an ended batch only its head, its end and the texts are kept. */
   end (batch: Batch, keys: readonly string[], endedAtMs: number): LedgerRecord[] {
-    const dropped = keys.filter(key => key.startsWith('items/') || key.startsWith('progress/'))
-    const end: z.infer<typeof endSchema> = { endedAtMs, incompleteGroups: batch.incompleteGroups() }
+    const dropped = keys.filter(key => key.startsWith('items/') || key.startsWith('progress/') || key.startsWith('result/'))
+    const results = batch.results.map(({ itemId, state, versions }) => ({ itemId, state, versions }))
+    const end: z.infer<typeof endSchema> = { endedAtMs, incompleteGroups: batch.incompleteGroups(), results }
     return [this._json(`end/${batch.spec.id}`, end), ...this.removal(dropped)]
   }
 
@@ -93,7 +96,7 @@
     return keys.map(key => ({ key }))
   }
 
-  /** Restores all batches from the newest record of each key. */
+  /** Restores all batches, without the texts of their results, from the newest record of each key. */
   restore (records: ReadonlyArray<{ key: string, value?: Uint8Array }>): Map<string, { batch: Batch, keys: string[] }> {
     const byBatch = new Map<string, Map<string, Uint8Array>>()
     for (const { key, value } of records) {
@@ -110,6 +113,24 @@
     return restored
   }
 
+  /** Fills in the texts of a batch from the records of its texts. */
+  restoreTexts (batch: Batch, records: ReadonlyArray<{ key: string, value?: Uint8Array }>): void {
+    const values = new Map(records.flatMap(({ key, value }) => value === undefined ? [] : [[key, value] as const]))
+    for (let position = 0; position < batch.textsMissing; position++) {
+      const result = batch.results[position]
+      if (result !== undefined) result.text = this._text(batch.spec.id, position, values)
+    }
+    batch.textsMissing = 0
+  }
+
+  /** All texts sort behind all other records, which a restore reads. */
+  static readonly firstTextKey = 'text/'
+
+  /** Keys of the texts of a batch begin so. */
+  static textPrefix (batchId: string): string {
+    return `text/${batchId}/`
+  }
+
   private _restoreBatch (id: string, values: ReadonlyMap<string, Uint8Array>): Batch | undefined {
     const spec = this._parse(`batch/${id}`, values.get(`batch/${id}`), batchSpecSchema)
     if (spec === undefined) return undefined
@@ -125,12 +146,15 @@
     }
     const batch = new Batch(spec, items)
     if (end !== undefined) batch.end(end.incompleteGroups)
-    for (let position = 0; values.has(`result/${id}/${pad(position)}`); position++) {
+    for (const [position, head] of (end?.results ?? []).entries()) batch.addResult(position, { ...head, text: '' })
+    // Results that were on their way when the batch ended follow behind those of its end.
+    for (let position = batch.results.length; values.has(`result/${id}/${pad(position)}`); position++) {
       const key = `result/${id}/${pad(position)}`
       const head = this._parse(key, values.get(key), batchResultSchema)
       if (head === undefined) return undefined
-      batch.addResult(position, { ...head, text: this._text(id, position, values) })
+      batch.addResult(position, { ...head, text: '' })
     }
+    batch.textsMissing = batch.results.length
     for (const state of batch.items) {
       if (state.status !== 'finished') this._restoreProgress(id, state, values)
     }
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -4,6 +4,7 @@
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IStoreClient } from '../store/IStoreClient.js'
 import { Journal } from '../store/Journal.js'
+import type { KeyedRecord } from '../store/KeyedRecord.js'
 import { readAllNewest } from '../store/readAllNewest.js'
 import type { StoreError } from '../store/StoreError.js'
 import { Batch } from './Batch.js'
@@ -18,6 +19,8 @@
 /** Topic of all batches. */
 const TOPIC = 'keyed.batches'
 const WRITER = 'batches'
+/** Texts of ended batches stay in memory so long after the submission; readers that come later wait for the store. */
+const TEXTS_IN_MEMORY_MS = 30_000
 /** Kept beyond the time for which results are promised, for readers with other clocks. */
 const KEEP_MARGIN_MS = 30_000
 
@@ -29,6 +32,7 @@
   readonly onEnded = this._onEnded.event
   private readonly _batches = new Map<string, { batch: Batch, keys: string[] }>()
   private readonly _orders = new Map<string, number>()
+  private readonly _loading = new Map<Batch, Promise<Result<void, StoreError>>>()
   private readonly _submitting = new Map<string, Promise<Result<Batch, StoreError>>>()
   private readonly _journal: Journal
   private readonly _ledger: BatchLedger
@@ -45,7 +49,7 @@
     const startedAtMs = performance.now()
     const fenced = await this._journal.open()
     if (fenced.isErr()) return err(fenced.error)
-    const snapshot = await readAllNewest(this._client, TOPIC)
+    const snapshot = await readAllNewest(this._client, TOPIC, { untilKey: BatchLedger.firstTextKey })
     if (snapshot.isErr()) return err(snapshot.error)
     for (const [id, entry] of this._ledger.restore(snapshot.value.records)) this._batches.set(id, entry)
     for (const { batch } of this._batches.values()) this._markCarried(batch)
@@ -116,21 +120,52 @@
     return (await this._journal.append([this._ledger.order(engineId, orderedAtMs)])).isOk()
   }
 
+  /** Reads the texts of a batch that were left out at the restore or forgotten since. */
+  async loadTexts (batch: Batch): Promise<Result<void, StoreError>> {
+    if (batch.textsMissing === 0) return ok(undefined)
+    const running = this._loading.get(batch)
+    if (running !== undefined) return await running
+    const loading = this._loadTexts(batch)
+    this._loading.set(batch, loading)
+    const result = await loading
+    this._loading.delete(batch)
+    return result
+  }
+
   failingForMs (): number {
     return this._journal.failingForMs()
   }
 
-  /** Removes the batches whose results are no longer promised. */
+  /** Forgets texts that are hardly read any more, and removes the batches whose results are no longer promised. */
   async removeExpired (nowMs: number): Promise<void> {
     for (const [id, { batch, keys }] of this._batches) {
+      if (batch.isEnded && batch.textsMissing === 0 && nowMs > batch.spec.submittedAtMs + TEXTS_IN_MEMORY_MS) batch.dropTexts()
       if (nowMs < batch.spec.submittedAtMs + this._keepMs + KEEP_MARGIN_MS) continue
       this._batches.delete(id)
       if (!batch.isEnded) this._onEnded.fire(batch)
-      const removed = await this._journal.append(this._ledger.removal(keys))
-      this._logger.info({ batch: id, records: keys.length, ok: removed.isOk() }, 'batch_removed')
+      const texts = await this._readTexts(id)
+      // Keys of texts that an earlier leader wrote are known to the store only.
+      const all = new Set([...keys, ...texts.isOk() ? texts.value.map(record => record.key) : []])
+      const removed = await this._journal.append(this._ledger.removal([...all]))
+      this._logger.info({ batch: id, records: all.size, ok: removed.isOk() }, 'batch_removed')
     }
   }
 
+  private async _loadTexts (batch: Batch): Promise<Result<void, StoreError>> {
+    const texts = await this._readTexts(batch.spec.id)
+    if (texts.isErr()) return err(texts.error)
+    this._ledger.restoreTexts(batch, texts.value)
+    this._logger.info({ batch: batch.spec.id, results: batch.results.length, records: texts.value.length }, 'batch_texts_loaded')
+    return ok(undefined)
+  }
+
+  private async _readTexts (id: string): Promise<Result<KeyedRecord[], StoreError>> {
+    const prefix = BatchLedger.textPrefix(id)
+    // The slash of the prefix is followed by the character behind it, so that the range ends with the batch.
+    const read = await readAllNewest(this._client, TOPIC, { afterKey: prefix, untilKey: `${prefix.slice(0, -1)}0` })
+    return read.map(({ records }) => records.filter(record => record.key.startsWith(prefix)))
+  }
+
   private async _submit (spec: BatchSpec, items: readonly BatchItem[]): Promise<Result<Batch, StoreError>> {
     const records = this._ledger.submission(spec, items)
     const written = await this._journal.append(records)
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -13,11 +13,11 @@
 const TOPIC = 'keyed.leader'
 const KEY = 'leader'
 /** Time without a renewal after which others may claim. Four renewals fit, so that single lost responses do no harm. */
-const LEASE_MS = 1700
+const LEASE_MS = 1300
 /** Part of the lease that its holder gives up, for timers that fire late. */
-const GUARD_MS = 200
-const RENEW_INTERVAL_MS = 350
-const APPEND_TIMEOUT_MS = 400
+const GUARD_MS = 150
+const RENEW_INTERVAL_MS = 250
+const APPEND_TIMEOUT_MS = 350
 const TICK_MS = 50
 /** Spreads the claims of several entries, so that a returning leader and one of the others come first. */
 const MAX_CLAIM_DELAY_MS = 250
@@ -116,6 +116,8 @@
 
   private _mayClaim (nowMs: number): boolean {
     const isFree = this._seen === undefined || this._seen.released === true
+    // This process has replaced the holder's on the same host, so that one is gone.
+    if (this._seen?.address === this._address && this._seen.holder !== this._holder) return nowMs - this._tail.contactAtMs < FRESH_CONTACT_MS
     const freeAtMs = isFree ? this._seen?.receivedAtMs ?? 0 : (this._seen as Seen).receivedAtMs + LEASE_MS
     // After an outage the old leader, which has all state, comes before the others.
     const claimAtMs = Math.max(freeAtMs, this._tail.reachableSinceMs) + this._claimDelayMs
