--- a/src/common/batch/BatchRunner.ts
+++ b/src/common/batch/BatchRunner.ts
@@ -97,8 +97,8 @@
     return { count, minVersion }
   }
 
-  noteLoading (engineId: string, forMs: number): void {
-    this._board.noteLoading(engineId, forMs)
+  noteLoading (engineId: string, limitMs: number, expectedMs: number): void {
+    this._board.noteLoading(engineId, limitMs, expectedMs)
     this._dispatchSoon()
   }
 
@@ -225,7 +225,7 @@
   private _settle (run: ItemRun, end: EngineRunEnd): void {
     const { batch, state, engine } = run
     if (end.kind === 'complete') {
-      if (run.paceMs !== undefined) engine.noteAnswer(run.paceMs)
+      engine.noteSuccess()
       this._estimator.onCompleted(state.item.lengthHintTokens, state.progress.events.length)
       state.progress.isComplete = true
       this._finish(batch, state, 'completed')
--- a/src/common/batch/EngineBoard.ts
+++ b/src/common/batch/EngineBoard.ts
@@ -7,7 +7,7 @@
 
 /** The engines of a model as the choice for an item sees them. */
 export class EngineBoard {
-  private readonly _loadingUntilMs = new Map<string, number>()
+  private readonly _loading = new Map<string, { limitAtMs: number, expectedAtMs: number }>()
 
   constructor (
     private readonly _fleet: IFleet,
@@ -29,13 +29,19 @@
     }))
   }
 
-  noteLoading (engineId: string, forMs: number): void {
-    if (forMs > 0) this._loadingUntilMs.set(engineId, performance.now() + forMs)
-    else this._loadingUntilMs.delete(engineId)
+  noteLoading (engineId: string, limitMs: number, expectedMs: number): void {
+    const nowMs = performance.now()
+    if (limitMs > 0) this._loading.set(engineId, { limitAtMs: nowMs + limitMs, expectedAtMs: nowMs + expectedMs })
+    else this._loading.delete(engineId)
   }
 
   isLoading (engineId: string): boolean {
-    return performance.now() < (this._loadingUntilMs.get(engineId) ?? 0)
+    return performance.now() < (this._loading.get(engineId)?.limitAtMs ?? 0)
+  }
+
+  /** For how long the runs of an engine are still expected to pause for a load. */
+  pauseMs (engineId: string): number {
+    return Math.max(0, (this._loading.get(engineId)?.expectedAtMs ?? 0) - performance.now())
   }
 }
 
--- a/src/common/batch/ItemRun.ts
+++ b/src/common/batch/ItemRun.ts
@@ -107,8 +107,10 @@
     progress.events.push(data)
     progress.lastEventId = id
     if (!progress.versions.includes(this._version)) progress.versions.push(this._version)
+    const nowMs = performance.now()
+    if (this._lastEventAtMs !== undefined) this.engine.noteGap(nowMs - this._lastEventAtMs)
     this._eventCount += 1
-    this._lastEventAtMs = performance.now()
+    this._lastEventAtMs = nowMs
     this._firstEventAtMs ??= this._lastEventAtMs
   }
 
--- a/src/common/batch/RunGuard.ts
+++ b/src/common/batch/RunGuard.ts
@@ -37,15 +37,15 @@
   }
 
   private _moveIfSlow (run: ItemRun, remainingEvents: number, taken: Map<string, number>): void {
-    const { paceMs } = run
+    const paceMs = run.engine.averageMs
     if (paceMs === undefined) return
+    const pauseMs = this._board.pauseMs(run.engine.member.id)
     const engines = this._board.views(run.service, run.batch.spec.model)
       .filter(engine => engine.id !== run.engine.member.id && engine.freeSlots > (taken.get(engine.id) ?? 0))
     const target = chooseEngine(engines, { minVersion: run.batch.spec.minVersion, avoided: new Set(), affine: new Set() })
-    if (target === undefined || !shouldMove({ paceMs, targetPaceMs: target.paceMs, remainingEvents })) return
+    if (target === undefined || !shouldMove({ paceMs, targetPaceMs: target.paceMs, remainingEvents, pauseMs })) return
     taken.set(target.id, (taken.get(target.id) ?? 0) + 1)
-    run.engine.noteAnswer(paceMs)
-    this._logger.info({ batch: run.batch.spec.id, item: run.state.item.id, from: run.engine.member.id, to: target.id, pace_ms: Math.round(paceMs), target_pace_ms: Math.round(target.paceMs), remaining_events: Math.round(remainingEvents) }, 'item_moved')
+    this._logger.info({ batch: run.batch.spec.id, item: run.state.item.id, from: run.engine.member.id, to: target.id, pace_ms: Math.round(paceMs), target_pace_ms: Math.round(target.paceMs), remaining_events: Math.round(remainingEvents), pause_ms: Math.round(pauseMs) }, 'item_moved')
     run.cancel('slow')
   }
 }
--- a/src/common/fleet/FleetUpstream.ts
+++ b/src/common/fleet/FleetUpstream.ts
@@ -3,6 +3,10 @@
 
 /** Weight of a new observation in the average of answer times. */
 const LATENCY_WEIGHT = 0.3
+/** Time in which the pace of an engine follows its events; neighbours slow it for about 0.6 s at a time. */
+const GAP_TIME_CONSTANT_MS = 1200
+const MAX_GAP_WEIGHT = 0.15
+const MAX_GAP_FACTOR = 8
 const FIRST_PENALTY_MS = 150
 const MAX_PENALTY_MS = 3000
 /** A report says little about an upstream after this time. */
@@ -16,6 +20,7 @@
   /** Average time of an answer, or of an event for engines; undefined before the first. */
   averageMs?: number
   private _load?: LoadReading & { atMs: number }
+  private _gapAtMs = 0
   private _failures = 0
   private _avoidUntilMs = 0
   private _versions = new Map<string, number>()
@@ -43,13 +48,30 @@
   }
 
   noteAnswer (durationMs: number): void {
+    this.noteSuccess()
+    this.averageMs = this.averageMs === undefined ? durationMs : this.averageMs + LATENCY_WEIGHT * (durationMs - this.averageMs)
+  }
+
+  noteSuccess (): void {
     this._failures = 0
     this._avoidUntilMs = 0
-    this.averageMs = this.averageMs === undefined ? durationMs : this.averageMs + LATENCY_WEIGHT * (durationMs - this.averageMs)
+  }
+
+  /** Notes the pause between two events of a stream. Many streams together count no more than one. */
+  noteGap (gapMs: number): void {
+    const nowMs = performance.now()
+    const known = this.averageMs
+    // Pauses far beyond the usual come from loads and breaks, not from the pace.
+    if (known !== undefined && gapMs > MAX_GAP_FACTOR * known) return
+    const weight = Math.min(MAX_GAP_WEIGHT, (nowMs - this._gapAtMs) / GAP_TIME_CONSTANT_MS)
+    this._gapAtMs = nowMs
+    this.averageMs = known === undefined ? gapMs : known + weight * (gapMs - known)
   }
 
   /** Avoids this upstream for a time that doubles with each failure in a row. */
   noteFailure (): void {
+    // Several requests that break at the same moment show one failure.
+    if (this.isAvoided) return
     this._avoidUntilMs = performance.now() + Math.min(MAX_PENALTY_MS, FIRST_PENALTY_MS * 2 ** this._failures)
     this._failures += 1
   }
--- a/src/common/version/VersionDuty.ts
+++ b/src/common/version/VersionDuty.ts
@@ -18,6 +18,9 @@
 const MIN_LOADING = 2
 /** After this time an engine that does not show its version is asked again. */
 const LOAD_LIMIT_MS = 4000
+/** Expected time of a load before one has been seen. */
+const FIRST_LOAD_MS = 900
+const LEARN_WEIGHT = 0.3
 const RETRY_PAUSE_MS = 500
 /** Beyond the time in which orders of two holders count as turns. */
 const TAKEOVER_MARGIN_MS = 300
@@ -39,6 +42,8 @@
 /** Moves engines to the versions that trainers have named, as the one holder of an epoch. */
 export class VersionDuty extends Disposable {
   private readonly _memory = new WeakMap<FleetUpstream, EngineMemory>()
+  /** How long a load takes, as seen so far. */
+  private _loadMs = FIRST_LOAD_MS
   private readonly _startedAtMs = performance.now()
 
   constructor (
@@ -121,12 +126,15 @@
     const isDone = engine.versionOf(memory.pendingModel) >= memory.pendingVersion
     const durationMs = performance.now() - memory.sentAtMs
     if (!isDone && durationMs < LOAD_LIMIT_MS) return
-    if (isDone) this._metrics.duration('version_load', durationMs)
+    if (isDone) {
+      this._metrics.duration('version_load', durationMs)
+      this._loadMs += LEARN_WEIGHT * (durationMs - this._loadMs)
+    }
     this._logger.info({ upstream: engine.member.id, model: memory.pendingModel, version: memory.pendingVersion, duration_ms: Math.round(durationMs) }, isDone ? 'version_loaded' : 'version_load_overdue')
     memory.pendingVersion = undefined
     // What the engine has accepted is unknown after an overdue load.
     if (!isDone) memory.acceptedCount = undefined
-    this._term.loads.noteLoading(engine.member.id, 0)
+    this._term.loads.noteLoading(engine.member.id, 0, 0)
   }
 
   private async _order (engine: FleetUpstream, model: string, version: number): Promise<void> {
@@ -144,7 +152,7 @@
     memory.sentAtMs = performance.now()
     memory.pendingModel = model
     memory.pendingVersion = version
-    this._term.loads.noteLoading(engine.member.id, LOAD_LIMIT_MS)
+    this._term.loads.noteLoading(engine.member.id, LOAD_LIMIT_MS, this._loadMs)
     const end = await this._orders.send(engine, { model, version, mode: 'keep_runs', holder: this._term.holder, epoch: this._term.epoch, expectedCount })
     memory.isBusy = false
     this._logger.info({ upstream: engine.member.id, model, version, epoch: this._term.epoch, expected_count: expectedCount, outcome: end }, 'version_ordered')
@@ -157,7 +165,7 @@
       memory.pendingVersion = undefined
       memory.acceptedCount = undefined
       memory.notBeforeMs = performance.now() + RETRY_PAUSE_MS
-      this._term.loads.noteLoading(engine.member.id, 0)
+      this._term.loads.noteLoading(engine.member.id, 0, 0)
     }
   }
 }
--- a/src/node/upstream/HttpUpstreamClient.ts
+++ b/src/node/upstream/HttpUpstreamClient.ts
@@ -19,8 +19,6 @@
 
 /** Allows one retransmission of a lost SYN, which the kernel sends after 1 s. */
 const CONNECT_TIMEOUT_MS = 1_500
-/** Idle time after which a connection is closed; below the common 5 s of servers, to lose fewer races with their close. */
-const KEEP_ALIVE_MS = 4_000
 
 type Settle<T> = (result: Result<T, UpstreamError>) => void
 
@@ -39,8 +37,8 @@
       connections: null,
       allowH2: false,
       connect: { timeout: CONNECT_TIMEOUT_MS },
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeout: _dialect.keepAliveMs,
+      keepAliveMaxTimeout: _dialect.maxKeepAliveMs,
       maxHeaderSize: this._settings.maxHeaderBytes,
       // The deadline of each request limits its time.
       headersTimeout: 0,
--- a/src/node/upstream/UpstreamDialect.ts
+++ b/src/node/upstream/UpstreamDialect.ts
@@ -6,4 +6,8 @@
   acceptsUnframed: boolean
   /** Whether the caller's Host header is sent in place of the upstream's address. */
   forwardsHost: boolean
+  /** Idle time after which a connection is closed, unless the upstream states another. */
+  keepAliveMs: number
+  /** Longest idle time, whatever the upstream states. */
+  maxKeepAliveMs: number
 }
