--- a/chaos/chaos.test.ts
+++ b/chaos/chaos.test.ts
@@ -7,7 +7,7 @@
 const TIMEOUT_MS = 110_000
 const SECONDS = 10
 
-describe('chaos', { timeout: TIMEOUT_MS, concurrency: true }, () => {
+describe('chaos', { timeout: TIMEOUT_MS }, () => {
   for (const seed of [1, 2]) {
     it(`keeps the invariants under the faults of seed ${seed}`, async () => {
       const result = await runChaos(seed, SECONDS)
