Keep the homes of engines over a takeover and use every engine that has a fitting version

Change: a new leader reads the homes off the versions; homes bind loads only, not runs; loads are noted by engine and model.

--- a/src/common/batch/BatchRunner.ts
+++ b/src/common/batch/BatchRunner.ts
@@ -97,8 +97,8 @@
     return { count, minVersion }
   }
 
-  noteLoading (engineId: string, limitMs: number, expectedMs: number): void {
-    this._board.noteLoading(engineId, limitMs, expectedMs)
+  noteLoading (engineId: string, model: string, limitMs: number, expectedMs: number): void {
+    this._board.noteLoading(engineId, model, limitMs, expectedMs)
     this._dispatchSoon()
   }
 
--- a/src/common/batch/BatchStatusLog.ts
+++ b/src/common/batch/BatchStatusLog.ts
@@ -26,8 +26,8 @@
     if (open.length === 0 && running === 0) return
     const engines = this._fleet.all().filter(engine => engine.member.versions.size > 0).map(engine => {
       const { id } = engine.member
-      const state = engine.isAvoided ? ':avoided' : this._board.isLoading(id) ? ':loading' : ''
-      return `${id}:${runningOn(id)}:${Math.round(engine.averageMs ?? 0)}ms${state}`
+      const loading = [...engine.member.versions.keys()].filter(model => this._board.isLoading(id, model)).map(model => `:loads ${model}`).join('')
+      return `${id}:${runningOn(id)}:${Math.round(engine.averageMs ?? 0)}ms${engine.isAvoided ? ':avoided' : ''}${loading}`
     })
     const batches = open.map(({ spec, positionsTaken, items }) => `${spec.id}:step ${spec.step}:${positionsTaken}/${items.length}`)
     this._logger.info({ open: batches.join(','), running, engines: engines.join(',') }, 'batch_status')
--- a/src/common/batch/EngineBoard.ts
+++ b/src/common/batch/EngineBoard.ts
@@ -7,16 +7,13 @@
 
 /** The engines of a model as the choice for an item sees them. */
 export class EngineBoard {
+  /** Loads by engine and model; runs of other models are not affected. */
   private readonly _loading = new Map<string, { limitAtMs: number, expectedAtMs: number }>()
 
-  constructor (
-    private readonly _fleet: IFleet,
-    private readonly _homeEngines: (service: string, model: string) => ReadonlySet<string> | undefined
-  ) {}
+  constructor (private readonly _fleet: IFleet) {}
 
   views (service: string, model: string): EngineView[] {
-    const home = this._homeEngines(service, model)
-    const upstreams = this._fleet.ofService(service).filter(upstream => home === undefined || home.has(upstream.member.id))
+    const upstreams = this._fleet.ofService(service)
     const usualMs = usualPaceMs(upstreams)
     return upstreams.map(upstream => ({
       id: upstream.member.id,
@@ -25,26 +22,30 @@
       running: upstream.outstanding,
       paceMs: upstream.averageMs ?? usualMs,
       isAvoided: upstream.isAvoided,
-      isLoading: this.isLoading(upstream.member.id)
+      isLoading: this.isLoading(upstream.member.id, model)
     }))
   }
 
-  noteLoading (engineId: string, limitMs: number, expectedMs: number): void {
+  noteLoading (engineId: string, model: string, limitMs: number, expectedMs: number): void {
     const nowMs = performance.now()
-    if (limitMs > 0) this._loading.set(engineId, { limitAtMs: nowMs + limitMs, expectedAtMs: nowMs + expectedMs })
-    else this._loading.delete(engineId)
+    if (limitMs > 0) this._loading.set(keyOf(engineId, model), { limitAtMs: nowMs + limitMs, expectedAtMs: nowMs + expectedMs })
+    else this._loading.delete(keyOf(engineId, model))
   }
 
-  isLoading (engineId: string): boolean {
-    return performance.now() < (this._loading.get(engineId)?.limitAtMs ?? 0)
+  isLoading (engineId: string, model: string): boolean {
+    return performance.now() < (this._loading.get(keyOf(engineId, model))?.limitAtMs ?? 0)
   }
 
-  /** For how long the runs of an engine are still expected to pause for a load. */
-  pauseMs (engineId: string): number {
-    return Math.max(0, (this._loading.get(engineId)?.expectedAtMs ?? 0) - performance.now())
+  /** For how long the runs of a model at an engine are still expected to pause for a load. */
+  pauseMs (engineId: string, model: string): number {
+    return Math.max(0, (this._loading.get(keyOf(engineId, model))?.expectedAtMs ?? 0) - performance.now())
   }
 }
 
+function keyOf (engineId: string, model: string): string {
+  return `${engineId} ${model}`
+}
+
 /** An engine that has not shown its pace is taken for an average one, neither better nor worse. */
 function usualPaceMs (upstreams: readonly FleetUpstream[]): number {
   const known = upstreams.flatMap(upstream => upstream.averageMs ?? [])
--- a/src/common/batch/IEngineLoads.ts
+++ b/src/common/batch/IEngineLoads.ts
@@ -4,6 +4,6 @@
   runningOn (engineId: string, model?: string): number
   /** Items that wait for an engine, and the oldest version that the newest open batch accepts. */
   waitingFor (model: string): { count: number, minVersion: number | undefined }
-  /** Keeps new runs away from an engine for `limitMs` at most, and tells how long its runs will pause; 0 lifts that. */
-  noteLoading (engineId: string, limitMs: number, expectedMs: number): void
+  /** Keeps new runs of a model away from an engine for `limitMs` at most, and tells how long its runs will pause; 0 lifts that. */
+  noteLoading (engineId: string, model: string, limitMs: number, expectedMs: number): void
 }
--- a/src/common/batch/RunGuard.ts
+++ b/src/common/batch/RunGuard.ts
@@ -30,7 +30,7 @@
   private _endSilent (run: ItemRun): boolean {
     const limitMs = Math.min(MAX_STALL_MS, Math.max(MIN_STALL_MS, STALL_PACES * (run.engine.averageMs ?? 0)))
     // An engine that loads a version pauses its runs.
-    if (run.silentMs() <= limitMs || this._board.isLoading(run.engine.member.id)) return false
+    if (run.silentMs() <= limitMs || this._board.isLoading(run.engine.member.id, run.batch.spec.model)) return false
     run.engine.noteFailure()
     run.cancel('silent')
     return true
@@ -39,7 +39,7 @@
   private _moveIfSlow (run: ItemRun, remainingEvents: number, taken: Map<string, number>): void {
     const paceMs = run.engine.averageMs
     if (paceMs === undefined) return
-    const pauseMs = this._board.pauseMs(run.engine.member.id)
+    const pauseMs = this._board.pauseMs(run.engine.member.id, run.batch.spec.model)
     const engines = this._board.views(run.service, run.batch.spec.model)
       .filter(engine => engine.id !== run.engine.member.id && engine.freeSlots > (taken.get(engine.id) ?? 0))
     const target = chooseEngine(engines, { minVersion: run.batch.spec.minVersion, avoided: new Set(), affine: new Set() })
--- a/src/common/version/HomeTable.ts
+++ b/src/common/version/HomeTable.ts
@@ -1,5 +1,6 @@
 import type { FleetUpstream } from '../fleet/FleetUpstream.js'
 import type { IFleet } from '../fleet/IFleet.js'
+import type { VersionNames } from './VersionNames.js'
 import { assignHomes } from './assignHomes.js'
 
 /** Weight of a new submission in the demand of its model. */
@@ -10,7 +11,7 @@
   private readonly _demand = new Map<string, number>()
   private readonly _homes = new Map<string, Map<string, string>>()
 
-  constructor (private readonly _fleet: IFleet) {}
+  constructor (private readonly _fleet: IFleet, private readonly _names: VersionNames) {}
 
   /** Notes how much a model asks for with one batch. */
   noteDemand (model: string, amount: number): void {
@@ -33,9 +34,23 @@
     const homes = assignHomes(
       engines.map(engine => ({ id: engine.member.id, capacity: engine.member.slots / (engine.averageMs ?? 1) })),
       models.map(model => ({ model, demand: this._demand.get(model) ?? usual })),
-      this._homes.get(service) ?? new Map()
+      this._homes.get(service) ?? this._homesByVersion(engines)
     )
     this._homes.set(service, homes)
     return homes
   }
+
+  /** The homes that an earlier leader seems to have dealt: the model of which an engine lacks fewest versions. */
+  private _homesByVersion (engines: readonly FleetUpstream[]): Map<string, string> {
+    const named = this._names.all()
+    const homes = new Map<string, string>()
+    for (const engine of engines) {
+      const lags = [...engine.member.versions.keys()]
+        .map(model => ({ model, lag: (named.get(model)?.version ?? 1) - engine.versionOf(model) }))
+        .sort((a, b) => a.lag - b.lag)
+      const [first, second] = lags
+      if (first !== undefined && first.lag < (second?.lag ?? Number.POSITIVE_INFINITY)) homes.set(engine.member.id, first.model)
+    }
+    return homes
+  }
 }
--- a/src/common/version/VersionDuty.ts
+++ b/src/common/version/VersionDuty.ts
@@ -132,9 +132,9 @@
     }
     this._logger.info({ upstream: engine.member.id, model: memory.pendingModel, version: memory.pendingVersion, duration_ms: Math.round(durationMs) }, isDone ? 'version_loaded' : 'version_load_overdue')
     memory.pendingVersion = undefined
+    this._term.loads.noteLoading(engine.member.id, memory.pendingModel, 0, 0)
     // What the engine has accepted is unknown after an overdue load.
     if (!isDone) memory.acceptedCount = undefined
-    this._term.loads.noteLoading(engine.member.id, 0, 0)
   }
 
   private async _order (engine: FleetUpstream, model: string, version: number): Promise<void> {
@@ -152,7 +152,7 @@
     memory.sentAtMs = performance.now()
     memory.pendingModel = model
     memory.pendingVersion = version
-    this._term.loads.noteLoading(engine.member.id, LOAD_LIMIT_MS, this._loadMs)
+    this._term.loads.noteLoading(engine.member.id, model, LOAD_LIMIT_MS, this._loadMs)
     const end = await this._orders.send(engine, { model, version, mode: 'keep_runs', holder: this._term.holder, epoch: this._term.epoch, expectedCount })
     memory.isBusy = false
     this._logger.info({ upstream: engine.member.id, model, version, epoch: this._term.epoch, expected_count: expectedCount, outcome: end }, 'version_ordered')
@@ -165,7 +165,7 @@
       memory.pendingVersion = undefined
       memory.acceptedCount = undefined
       memory.notBeforeMs = performance.now() + RETRY_PAUSE_MS
-      this._term.loads.noteLoading(engine.member.id, 0, 0)
+      this._term.loads.noteLoading(engine.member.id, model, 0, 0)
     }
   }
 }
