Spread long items over engines by the memory that they need, and lead on strong hosts

In larger deployments hosts have a quarter of the processor of others, and one of these may become the leader.

Change: an engine takes an item only if its memory holds what its runs and the item are expected to need; entries claim later the fewer cores they have.

--- a/src/common/batch/BatchDesk.test.ts
+++ b/src/common/batch/BatchDesk.test.ts
@@ -88,7 +88,7 @@
   async function lead (epoch: number): Promise<{ desk: BatchDesk, leadership: FakeLeadership }> {
     const leadership = new FakeLeadership()
     const desk = new BatchDesk(store, leadership, batches =>
-      new BatchRunner(batches, fleet, routes, engines, new EngineBoard(fleet), logger, metrics), KEEP_MS, logger)
+      new BatchRunner(batches, fleet, routes, engines, new EngineBoard(fleet, routes), logger, metrics), KEEP_MS, logger)
     opened.push(desk)
     leadership.gain(epoch)
     await time.advance(50)
--- a/src/common/batch/BatchRunner.ts
+++ b/src/common/batch/BatchRunner.ts
@@ -116,7 +116,7 @@
   }
 
   private _tick (): void {
-    this._guard.check(this._runs.values())
+    this._guard.check(this._runs)
     this._saver.saveDue(this._runs.values())
     this._dispatchSoon()
     this._status.writeDue(this._runs.size, engineId => this.runningOn(engineId))
@@ -145,7 +145,7 @@
         continue
       }
       const key = `${service} ${batch.spec.model}`
-      const engines = views.get(key) ?? this._board.views(service, batch.spec.model)
+      const engines = views.get(key) ?? this._board.views(service, batch.spec.model, this._runs.values(), this._estimator)
       views.set(key, engines)
       this._dispatchBatch(batch, route, service, engines)
     }
@@ -161,7 +161,9 @@
         continue
       }
       const version = state.progress.versions.at(-1)
+      const kvTokens = this._board.kvTokens(service, state, this._estimator)
       const engine = chooseEngine(engines, {
+        kvTokens,
         minVersion: batch.spec.minVersion,
         onlyVersion: route.isSingleVersion ? version : undefined,
         avoided: state.avoidedUpstreams,
@@ -173,6 +175,7 @@
       }
       engine.freeSlots -= 1
       engine.running += 1
+      engine.kvFreeTokens -= kvTokens
       this._start(batch, state, route, service, engine.id)
     }
   }
--- a/src/common/batch/EngineBoard.ts
+++ b/src/common/batch/EngineBoard.ts
@@ -1,6 +1,11 @@
 import type { FleetUpstream } from '../fleet/FleetUpstream.js'
 import type { IFleet } from '../fleet/IFleet.js'
+import type { EngineInfo } from '../routing/EngineInfo.js'
+import type { IRouteTable } from '../routing/IRouteTable.js'
 import type { EngineView } from './EngineView.js'
+import type { ItemRun } from './ItemRun.js'
+import type { ItemState } from './ItemState.js'
+import type { LengthEstimator } from './LengthEstimator.js'
 
 /** Expected time between two events before any engine has shown its pace. */
 const DEFAULT_PACE_MS = 45
@@ -10,9 +15,12 @@
   /** Loads by engine and model; runs of other models are not affected. */
   private readonly _loading = new Map<string, { limitAtMs: number, expectedAtMs: number }>()
 
-  constructor (private readonly _fleet: IFleet) {}
+  constructor (private readonly _fleet: IFleet, private readonly _routes: IRouteTable) {}
 
-  views (service: string, model: string): EngineView[] {
+  /** `runs` are all that run now. */
+  views (service: string, model: string, runs: Iterable<ItemRun>, estimator: LengthEstimator): EngineView[] {
+    const reserved = this._reservedTokens(service, runs, estimator)
+    const capacity = this._engineInfo(service)?.kvCapacityTokens ?? Number.POSITIVE_INFINITY
     const upstreams = this._fleet.ofService(service)
     const usualMs = usualPaceMs(upstreams)
     return upstreams.map(upstream => ({
@@ -21,11 +29,31 @@
       freeSlots: upstream.member.slots - upstream.outstanding,
       running: upstream.outstanding,
       paceMs: upstream.averageMs ?? usualMs,
+      kvFreeTokens: capacity - (reserved.get(upstream.member.id) ?? 0),
       isAvoided: upstream.isAvoided,
       isLoading: this.isLoading(upstream.member.id, model)
     }))
   }
 
+  /** Memory that an item needs in the end, as far as its hint and its events tell. */
+  kvTokens (service: string, state: ItemState, estimator: LengthEstimator): number {
+    const events = state.progress.events.length + estimator.remainingEvents(state)
+    return state.item.promptTokens + events * (this._engineInfo(service)?.tokensPerEvent ?? 0)
+  }
+
+  private _engineInfo (service: string): EngineInfo | undefined {
+    return this._routes.config?.services.get(service)?.engine
+  }
+
+  private _reservedTokens (service: string, runs: Iterable<ItemRun>, estimator: LengthEstimator): Map<string, number> {
+    const reserved = new Map<string, number>()
+    for (const run of runs) {
+      const { id } = run.engine.member
+      reserved.set(id, (reserved.get(id) ?? 0) + this.kvTokens(service, run.state, estimator))
+    }
+    return reserved
+  }
+
   noteLoading (engineId: string, model: string, limitMs: number, expectedMs: number): void {
     const nowMs = performance.now()
     if (limitMs > 0) this._loading.set(keyOf(engineId, model), { limitAtMs: nowMs + limitMs, expectedAtMs: nowMs + expectedMs })
--- a/src/common/batch/EngineView.ts
+++ b/src/common/batch/EngineView.ts
@@ -6,6 +6,8 @@
   running: number
   /** Expected time between two events. */
   paceMs: number
+  /** Memory that the runs there are not expected to need. */
+  kvFreeTokens: number
   isAvoided: boolean
   isLoading: boolean
 }
--- a/src/common/batch/RunGuard.ts
+++ b/src/common/batch/RunGuard.ts
@@ -2,6 +2,7 @@
 import { chooseEngine } from './chooseEngine.js'
 import type { EngineBoard } from './EngineBoard.js'
 import type { ItemRun } from './ItemRun.js'
+import type { ItemState } from './ItemState.js'
 import type { LengthEstimator } from './LengthEstimator.js'
 import { shouldMove } from './shouldMove.js'
 
@@ -16,15 +17,15 @@
   constructor (private readonly _board: EngineBoard, private readonly _estimator: LengthEstimator, private readonly _logger: ILogger) {}
 
   /** Checks all runs; those with most left come first, because free slots of fast engines are few. */
-  check (runs: Iterable<ItemRun>): void {
+  check (runs: ReadonlyMap<ItemState, ItemRun>): void {
     const candidates: Array<{ run: ItemRun, remaining: number }> = []
-    for (const run of runs) {
+    for (const run of runs.values()) {
       if (run.isCancelled || this._endSilent(run)) continue
       if (run.durationMs >= MIN_RUN_BEFORE_MOVE_MS && run.isMovable) candidates.push({ run, remaining: this._estimator.remainingEvents(run.state) })
     }
     candidates.sort((a, b) => b.remaining - a.remaining)
     const taken = new Map<string, number>()
-    for (const { run, remaining } of candidates) this._moveIfSlow(run, remaining, taken)
+    for (const { run, remaining } of candidates) this._moveIfSlow(run, remaining, taken, runs)
   }
 
   private _endSilent (run: ItemRun): boolean {
@@ -36,13 +37,13 @@
     return true
   }
 
-  private _moveIfSlow (run: ItemRun, remainingEvents: number, taken: Map<string, number>): void {
+  private _moveIfSlow (run: ItemRun, remainingEvents: number, taken: Map<string, number>, runs: ReadonlyMap<ItemState, ItemRun>): void {
     const paceMs = run.engine.averageMs
     if (paceMs === undefined) return
     const pauseMs = this._board.pauseMs(run.engine.member.id, run.batch.spec.model)
-    const engines = this._board.views(run.service, run.batch.spec.model)
+    const engines = this._board.views(run.service, run.batch.spec.model, runs.values(), this._estimator)
       .filter(engine => engine.id !== run.engine.member.id && engine.freeSlots > (taken.get(engine.id) ?? 0))
-    const target = chooseEngine(engines, { minVersion: run.batch.spec.minVersion, avoided: new Set(), affine: new Set() })
+    const target = chooseEngine(engines, { minVersion: run.batch.spec.minVersion, kvTokens: this._board.kvTokens(run.service, run.state, this._estimator), avoided: new Set(), affine: new Set() })
     if (target === undefined || !shouldMove({ paceMs, targetPaceMs: target.paceMs, remainingEvents, pauseMs })) return
     taken.set(target.id, (taken.get(target.id) ?? 0) + 1)
     this._logger.info({ batch: run.batch.spec.id, item: run.state.item.id, from: run.engine.member.id, to: target.id, pace_ms: Math.round(paceMs), target_pace_ms: Math.round(target.paceMs), remaining_events: Math.round(remainingEvents), pause_ms: Math.round(pauseMs) }, 'item_moved')
--- a/src/common/batch/batchItemSchema.ts
+++ b/src/common/batch/batchItemSchema.ts
@@ -9,6 +9,7 @@
   bodyBase64: z.string(),
   /** The caller's estimate of the number of output tokens; right at the median only. */
   lengthHintTokens: z.number().optional(),
+  promptTokens: z.number(),
   /** Prompt tokens and most output tokens together. */
   tokens: z.number()
 })
--- a/src/common/batch/chooseEngine.test.ts
+++ b/src/common/batch/chooseEngine.test.ts
@@ -5,9 +5,9 @@
 import { shouldMove } from './shouldMove.js'
 
 const engine = (id: string, overrides: Partial<EngineView> = {}): EngineView =>
-  ({ id, version: 2, freeSlots: 4, running: 0, paceMs: 30, isAvoided: false, isLoading: false, ...overrides })
+  ({ id, version: 2, freeSlots: 4, running: 0, paceMs: 30, kvFreeTokens: 50_000, isAvoided: false, isLoading: false, ...overrides })
 const wish = (overrides: Partial<Parameters<typeof chooseEngine>[1]> = {}): Parameters<typeof chooseEngine>[1] =>
-  ({ minVersion: 1, avoided: new Set(), affine: new Set(), ...overrides })
+  ({ minVersion: 1, kvTokens: 1000, avoided: new Set(), affine: new Set(), ...overrides })
 
 describe('chooseEngine', () => {
   // Load: engines of one service that differ in speed by a factor of two and more.
@@ -27,6 +27,14 @@
     expect(chooseEngine(engines, wish({ affine: new Set(['c']) }))?.id).toEqual('a')
   })
 
+  // Load: a tenth of the items needs five times the memory of the others, and the fastest engines get them first.
+  it('spreads long items by memory, so that no engine has to put runs back', () => {
+    const engines = [engine('fast', { running: 4, kvFreeTokens: 8000 }), engine('other', { paceMs: 45, running: 4 })]
+    expect(chooseEngine(engines, wish({ kvTokens: 12_000 }))?.id).toEqual('other')
+    expect(chooseEngine(engines, wish({ kvTokens: 2000 }))?.id).toEqual('fast')
+    expect(chooseEngine([engine('idle', { kvFreeTokens: 8000 })], wish({ kvTokens: 12_000 }))?.id).toEqual('idle')
+  })
+
   it('returns to an engine that broke the item off only when there is no other, and never to one that fails', () => {
     const engines = [engine('broke', { paceMs: 10 }), engine('failing', { paceMs: 5, isAvoided: true })]
     expect(chooseEngine([...engines, engine('other')], wish({ avoided: new Set(['broke']) }))?.id).toEqual('other')
--- a/src/common/batch/chooseEngine.ts
+++ b/src/common/batch/chooseEngine.ts
@@ -9,6 +9,8 @@
   minVersion: number
   /** The only version that may go on with what has been generated. */
   onlyVersion?: number
+  /** Memory that the item is expected to need. */
+  kvTokens: number
   /** Engines that broke off this item; used when there is no other. */
   avoided: ReadonlySet<string>
   /** Engines that keep the shared part of the prompt. */
@@ -17,7 +19,7 @@
 
 /** Chooses the engine with a free slot on which the item ends soonest. */
 export function chooseEngine (engines: readonly EngineView[], wish: EngineWish): EngineView | undefined {
-  const fitting = engines.filter(engine => engine.freeSlots > 0 && !engine.isLoading && fitsVersion(engine.version, wish))
+  const fitting = engines.filter(engine => engine.freeSlots > 0 && !engine.isLoading && fitsVersion(engine.version, wish) && fitsMemory(engine, wish))
   const sound = fitting.filter(engine => !engine.isAvoided && !wish.avoided.has(engine.id))
   const rest = fitting.filter(engine => !engine.isAvoided)
   return cheapest(sound, wish) ?? cheapest(rest, wish)
@@ -27,6 +29,11 @@
   return version >= wish.minVersion && (wish.onlyVersion === undefined || version === wish.onlyVersion)
 }
 
+/** An engine that runs out of memory puts back its newest runs; one that runs nothing takes anything. */
+function fitsMemory (engine: EngineView, wish: EngineWish): boolean {
+  return engine.running === 0 || engine.kvFreeTokens >= wish.kvTokens
+}
+
 function cheapest (engines: readonly EngineView[], wish: EngineWish): EngineView | undefined {
   const cost = (engine: EngineView): number =>
     engine.paceMs * (1 + SHARE_PER_RUNNING * engine.running) * (wish.affine.has(engine.id) ? AFFINITY_FACTOR : 1)
--- a/src/common/batch/test/createItem.ts
+++ b/src/common/batch/test/createItem.ts
@@ -2,6 +2,6 @@
 
 /** An item of a group with a hint for its length. */
 export function createItem (id: string, group: string, lengthHintTokens?: number): BatchItem {
-  const item = { id, group, path: `/batches/${id}`, headers: {}, bodyBase64: '', tokens: 100 }
+  const item = { id, group, path: `/batches/${id}`, headers: {}, bodyBase64: '', promptTokens: 10, tokens: 100 }
   return lengthHintTokens === undefined ? item : { ...item, lengthHintTokens }
 }
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -21,6 +21,11 @@
 const TICK_MS = 50
 /** Spreads the claims of several entries, so that a returning leader and one of the others come first. */
 const MAX_CLAIM_DELAY_MS = 250
+/** Entries with fewer cores than this claim later, up to the delay of one without any. */
+const REFERENCE_CORES = 1.3
+const MAX_WEAKNESS_DELAY_MS = 500
+/** A weak entry does not claim at once after its predecessor. */
+const MAX_HEIR_DELAY_MS = 250
 /** A candidate must have read the topic this recently. */
 const FRESH_CONTACT_MS = 1500
 /** Difference between wall clock and steady clock that shows that the process stood still. */
@@ -44,6 +49,7 @@
   private _heldEpoch?: number
   private _isAppending = false
   private _isRetired = false
+  private readonly _weaknessDelayMs: number
   private _claimDelayMs = Math.random() * MAX_CLAIM_DELAY_MS
   private _clockOffsetMs = Date.now() - performance.now()
 
@@ -51,9 +57,11 @@
     private readonly _client: IStoreClient,
     private readonly _holder: string,
     private readonly _address: string,
-    private readonly _logger: ILogger
+    private readonly _logger: ILogger,
+    cores = REFERENCE_CORES
   ) {
     super()
+    this._weaknessDelayMs = MAX_WEAKNESS_DELAY_MS * Math.max(0, 1 - cores / REFERENCE_CORES)
     this._tail = this._register(new KeyedTail(_client, TOPIC, _logger))
     this._tail.onRecord(record => this._onRecord(record))
   }
@@ -117,10 +125,10 @@
   private _mayClaim (nowMs: number): boolean {
     const isFree = this._seen === undefined || this._seen.released === true
     // This process has replaced the holder's on the same host, so that one is gone.
-    if (this._seen?.address === this._address && this._seen.holder !== this._holder) return nowMs - this._tail.contactAtMs < FRESH_CONTACT_MS
+    if (this._weaknessDelayMs < MAX_HEIR_DELAY_MS && this._seen?.address === this._address && this._seen.holder !== this._holder) return nowMs - this._tail.contactAtMs < FRESH_CONTACT_MS
     const freeAtMs = isFree ? this._seen?.receivedAtMs ?? 0 : (this._seen as Seen).receivedAtMs + LEASE_MS
     // After an outage the old leader, which has all state, comes before the others.
-    const claimAtMs = Math.max(freeAtMs, this._tail.reachableSinceMs) + this._claimDelayMs
+    const claimAtMs = Math.max(freeAtMs, this._tail.reachableSinceMs) + this._claimDelayMs + this._weaknessDelayMs
     return nowMs >= claimAtMs && nowMs - this._tail.contactAtMs < FRESH_CONTACT_MS
   }
 
