--- a/src/common/batch/EngineBoard.ts
+++ b/src/common/batch/EngineBoard.ts
@@ -29,6 +29,7 @@
       freeSlots: upstream.member.slots - upstream.outstanding,
       running: upstream.outstanding,
       paceMs: upstream.averageMs ?? usualMs,
+      kvCapacityTokens: capacity,
       kvFreeTokens: capacity - (reserved.get(upstream.member.id) ?? 0),
       isAvoided: upstream.isAvoided,
       isLoading: this.isLoading(upstream.member.id, model)
--- a/src/common/batch/EngineView.ts
+++ b/src/common/batch/EngineView.ts
@@ -6,7 +6,8 @@
   running: number
   /** Expected time between two events. */
   paceMs: number
-  /** Memory that the runs there are not expected to need. */
+  kvCapacityTokens: number
+  /** Memory that the runs there are not expected to need; below 0 when they need more than there is. */
   kvFreeTokens: number
   isAvoided: boolean
   isLoading: boolean
--- a/src/common/batch/chooseEngine.ts
+++ b/src/common/batch/chooseEngine.ts
@@ -19,7 +19,7 @@
 
 /** Chooses the engine with a free slot on which the item ends soonest. */
 export function chooseEngine (engines: readonly EngineView[], wish: EngineWish): EngineView | undefined {
-  const fitting = engines.filter(engine => engine.freeSlots > 0 && !engine.isLoading && fitsVersion(engine.version, wish) && fitsMemory(engine, wish))
+  const fitting = engines.filter(engine => engine.freeSlots > 0 && !engine.isLoading && fitsVersion(engine.version, wish))
   const sound = fitting.filter(engine => !engine.isAvoided && !wish.avoided.has(engine.id))
   const rest = fitting.filter(engine => !engine.isAvoided)
   return cheapest(sound, wish) ?? cheapest(rest, wish)
@@ -29,13 +29,17 @@
   return version >= wish.minVersion && (wish.onlyVersion === undefined || version === wish.onlyVersion)
 }
 
-/** An engine that runs out of memory puts back its newest runs; one that runs nothing takes anything. */
-function fitsMemory (engine: EngineView, wish: EngineWish): boolean {
-  return engine.running === 0 || engine.kvFreeTokens >= wish.kvTokens
+/**
+ * An engine that runs out of memory puts back its newest runs. What its runs need in the end is known badly,
+ * so that too little memory makes an engine dearer by the share that lacks, and never excludes it.
+ */
+function memoryFactor (engine: EngineView, wish: EngineWish): number {
+  if (!Number.isFinite(engine.kvCapacityTokens)) return 1
+  return 1 + Math.max(0, wish.kvTokens - engine.kvFreeTokens) / engine.kvCapacityTokens
 }
 
 function cheapest (engines: readonly EngineView[], wish: EngineWish): EngineView | undefined {
   const cost = (engine: EngineView): number =>
-    engine.paceMs * (1 + SHARE_PER_RUNNING * engine.running) * (wish.affine.has(engine.id) ? AFFINITY_FACTOR : 1)
+    engine.paceMs * (1 + SHARE_PER_RUNNING * engine.running) * memoryFactor(engine, wish) * (wish.affine.has(engine.id) ? AFFINITY_FACTOR : 1)
   return engines.reduce<EngineView | undefined>((best, engine) => best === undefined || cost(engine) < cost(best) ? engine : best, undefined)
 }
