Spread long items before an engine is full, and move none to one without memory

Change: used memory makes an engine slightly dearer from the start; a move needs memory for all of the item.

--- a/src/common/batch/RunGuard.ts
+++ b/src/common/batch/RunGuard.ts
@@ -41,9 +41,11 @@
     const paceMs = run.engine.averageMs
     if (paceMs === undefined) return
     const pauseMs = this._board.pauseMs(run.engine.member.id, run.batch.spec.model)
+    const kvTokens = this._board.kvTokens(run.service, run.state, this._estimator)
     const engines = this._board.views(run.service, run.batch.spec.model, runs.values(), this._estimator)
-      .filter(engine => engine.id !== run.engine.member.id && engine.freeSlots > (taken.get(engine.id) ?? 0))
-    const target = chooseEngine(engines, { minVersion: run.batch.spec.minVersion, kvTokens: this._board.kvTokens(run.service, run.state, this._estimator), avoided: new Set(), affine: new Set() })
+      // The newest run of an engine is the first that it puts back, so a move must not fill its memory.
+      .filter(engine => engine.id !== run.engine.member.id && engine.freeSlots > (taken.get(engine.id) ?? 0) && engine.kvFreeTokens >= kvTokens)
+    const target = chooseEngine(engines, { minVersion: run.batch.spec.minVersion, kvTokens, avoided: new Set(), affine: new Set() })
     if (target === undefined || !shouldMove({ paceMs, targetPaceMs: target.paceMs, remainingEvents, pauseMs })) return
     taken.set(target.id, (taken.get(target.id) ?? 0) + 1)
     this._logger.info({ batch: run.batch.spec.id, item: run.state.item.id, from: run.engine.member.id, to: target.id, pace_ms: Math.round(paceMs), target_pace_ms: Math.round(target.paceMs), remaining_events: Math.round(remainingEvents), pause_ms: Math.round(pauseMs) }, 'item_moved')
--- a/src/common/batch/chooseEngine.ts
+++ b/src/common/batch/chooseEngine.ts
@@ -5,6 +5,9 @@
 /** Slow-down of each stream by one more that runs beside it. */
 const SHARE_PER_RUNNING = 0.01
 
+/** Spreads long items over engines of about the same speed before the first is full. */
+const SPREAD_WEIGHT = 0.25
+
 interface EngineWish {
   minVersion: number
   /** The only version that may go on with what has been generated. */
@@ -35,7 +38,9 @@
  */
 function memoryFactor (engine: EngineView, wish: EngineWish): number {
   if (!Number.isFinite(engine.kvCapacityTokens)) return 1
-  return 1 + Math.max(0, wish.kvTokens - engine.kvFreeTokens) / engine.kvCapacityTokens
+  const lackingShare = Math.max(0, wish.kvTokens - engine.kvFreeTokens) / engine.kvCapacityTokens
+  const usedShare = Math.min(1, Math.max(0, 1 - engine.kvFreeTokens / engine.kvCapacityTokens))
+  return 1 + lackingShare + SPREAD_WEIGHT * usedShare
 }
 
 function cheapest (engines: readonly EngineView[], wish: EngineWish): EngineView | undefined {
