--- a/src/common/batch/describeRun.ts
+++ b/src/common/batch/describeRun.ts
@@ -11,6 +11,7 @@
     reason: 'reason' in end ? end.reason : undefined,
     cancelled: run.cancelReason,
     events: run.state.progress.events.length,
+    hint_tokens: run.state.item.lengthHintTokens,
     pace_ms: Math.round(run.paceMs ?? 0),
     duration_ms: Math.round(run.durationMs)
   }
