Take the pace of engines over windows and ask a leader before it gets a body again

Change: pace over windows of 0.2 s; after a first refusal an entry asks the leader whether it serves, one question at a time, before it sends a body again. Leases of 1.05 s, progress saved every 0.25 s.

--- /dev/null
+++ b/src/common/batch/ItemRun.test.ts
@@ -0,0 +1,76 @@
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import { FleetUpstream } from '../fleet/FleetUpstream.js'
+import { VirtualTime } from '../log/test/VirtualTime.test.js'
+import { Batch } from './Batch.js'
+import type { EngineRunEnd } from './EngineRunEnd.js'
+import type { IEngineTransport } from './IEngineTransport.js'
+import { ItemRun } from './ItemRun.js'
+import { createItem } from './test/createItem.js'
+import { createSpec } from './test/createSpec.js'
+
+type Listener = Parameters<IEngineTransport['run']>[2]
+
+describe('ItemRun', () => {
+  let time: VirtualTime
+  let listener: Listener
+  let end: (end: EngineRunEnd) => void
+  let run: ItemRun
+  let ended: Promise<EngineRunEnd>
+
+  beforeEach(() => {
+    time = new VirtualTime()
+    const engine = new FleetUpstream({ id: 'e', bornAtMs: 0, service: 's', address: '', failureDomain: 'd', slots: 8, isDraining: false, versions: new Map() })
+    const batch = new Batch(createSpec({ minVersion: 3 }), [createItem('i', 'g')])
+    const [state] = batch.items
+    if (state === undefined) throw new Error('item is missing')
+    const transport: IEngineTransport = {
+      run: async (_request, _engine, given, signal) => await new Promise(resolve => {
+        listener = given
+        end = resolve
+        signal.addEventListener('abort', () => resolve({ kind: 'broken', reason: 'cancelled' }))
+      })
+    }
+    run = new ItemRun({ batch, state, engine, service: 's', isMovable: true, remainingMs: 1000 }, transport)
+    ended = run.result()
+  })
+  afterEach(() => time.restore())
+
+  it('collects events and every version that made one', async () => {
+    listener.onVersion(3)
+    listener.onEvent(1, 'a')
+    listener.onVersion(4)
+    listener.onEvent(2, 'b')
+    end({ kind: 'complete' })
+    expect((await ended).kind).toEqual('complete')
+    expect(run.state.progress).toEqual({ events: ['a', 'b'], lastEventId: 2, versions: [3, 4], isComplete: false })
+  })
+
+  it('breaks off at a missing or repeated event, and takes nothing that comes after a cancel', async () => {
+    listener.onVersion(3)
+    listener.onEvent(1, 'a')
+    listener.onEvent(3, 'c')
+    listener.onEvent(2, 'b')
+    expect((await ended).kind).toEqual('broken')
+    expect(run.state.progress.events).toEqual(['a'])
+  })
+
+  it('takes no event of a version that the batch does not accept', async () => {
+    listener.onVersion(2)
+    listener.onEvent(1, 'a')
+    expect((await ended).kind).toEqual('broken')
+    expect(run.state.progress.events).toEqual([])
+  })
+
+  // Load: a busy leader reads the events of many streams late and in bursts.
+  it('takes the pace of an engine from windows of time, so that events in one burst do not make it infinitely fast', async () => {
+    listener.onVersion(3)
+    let id = 0
+    for (let burst = 0; burst < 20; burst++) {
+      for (let count = 0; count < 10; count++) listener.onEvent(++id, '')
+      await time.advance(300, 50)
+    }
+    const paceMs = run.engine.averageMs ?? 0
+    expect(paceMs > 20 && paceMs < 45).toEqual(true)
+  })
+})
--- a/src/common/batch/ItemRun.ts
+++ b/src/common/batch/ItemRun.ts
@@ -4,6 +4,7 @@
 import type { IEngineTransport } from './IEngineTransport.js'
 import type { ItemState } from './ItemState.js'
 
+const PACE_WINDOW_MS = 200
 /** Events of a run before its pace counts. */
 const MIN_EVENTS_FOR_PACE = 3
 
@@ -24,6 +25,8 @@
   private _firstEventAtMs?: number
   private _lastEventAtMs?: number
   private _eventCount = 0
+  private _windowStartMs?: number
+  private _windowEvents = 0
   private _version?: number
   private _isStale = false
   cancelReason?: string
@@ -108,12 +111,26 @@
     progress.lastEventId = id
     if (!progress.versions.includes(this._version)) progress.versions.push(this._version)
     const nowMs = performance.now()
-    if (this._lastEventAtMs !== undefined) this.engine.noteGap(nowMs - this._lastEventAtMs)
+    this._notePace(nowMs)
     this._eventCount += 1
     this._lastEventAtMs = nowMs
     this._firstEventAtMs ??= this._lastEventAtMs
   }
 
+  /** Events may arrive in bursts when this process is busy, so the pace is taken over windows of time. */
+  private _notePace (nowMs: number): void {
+    if (this._windowStartMs === undefined) {
+      this._windowStartMs = nowMs
+      return
+    }
+    this._windowEvents += 1
+    const windowMs = nowMs - this._windowStartMs
+    if (windowMs < PACE_WINDOW_MS) return
+    this.engine.notePace(windowMs / this._windowEvents, windowMs)
+    this._windowStartMs = nowMs
+    this._windowEvents = 0
+  }
+
   private _meanGapMs (): number {
     return ((this._lastEventAtMs ?? 0) - (this._firstEventAtMs ?? 0)) / Math.max(1, this._eventCount - 1)
   }
--- a/src/common/batch/ProgressSaver.ts
+++ b/src/common/batch/ProgressSaver.ts
@@ -5,7 +5,7 @@
 import type { ItemState } from './ItemState.js'
 
 /** What is generated in this time is lost with a leader at most. */
-const SAVE_INTERVAL_MS = 400
+const SAVE_INTERVAL_MS = 250
 /** Shorter items are cheaper to run again than to save. */
 const MIN_EVENTS = 8
 
--- a/src/common/fleet/FleetUpstream.ts
+++ b/src/common/fleet/FleetUpstream.ts
@@ -3,10 +3,10 @@
 
 /** Weight of a new observation in the average of answer times. */
 const LATENCY_WEIGHT = 0.3
-/** Time in which the pace of an engine follows its events; neighbours slow it for about 0.6 s at a time. */
-const GAP_TIME_CONSTANT_MS = 1200
-const MAX_GAP_WEIGHT = 0.15
-const MAX_GAP_FACTOR = 8
+/** Time in which the pace of an engine follows its streams; neighbours slow it for about 0.6 s at a time. */
+const PACE_TIME_CONSTANT_MS = 1200
+const MAX_PACE_WEIGHT = 0.3
+const MAX_PACE_FACTOR = 8
 const FIRST_PENALTY_MS = 150
 const MAX_PENALTY_MS = 3000
 /** A report says little about an upstream after this time. */
@@ -20,7 +20,6 @@
   /** Average time of an answer, or of an event for engines; undefined before the first. */
   averageMs?: number
   private _load?: LoadReading & { atMs: number }
-  private _gapAtMs = 0
   private _failures = 0
   private _avoidUntilMs = 0
   private _versions = new Map<string, number>()
@@ -57,15 +56,13 @@
     this._avoidUntilMs = 0
   }
 
-  /** Notes the pause between two events of a stream. Many streams together count no more than one. */
-  noteGap (gapMs: number): void {
-    const nowMs = performance.now()
+  /** Notes the time that one stream took for each event in a window. Many streams together count no more than one. */
+  notePace (paceMs: number, windowMs: number): void {
     const known = this.averageMs
     // Pauses far beyond the usual come from loads and breaks, not from the pace.
-    if (known !== undefined && gapMs > MAX_GAP_FACTOR * known) return
-    const weight = Math.min(MAX_GAP_WEIGHT, (nowMs - this._gapAtMs) / GAP_TIME_CONSTANT_MS)
-    this._gapAtMs = nowMs
-    this.averageMs = known === undefined ? gapMs : known + weight * (gapMs - known)
+    if (known !== undefined && paceMs > MAX_PACE_FACTOR * known) return
+    const weight = Math.min(MAX_PACE_WEIGHT, windowMs / (PACE_TIME_CONSTANT_MS * Math.max(1, this.outstanding)))
+    this.averageMs = known === undefined ? paceMs : known + weight * (paceMs - known)
   }
 
   /** Avoids this upstream for a time that doubles with each failure in a row. */
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -13,14 +13,14 @@
 const TOPIC = 'keyed.leader'
 const KEY = 'leader'
 /** Time without a renewal after which others may claim. Four renewals fit, so that single lost responses do no harm. */
-const LEASE_MS = 1300
+const LEASE_MS = 1050
 /** Part of the lease that its holder gives up, for timers that fire late. */
-const GUARD_MS = 150
-const RENEW_INTERVAL_MS = 250
-const APPEND_TIMEOUT_MS = 350
+const GUARD_MS = 120
+const RENEW_INTERVAL_MS = 200
+const APPEND_TIMEOUT_MS = 320
 const TICK_MS = 50
 /** Spreads the claims of several entries, so that a returning leader and one of the others come first. */
-const MAX_CLAIM_DELAY_MS = 250
+const MAX_CLAIM_DELAY_MS = 150
 /** Entries with fewer cores than this claim later, up to the delay of one without any. */
 const REFERENCE_CORES = 1.3
 const MAX_WEAKNESS_DELAY_MS = 500
--- /dev/null
+++ b/src/node/front/LeaderGateway.test.ts
@@ -0,0 +1,51 @@
+import { describe, it } from 'node:test'
+import { errAsync, okAsync } from 'neverthrow'
+import { expect } from 'earl'
+import { testServices } from '../../common/log/test/testServices.js'
+import type { ILeadership } from '../../common/store/ILeadership.js'
+import type { IUpstreamClient } from '../../common/upstream/IUpstreamClient.js'
+import type { FrontRequest } from './FrontRequest.js'
+import { LeaderGateway } from './LeaderGateway.js'
+import { PeerViews } from './PeerViews.js'
+
+const { logger } = testServices()
+const body = Buffer.alloc(1000)
+const request: FrontRequest = {
+  method: 'POST', target: '/x', path: '/x', query: new URLSearchParams(), host: 'h', headers: {}, body, arrivedAtMs: 0, signal: new AbortController().signal
+}
+const options = { requestId: 'r', patienceMs: 500, heldMs: 0 }
+
+function createGateway (answers: { view: () => boolean, forward: () => 'ok' | 'not_leader' | 'lost' }) {
+  const sent = { bodies: 0, views: 0 }
+  const client = {
+    call: (_address, upstreamRequest) => {
+      if (upstreamRequest.path === '/leader') {
+        sent.views += 1
+        return okAsync({ status: 200, headers: {}, body: Buffer.from(JSON.stringify({ epoch: 1, isServing: answers.view() })) })
+      }
+      sent.bodies += 1
+      const outcome = answers.forward()
+      if (outcome === 'lost') return errAsync({ kind: 'reset', message: 'reset', sent: true } as const)
+      return okAsync(outcome === 'ok' ? { status: 202, headers: {}, body: new Uint8Array() } : { status: 503, headers: { 'hyssopvalve-not-leader': '1' }, body: new Uint8Array() })
+    }
+  } as IUpstreamClient
+  const leadership = { leaderAddress: () => '10.0.0.2:1' } as ILeadership
+  const gateway = new LeaderGateway(leadership, '10.0.0.1:1', () => false, client, new PeerViews(client, logger), logger)
+  const serve = async (): Promise<number> => (await gateway.serve(request, options, async () => ({ status: 200 }))).status
+  return { sent, serve }
+}
+
+describe('LeaderGateway', () => {
+  // Load: all entries hold batches of 150 KB while a new leader restores its state.
+  it('sends no body again to a leader that is not ready, and sends it once it is', async () => {
+    let asked = 0
+    const { sent, serve } = createGateway({ view: () => ++asked > 3, forward: () => sent.bodies > 1 ? 'ok' : 'not_leader' })
+    expect(await serve()).toEqual(202)
+    expect(sent).toEqual({ bodies: 2, views: 4 })
+  })
+
+  it('says "not run" only when nothing can have reached a leader', async () => {
+    expect(await createGateway({ view: () => false, forward: () => 'not_leader' }).serve()).toEqual(503)
+    expect(await createGateway({ view: () => false, forward: () => 'lost' }).serve()).toEqual(504)
+  })
+})
--- a/src/node/front/LeaderGateway.ts
+++ b/src/node/front/LeaderGateway.ts
@@ -1,6 +1,7 @@
 import type { ILogger } from '../../common/metrics/ILogger.js'
 import type { ILeadership } from '../../common/store/ILeadership.js'
 import type { IUpstreamClient } from '../../common/upstream/IUpstreamClient.js'
+import type { PeerViews } from './PeerViews.js'
 import type { FrontAnswer } from './FrontAnswer.js'
 import type { FrontRequest } from './FrontRequest.js'
 
@@ -31,6 +32,7 @@
     private readonly _ownAddress: string,
     private readonly _isServing: () => boolean,
     private readonly _client: IUpstreamClient,
+    private readonly _views: PeerViews,
     private readonly _logger: ILogger
   ) {}
 
@@ -47,10 +49,12 @@
   async serve (request: FrontRequest, options: GatewayOptions, local: () => Promise<FrontAnswer>): Promise<FrontAnswer> {
     const untilMs = performance.now() + options.patienceMs
     let mayHaveRun = false
+    let isFirst = true
     for (;;) {
       if (this._isServing()) return await local()
       const address = this._leadership.leaderAddress()
-      if (address !== undefined && address !== this._ownAddress) {
+      if (address !== undefined && address !== this._ownAddress && (isFirst || await this._isReady(address))) {
+        isFirst = false
         const answer = await this._forward(request, options, address)
         if (answer !== 'not_sent' && answer !== 'lost') return answer
         mayHaveRun ||= answer === 'lost'
@@ -62,6 +66,11 @@
     return mayHaveRun && request.method !== 'GET' ? { status: 504 } : { status: 503, headers: { 'retry-after': REFUSED_RETRY_AFTER_S } }
   }
 
+  /** Bodies are large, so that a leader that is not ready is asked before it gets one again. */
+  private async _isReady (address: string): Promise<boolean> {
+    return (await this._views.ask(address))?.isServing === true
+  }
+
   private async _forward (request: FrontRequest, options: GatewayOptions, address: string): Promise<FrontAnswer | 'not_sent' | 'lost'> {
     const result = await this._client.call(address, {
       requestId: options.requestId,
--- a/src/node/front/LeaderWatch.ts
+++ b/src/node/front/LeaderWatch.ts
@@ -2,15 +2,12 @@
 import { toDisposable } from '../../common/kernel/toDisposable.js'
 import type { ILogger } from '../../common/metrics/ILogger.js'
 import type { ILeadership } from '../../common/store/ILeadership.js'
-import type { IUpstreamClient } from '../../common/upstream/IUpstreamClient.js'
-import { leaderViewSchema } from './leaderViewSchema.js'
+import type { PeerViews } from './PeerViews.js'
 
 const INTERVAL_MS = 250
-const ASK_TIMEOUT_MS = 400
 const PEERS_ASKED = 3
 /** Entries that were heard of longer ago are not asked. */
 const PEER_MAX_AGE_MS = 60_000
-const VIEW_PATH = '/leader'
 
 /**
  * Asks other entries who leads while this leader has lost touch with the store. If only this entry is cut off,
@@ -22,7 +19,7 @@
 
   constructor (
     private readonly _leadership: ILeadership,
-    private readonly _client: IUpstreamClient,
+    private readonly _views: PeerViews,
     private readonly _logger: ILogger
   ) {
     super()
@@ -30,10 +27,6 @@
     this._register(toDisposable(() => clearInterval(timer)))
   }
 
-  static isViewPath (path: string): boolean {
-    return path === VIEW_PATH
-  }
-
   /** Notes an entry that sent a request here as the leader. */
   notePeer (address: string): void {
     this._peers.set(address, performance.now())
@@ -50,16 +43,8 @@
   private async _ask (): Promise<void> {
     const recent = [...this._peers].filter(([, seenAtMs]) => performance.now() - seenAtMs < PEER_MAX_AGE_MS).map(([address]) => address)
     const asked = recent.sort(() => Math.random() - 0.5).slice(0, PEERS_ASKED)
-    const epochs = await Promise.all(asked.map(async address => await this._epochSeenBy(address)))
+    const epochs = await Promise.all(asked.map(async address => (await this._views.ask(address))?.epoch))
     const newest = Math.max(-1, ...epochs.flatMap(epoch => epoch ?? []))
     if (newest >= 0) this._leadership.yieldTo(newest)
   }
-
-  private async _epochSeenBy (address: string): Promise<number | undefined> {
-    const request = { requestId: 'leader', method: 'GET', path: VIEW_PATH, headers: {}, deadlineAtMs: performance.now() + ASK_TIMEOUT_MS }
-    const result = await this._client.call(address, request, new AbortController().signal)
-    if (result.isErr() || result.value.status !== 200) return undefined
-    const parsed = leaderViewSchema.safeParse(JSON.parse(Buffer.from(result.value.body).toString()))
-    return parsed.success ? parsed.data.epoch : undefined
-  }
 }
