Pass what a cut-off leader generates to the next one

Change: a leader that hears of a newer one sends it the events of all items that are not listed; the next one goes on behind them, and lists at once what is whole.

--- a/src/common/batch/BatchDesk.test.ts
+++ b/src/common/batch/BatchDesk.test.ts
@@ -9,6 +9,7 @@
 import type { ILeadership } from '../store/ILeadership.js'
 import { MemoryStore } from '../store/test/MemoryStore.js'
 import { BatchDesk } from './BatchDesk.js'
+import type { LeftProgress } from './LeftProgress.js'
 import { BatchRunner } from './BatchRunner.js'
 import { EngineBoard } from './EngineBoard.js'
 import { createItem } from './test/createItem.js'
@@ -142,6 +143,29 @@
     expect(await textsOf(second.desk)).toEqual([...before, engines.textOf('a')])
   })
 
+  // Load: a leader that is cut off from the store alone goes on generating until it hears of the next one.
+  it('goes on behind what the leader before passes on, also when that is whole', async () => {
+    engines.lengths = { a: 60, b: 30 }
+    const first = await lead(1)
+    const submitted = first.desk.submit(spec(), items)
+    await time.advance(200)
+    await submitted
+    store.isDown = true
+    const left: LeftProgress[] = []
+    first.desk.onProgressLeft(progress => left.push(progress))
+    await time.advance(1500)
+    store.isDown = false
+    first.leadership.lose()
+    expect(left[0]?.map(({ itemId, isComplete }) => `${itemId} ${isComplete}`).sort()).toEqual(['a false', 'b true'])
+    const second = await lead(2)
+    expect(second.desk.adopt(left[0] ?? [])).toEqual(true)
+    await time.advance(100)
+    expect(engines.resumedAt('a') >= 25).toEqual(true)
+    expect(await textsOf(second.desk)).toEqual([engines.textOf('b')])
+    await time.advance(2500)
+    expect(await textsOf(second.desk)).toEqual([engines.textOf('b'), engines.textOf('a')])
+  })
+
   it('runs no item of a batch that an earlier leader has ended, and still lists what it had', async () => {
     engines.lengths = { a: 60, b: 5 }
     const first = await lead(1)
--- a/src/common/batch/BatchDesk.ts
+++ b/src/common/batch/BatchDesk.ts
@@ -1,5 +1,6 @@
 import type { Result } from 'neverthrow'
 import { Disposable } from '../kernel/Disposable.js'
+import { Emitter } from '../kernel/Emitter.js'
 import { toDisposable } from '../kernel/toDisposable.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { ILeadership } from '../store/ILeadership.js'
@@ -12,6 +13,7 @@
 import type { BatchSpec } from './BatchSpec.js'
 import { BatchStore } from './BatchStore.js'
 import type { IOrderLog } from '../version/IOrderLog.js'
+import type { LeftProgress } from './LeftProgress.js'
 import type { IBatchStore } from './IBatchStore.js'
 
 const CLEANUP_INTERVAL_MS = 5000
@@ -32,6 +34,9 @@
 
 /** Serves batches while this entry is the leader. */
 export class BatchDesk extends Disposable {
+  private readonly _onProgressLeft = this._register(new Emitter<LeftProgress>())
+  /** Fires when the leadership was lost while items were running. */
+  readonly onProgressLeft = this._onProgressLeft.event
   private _term?: Term
 
   constructor (
@@ -45,7 +50,7 @@
     this._register(_leadership.onGained(epoch => {
       this._begin(epoch).catch((fault: unknown) => this._logger.error({ epoch, reason: String(fault) }, 'term_fault'))
     }))
-    this._register(_leadership.onLost(() => this._finishTerm()))
+    this._register(_leadership.onLost(() => this._onLost()))
     const timer = setInterval(() => {
       this._term?.store.removeExpired(Date.now()).catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'cleanup_fault'))
     }, CLEANUP_INTERVAL_MS)
@@ -128,6 +133,21 @@
     this._logger.info({ epoch: term.epoch, items }, items === undefined ? 'hand_over_incomplete' : 'batches_handed_over')
   }
 
+  /** Goes on behind what the leader before has passed on; false while this entry is not ready. */
+  adopt (left: LeftProgress): boolean {
+    const runner = this._term?.runner
+    if (runner === undefined) return false
+    const items = runner.adopt(left)
+    this._logger.info({ epoch: this._term?.epoch, passed_on: left.length, items }, 'progress_adopted')
+    return true
+  }
+
+  private _onLost (): void {
+    const left = this._term?.runner?.leftProgress() ?? []
+    this._finishTerm()
+    if (left.length > 0) this._onProgressLeft.fire(left)
+  }
+
   private _readyStore (): BatchStore | undefined {
     return this._term?.isReady === true ? this._term.store : undefined
   }
--- a/src/common/batch/BatchRunner.ts
+++ b/src/common/batch/BatchRunner.ts
@@ -10,6 +10,8 @@
 import type { Route } from '../routing/Route.js'
 import type { Batch } from './Batch.js'
 import { chooseEngine } from './chooseEngine.js'
+import { collectLeftProgress } from './collectLeftProgress.js'
+import { countWaiting } from './countWaiting.js'
 import { BatchStatusLog } from './BatchStatusLog.js'
 import { describeRun } from './describeRun.js'
 import type { EngineBoard } from './EngineBoard.js'
@@ -20,6 +22,8 @@
 import type { IEngineTransport } from './IEngineTransport.js'
 import { ItemRun } from './ItemRun.js'
 import type { ItemState } from './ItemState.js'
+import type { LeftProgress } from './LeftProgress.js'
+import { isStranded } from './isStranded.js'
 import { LengthEstimator } from './LengthEstimator.js'
 import { ProgressCache } from './ProgressCache.js'
 import { ProgressSaver } from './ProgressSaver.js'
@@ -74,9 +78,7 @@
   }
 
   /** Ties the life of another service to this one. */
-  own (service: IDisposable): void {
-    this._register(service)
-  }
+  own (service: IDisposable): void { this._register(service) }
 
   runningOn (engineId: string, model?: string): number {
     let count = 0
@@ -87,14 +89,7 @@
   }
 
   waitingFor (model: string): { count: number, minVersion: number | undefined } {
-    let count = 0
-    let minVersion: number | undefined
-    for (const batch of this._batches.all()) {
-      if (!batch.isOpen || batch.spec.model !== model) continue
-      minVersion = Math.max(minVersion ?? 0, batch.spec.minVersion)
-      for (const state of batch.items) if (state.status === 'waiting') count += 1
-    }
-    return { count, minVersion }
+    return countWaiting(this._batches.all(), model)
   }
 
   noteLoading (engineId: string, model: string, limitMs: number, expectedMs: number): void {
@@ -110,6 +105,25 @@
     return running.length
   }
 
+  /** What has been generated of items whose results are not durable. */
+  leftProgress (): LeftProgress {
+    return collectLeftProgress(this._batches.all())
+  }
+
+  /** Goes on behind progress that the leader before has passed on; returns how many items it carries further. */
+  adopt (left: LeftProgress): number {
+    let count = 0
+    for (const { batchId, itemId, events, versions, isComplete } of left) {
+      const state = this._batches.find(batchId)?.find(itemId)
+      if (state === undefined || state.status === 'finished' || events.length <= state.progress.events.length) continue
+      this._runs.get(state)?.cancel('further progress received')
+      state.progress = { events, versions, isComplete, lastEventId: events.length }
+      count += 1
+    }
+    this._dispatchSoon()
+    return count
+  }
+
   private _stopRuns (reason: string): void {
     this._isStopped = true
     for (const run of this._runs.values()) run.cancel(reason)
@@ -170,7 +184,7 @@
         affine: this._enginesByGroup.get(state.item.group) ?? new Set()
       })
       if (engine === undefined) {
-        this._restartIfStranded(route, state, engines)
+        if (route.isSingleVersion && isStranded(state, engines)) this._restart(state)
         continue
       }
       engine.freeSlots -= 1
@@ -180,11 +194,8 @@
     }
   }
 
-  /** No engine has the one version that may go on with the text any more: it is generated anew. */
-  private _restartIfStranded (route: Route, state: ItemState, engines: readonly EngineView[]): void {
-    const version = state.progress.versions.at(-1)
-    if (!route.isSingleVersion || version === undefined || engines.some(engine => engine.version <= version)) return
-    this._logger.info({ item: state.item.id, version, events: state.progress.events.length }, 'item_restarted')
+  private _restart (state: ItemState): void {
+    this._logger.info({ item: state.item.id, versions: state.progress.versions.join(','), events: state.progress.events.length }, 'item_restarted')
     state.restart()
   }
 
@@ -234,10 +245,7 @@
       this._finish(batch, state, 'completed')
       return
     }
-    if (end.kind === 'impossible') {
-      this._finish(batch, state, 'aborted')
-      return
-    }
+    if (end.kind === 'impossible') return this._finish(batch, state, 'aborted')
     state.notBeforeMs = performance.now() + (end.kind === 'broken' ? BROKEN_PAUSE_MS : REFUSED_PAUSE_MS)
     if (end.kind === 'not_run' && end.reason === 'cancelled') return
     if (state.avoidedUpstreams.size >= MAX_AVOIDED) state.avoidedUpstreams.clear()
@@ -270,7 +278,6 @@
 
   private _giveUp (batch: Batch): void {
     for (const state of batch.items) {
-      if (state.status === 'finished') continue
       this._runs.get(state)?.cancel('given up')
       this._finish(batch, state, 'aborted')
     }
--- /dev/null
+++ b/src/common/batch/isStranded.ts
@@ -0,0 +1,8 @@
+import type { EngineView } from './EngineView.js'
+import type { ItemState } from './ItemState.js'
+
+/** Whether no engine has the version any more under which the text of an item began. */
+export function isStranded (state: ItemState, engines: readonly EngineView[]): boolean {
+  const version = state.progress.versions.at(-1)
+  return version !== undefined && !engines.some(engine => engine.version <= version)
+}
--- a/src/common/store/Leadership.test.ts
+++ b/src/common/store/Leadership.test.ts
@@ -87,10 +87,11 @@
     const [first] = leaders()
     const lost: string[] = []
     first?.onLost(() => lost.push('lost'))
-    first?.yieldTo(first.validEpoch() ?? 0)
+    first?.yieldTo(first.validEpoch() ?? 0, 'x:1')
     expect(lost).toEqual([])
-    first?.yieldTo((first.validEpoch() ?? 0) + 1)
+    first?.yieldTo((first.validEpoch() ?? 0) + 1, 'x:1')
     expect(lost).toEqual(['lost'])
     expect(first?.isSelf).toEqual(false)
+    expect(first?.leaderAddress()).toEqual('x:1')
   })
 })
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -80,8 +80,10 @@
     return this._seen === undefined ? undefined : this._seen.epoch ?? this._seen.offset
   }
 
-  yieldTo (epoch: number): void {
-    if (this._heldEpoch !== undefined && epoch > this._heldEpoch) this._lose('a newer leader was reported')
+  yieldTo (epoch: number, address: string): void {
+    if (this._heldEpoch === undefined || epoch <= this._heldEpoch) return
+    this._seen = { holder: '', address, epoch, sequence: 0, offset: epoch, receivedAtMs: performance.now() }
+    this._lose('a newer leader was reported')
   }
 
   validEpoch (): number | undefined {
--- a/src/node/front/LeaderGateway.test.ts
+++ b/src/node/front/LeaderGateway.test.ts
@@ -18,7 +18,7 @@
 function createGateway (answers: { view: () => boolean, forward: () => 'ok' | 'not_leader' | 'lost' }) {
   const sent = { bodies: 0, views: 0 }
   const client = {
-    call: (_address, upstreamRequest) => {
+    call: (_address: string, upstreamRequest: { path: string }) => {
       if (upstreamRequest.path === '/leader') {
         sent.views += 1
         return okAsync({ status: 200, headers: {}, body: Buffer.from(JSON.stringify({ epoch: 1, isServing: answers.view() })) })
@@ -28,7 +28,7 @@
       if (outcome === 'lost') return errAsync({ kind: 'reset', message: 'reset', sent: true } as const)
       return okAsync(outcome === 'ok' ? { status: 202, headers: {}, body: new Uint8Array() } : { status: 503, headers: { 'hyssopvalve-not-leader': '1' }, body: new Uint8Array() })
     }
-  } as IUpstreamClient
+  } as unknown as IUpstreamClient
   const leadership = { leaderAddress: () => '10.0.0.2:1' } as ILeadership
   const gateway = new LeaderGateway(leadership, '10.0.0.1:1', () => false, client, new PeerViews(client, logger), logger)
   const serve = async (): Promise<number> => (await gateway.serve(request, options, async () => ({ status: 200 }))).status
--- a/src/node/front/LeaderWatch.ts
+++ b/src/node/front/LeaderWatch.ts
@@ -43,8 +43,9 @@
   private async _ask (): Promise<void> {
     const recent = [...this._peers].filter(([, seenAtMs]) => performance.now() - seenAtMs < PEER_MAX_AGE_MS).map(([address]) => address)
     const asked = recent.sort(() => Math.random() - 0.5).slice(0, PEERS_ASKED)
-    const epochs = await Promise.all(asked.map(async address => (await this._views.ask(address))?.epoch))
-    const newest = Math.max(-1, ...epochs.flatMap(epoch => epoch ?? []))
-    if (newest >= 0) this._leadership.yieldTo(newest)
+    const views = await Promise.all(asked.map(async address => await this._views.ask(address)))
+    for (const view of views) {
+      if (view?.epoch !== undefined && view.address !== undefined) this._leadership.yieldTo(view.epoch, view.address)
+    }
   }
 }
