--- a/src/common/batch/BatchRunner.ts
+++ b/src/common/batch/BatchRunner.ts
@@ -224,14 +224,11 @@
 
   private _onRunEnd (run: ItemRun, end: EngineRunEnd): void {
     const { batch, state } = run
-    this._runs.delete(state)
     this._metrics.count('batch_runs', { outcome: end.kind, cancelled: run.cancelReason ?? '' })
+    this._runs.delete(state)
     if (state.status === 'running') state.status = 'waiting'
     if ((end.kind !== 'complete' && run.cancelReason !== 'slow') || run.durationMs > LONG_RUN_MS) this._logger.info(describeRun(run, end), 'item_run_ended')
-    if (!batch.isOpen) {
-      this._progress.put(state.item.id, state.progress)
-      return
-    }
+    if (!batch.isOpen) return this._progress.put(state.item.id, state.progress)
     this._settle(run, end)
     this._dispatchSoon()
   }
