--- a/src/node/upstream/HttpUpstreamClient.ts
+++ b/src/node/upstream/HttpUpstreamClient.ts
@@ -9,6 +9,7 @@
 import type { UpstreamError } from '../../common/upstream/UpstreamError.js'
 import type { UpstreamRequest } from '../../common/upstream/UpstreamRequest.js'
 import type { UpstreamStream } from '../../common/upstream/UpstreamStream.js'
+import { connectMarkingResets } from './connectMarkingResets.js'
 import { EventStreamSink } from './EventStreamSink.js'
 import { Exchange } from './Exchange.js'
 import type { IExchangeSink } from './IExchangeSink.js'
@@ -36,7 +37,7 @@
       pipelining: 1,
       connections: null,
       allowH2: false,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: connectMarkingResets(CONNECT_TIMEOUT_MS),
       keepAliveTimeout: _dialect.keepAliveMs,
       keepAliveMaxTimeout: _dialect.maxKeepAliveMs,
       maxHeaderSize: this._settings.maxHeaderBytes,
