Save passed-on progress from its first event

Events that a leader had passed on came from other runs than those saved before, and only those behind the saved ones were saved, so that the leader after the next restored a text joined from two chains of runs.

Change: an item that goes on with another chain is saved from its first event on.

--- a/src/common/batch/BatchDesk.test.ts
+++ b/src/common/batch/BatchDesk.test.ts
@@ -166,6 +166,27 @@
     expect(await textsOf(second.desk)).toEqual([engines.textOf('b'), engines.textOf('a')])
   })
 
+  // Load: a second takeover follows soon after progress was passed on.
+  it('never joins saved events of one chain of runs with those of another', async () => {
+    engines.lengths = { a: 80, b: 5 }
+    const first = await lead(1)
+    const submitted = first.desk.submit(spec(), items)
+    await time.advance(1200)
+    await submitted
+    first.desk.dispose()
+    const second = await lead(2)
+    await time.advance(600)
+    const other = Array.from({ length: 50 }, (_, index) => `other${index + 1}`)
+    second.desk.adopt([{ batchId: 'batch-1', itemId: 'a', events: other, versions: [1], isComplete: false }])
+    await time.advance(600)
+    second.desk.dispose()
+    const third = await lead(3)
+    await time.advance(3000)
+    const texts = await textsOf(third.desk)
+    expect(texts).toHaveLength(2)
+    expect(texts[1]?.split('\n').slice(0, 50)).toEqual(other)
+  })
+
   it('runs no item of a batch that an earlier leader has ended, and still lists what it had', async () => {
     engines.lengths = { a: 60, b: 5 }
     const first = await lead(1)
--- a/src/common/batch/BatchRunner.ts
+++ b/src/common/batch/BatchRunner.ts
@@ -117,7 +117,8 @@
       const state = this._batches.find(batchId)?.find(itemId)
       if (state === undefined || state.status === 'finished' || events.length <= state.progress.events.length) continue
       this._runs.get(state)?.cancel('further progress received')
-      state.progress = { events, versions, isComplete, lastEventId: events.length }
+      // These events come from other runs than those that are saved, so that they are saved from the first on.
+      state.adopt({ events, versions, isComplete, lastEventId: events.length })
       count += 1
     }
     this._dispatchSoon()
--- a/src/common/batch/ItemState.ts
+++ b/src/common/batch/ItemState.ts
@@ -21,7 +21,12 @@
 
   /** Drops what was generated, for a run from the start. */
   restart (): void {
-    this.progress = emptyProgress()
+    this.adopt(emptyProgress())
+  }
+
+  /** Goes on with the text of another chain of runs; parts of two chains must not be joined. */
+  adopt (progress: ItemProgress): void {
+    this.progress = progress
     this.savedEventId = 0
   }
 }
