--- a/src/common/batch/BatchDesk.test.ts
+++ b/src/common/batch/BatchDesk.test.ts
@@ -177,7 +177,7 @@
     const second = await lead(2)
     await time.advance(600)
     const other = Array.from({ length: 50 }, (_, index) => `other${index + 1}`)
-    second.desk.adopt([{ batchId: 'batch-1', itemId: 'a', events: other, versions: [1], isComplete: false }])
+    second.desk.adopt([{ batchId: 'batch-1', itemId: 'a', events: [...other], versions: [1], isComplete: false }])
     await time.advance(600)
     second.desk.dispose()
     const third = await lead(3)
