Free the memory of what is listed

Each listed item kept its events beside its text, ended batches kept their items, and up to 1,000 items of ended batches kept their progress.

--- a/src/common/batch/Batch.ts
+++ b/src/common/batch/Batch.ts
@@ -46,6 +46,13 @@
     this._leftGroups = new Set(incompleteGroups)
   }
 
+  /** Forgets the items of an ended batch, whose bodies and texts are most of its memory. */
+  forgetItems (): void {
+    this.items.length = 0
+    this._byId.clear()
+    this.itemsByGroup.clear()
+  }
+
   incompleteGroups (): string[] {
     const isWhole = (items: readonly ItemState[]): boolean => items.every(state => state.status === 'finished')
     return [...this.itemsByGroup].filter(([, items]) => !isWhole(items)).map(([group]) => group)
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -20,7 +20,7 @@
 const TOPIC = 'keyed.batches'
 const WRITER = 'batches'
 /** Texts of ended batches stay in memory so long after the submission; readers that come later wait for the store. */
-const TEXTS_IN_MEMORY_MS = 30_000
+const TEXTS_IN_MEMORY_MS = 15_000
 /** Kept beyond the time for which results are promised, for readers with other clocks. */
 const KEEP_MARGIN_MS = 30_000
 
@@ -84,6 +84,8 @@
     const written = await this._write(batch.spec.id, records)
     if (written.isErr()) return written
     batch.addResult(position, result)
+    // The text stands in the result now.
+    batch.find(result.itemId)?.restart()
     this._onChanged.fire(batch)
     return written
   }
@@ -107,6 +109,7 @@
       batch.end(batch.incompleteGroups())
       this._onEnded.fire(batch)
       this._onChanged.fire(batch)
+      batch.forgetItems()
     }
     return written
   }
--- a/src/common/batch/ProgressCache.ts
+++ b/src/common/batch/ProgressCache.ts
@@ -1,7 +1,7 @@
 import type { ItemProgress } from './ItemProgress.js'
 
 /** Items that are remembered after their batch has ended. */
-const MAX_ITEMS = 1000
+const MAX_ITEMS = 300
 
 /** What was generated of items whose batch has ended; their groups may come back in a later batch. */
 export class ProgressCache {
