--- a/src/common/batch/BatchDesk.test.ts
+++ b/src/common/batch/BatchDesk.test.ts
@@ -32,7 +32,7 @@
   get isSelf (): boolean { return this.seenEpoch !== undefined }
   validEpoch (): number | undefined { return this.isValid ? this.seenEpoch : undefined }
   leaderAddress (): string | undefined { return undefined }
-  yieldTo (): void {}
+  learn (): void {}
   async release (): Promise<void> { this.lose() }
 
   gain (epoch: number): void {
--- a/src/common/store/ILeadership.ts
+++ b/src/common/store/ILeadership.ts
@@ -13,8 +13,8 @@
   readonly isSelf: boolean
   /** Epoch of the newest known leader. */
   readonly seenEpoch: number | undefined
-  /** Ends this entry's leadership if another entry has read of a newer leader. */
-  yieldTo (epoch: number, address: string): void
+  /** Takes note of a leader that another entry has read of; a newer one ends this entry's leadership. */
+  learn (epoch: number, address: string): void
   /** Gives the leadership back and never claims it again. */
   release (): Promise<void>
 }
--- a/src/common/store/Leadership.test.ts
+++ b/src/common/store/Leadership.test.ts
@@ -83,13 +83,23 @@
     expect(leaders()[0] === first).toEqual(false)
   })
 
+  it('hears of a newer leader from others while it cannot read the store', async () => {
+    const follower = entries.find(entry => entry.validEpoch() === undefined)
+    store.isDown = true
+    await time.advance(500)
+    follower?.learn((follower.seenEpoch ?? 0) + 1, 'y:1')
+    expect(follower?.leaderAddress()).toEqual('y:1')
+    follower?.learn(0, 'x:1')
+    expect(follower?.leaderAddress()).toEqual('y:1')
+  })
+
   it('ends when another entry has read of a newer leader', () => {
     const [first] = leaders()
     const lost: string[] = []
     first?.onLost(() => lost.push('lost'))
-    first?.yieldTo(first.validEpoch() ?? 0, 'x:1')
+    first?.learn(first.validEpoch() ?? 0, 'x:1')
     expect(lost).toEqual([])
-    first?.yieldTo((first.validEpoch() ?? 0) + 1, 'x:1')
+    first?.learn((first.validEpoch() ?? 0) + 1, 'x:1')
     expect(lost).toEqual(['lost'])
     expect(first?.isSelf).toEqual(false)
     expect(first?.leaderAddress()).toEqual('x:1')
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -80,10 +80,11 @@
     return this._seen === undefined ? undefined : this._seen.epoch ?? this._seen.offset
   }
 
-  yieldTo (epoch: number, address: string): void {
-    if (this._heldEpoch === undefined || epoch <= this._heldEpoch) return
+  learn (epoch: number, address: string): void {
+    if (epoch <= (this.seenEpoch ?? Number.NEGATIVE_INFINITY)) return
+    this._logger.info({ leader: address, epoch, epoch_before: this.seenEpoch }, 'leader_reported')
     this._seen = { holder: '', address, epoch, sequence: 0, offset: epoch, receivedAtMs: performance.now() }
-    this._lose('a newer leader was reported')
+    if (this._heldEpoch !== undefined) this._lose('a newer leader was reported')
   }
 
   validEpoch (): number | undefined {
--- a/src/node/front/LeaderGateway.test.ts
+++ b/src/node/front/LeaderGateway.test.ts
@@ -15,21 +15,27 @@
 }
 const options = { requestId: 'r', patienceMs: 500, heldMs: 0 }
 
-function createGateway (answers: { view: () => boolean, forward: () => 'ok' | 'not_leader' | 'lost' }) {
+function createGateway (answers: { view: () => boolean, forward: (address: string) => 'ok' | 'not_leader' | 'lost', reported?: string }) {
   const sent = { bodies: 0, views: 0 }
   const client = {
-    call: (_address: string, upstreamRequest: { path: string }) => {
+    call: (to: string, upstreamRequest: { path: string }) => {
       if (upstreamRequest.path === '/leader') {
         sent.views += 1
-        return okAsync({ status: 200, headers: {}, body: Buffer.from(JSON.stringify({ epoch: 1, isServing: answers.view() })) })
+        return okAsync({ status: 200, headers: {}, body: Buffer.from(JSON.stringify({ epoch: 1, address: answers.reported, isServing: answers.view() })) })
       }
       sent.bodies += 1
-      const outcome = answers.forward()
+      const outcome = answers.forward(to)
       if (outcome === 'lost') return errAsync({ kind: 'reset', message: 'reset', sent: true } as const)
       return okAsync(outcome === 'ok' ? { status: 202, headers: {}, body: new Uint8Array() } : { status: 503, headers: { 'hyssopvalve-not-leader': '1' }, body: new Uint8Array() })
     }
   } as unknown as IUpstreamClient
-  const leadership = { leaderAddress: () => '10.0.0.2:1' } as ILeadership
+  let address = '10.0.0.2:1'
+  const leadership = {
+    leaderAddress: () => address,
+    learn: (_epoch: number, reported: string) => {
+      address = reported
+    }
+  } as unknown as ILeadership
   const gateway = new LeaderGateway(leadership, '10.0.0.1:1', () => false, client, new PeerViews(client, logger), logger)
   const serve = async (): Promise<number> => (await gateway.serve(request, options, async () => ({ status: 200 }))).status
   return { sent, serve }
@@ -44,6 +50,11 @@
     expect(sent).toEqual({ bodies: 2, views: 4 })
   })
 
+  it('follows the entry that led before to the next one', async () => {
+    const { serve } = createGateway({ view: () => true, forward: address => address === '10.0.0.3:1' ? 'ok' : 'not_leader', reported: '10.0.0.3:1' })
+    expect(await serve()).toEqual(202)
+  })
+
   it('says "not run" only when nothing can have reached a leader', async () => {
     expect(await createGateway({ view: () => false, forward: () => 'not_leader' }).serve()).toEqual(503)
     expect(await createGateway({ view: () => false, forward: () => 'lost' }).serve()).toEqual(504)
--- a/src/node/front/LeaderGateway.ts
+++ b/src/node/front/LeaderGateway.ts
@@ -68,7 +68,10 @@
 
   /** Bodies are large, so that a leader that is not ready is asked before it gets one again. */
   private async _isReady (address: string): Promise<boolean> {
-    return (await this._views.ask(address))?.isServing === true
+    const view = await this._views.ask(address)
+    // An entry that the store turns away hears of a new leader from the one before.
+    if (view?.epoch !== undefined && view.address !== undefined) this._leadership.learn(view.epoch, view.address)
+    return view?.isServing === true
   }
 
   private async _forward (request: FrontRequest, options: GatewayOptions, address: string): Promise<FrontAnswer | 'not_sent' | 'lost'> {
--- a/src/node/front/LeaderWatch.ts
+++ b/src/node/front/LeaderWatch.ts
@@ -45,7 +45,7 @@
     const asked = recent.sort(() => Math.random() - 0.5).slice(0, PEERS_ASKED)
     const views = await Promise.all(asked.map(async address => await this._views.ask(address)))
     for (const view of views) {
-      if (view?.epoch !== undefined && view.address !== undefined) this._leadership.yieldTo(view.epoch, view.address)
+      if (view?.epoch !== undefined && view.address !== undefined) this._leadership.learn(view.epoch, view.address)
     }
   }
 }
