--- a/src/node/front/FrontListener.ts
+++ b/src/node/front/FrontListener.ts
@@ -27,7 +27,6 @@
 /** An HTTP/1.1 listener that reads requests whole, within the limits in force, and answers them in order. */
 export class FrontListener extends Disposable {
   private readonly _server: Server
-  private readonly _idleSockets = new Set<Socket>()
   private _limits?: CallerLimits
   private _isClosing = false
   private _bufferedBytes = 0
@@ -47,7 +46,6 @@
     this._server.headersTimeout = DEFAULT_HEADER_TIMEOUT_MS
     this._server.requestTimeout = 0
     this._server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS
-    this._server.on('connection', socket => this._onConnection(socket))
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => this._onClientError(error, socket))
     this._register(toDisposable(() => {
       this._server.close()
@@ -74,33 +72,24 @@
     return this._inFlight
   }
 
-  /** Tells callers with each answer that the connection closes; connections without a request close after `idleMs`. */
+  /** Tells callers with each answer that the connection closes. */
   startClosing (): void {
     this._isClosing = true
   }
 
-  /** Stops accepting, and closes connections on which no request is being read or answered. */
+  /** Stops accepting, and closes connections that are idle between two requests. */
   closeIdle (): void {
     if (this._server.listening) this._server.close()
-    for (const socket of this._idleSockets) socket.end()
     this._server.closeIdleConnections()
   }
 
-  private _onConnection (socket: Socket): void {
-    this._idleSockets.add(socket)
-    socket.once('close', () => this._idleSockets.delete(socket))
-    socket.on('data', () => this._idleSockets.delete(socket))
-  }
-
   private async _serve (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const arrivedAtMs = performance.now()
     const gone = new AbortController()
     this._inFlight += 1
-    this._idleSockets.delete(incoming.socket)
     outgoing.once('close', () => {
       this._inFlight -= 1
       if (!outgoing.writableFinished) gone.abort()
-      else if (!incoming.socket.destroyed) this._idleSockets.add(incoming.socket)
     })
     let held = 0
     try {
