--- a/src/common/metrics/LimitedLogger.ts
+++ b/src/common/metrics/LimitedLogger.ts
@@ -5,6 +5,8 @@
 /** Lines a second that a process may write; a second budget of the same size is kept for warnings and errors. */
 const LINES_PER_S = 150
 const BURST_LINES = 600
+/** Lines beyond this are dropped when nobody reads them, so that memory stays bounded. */
+const MAX_BACKLOG_BYTES = 1_000_000
 const REFILL_INTERVAL_MS = 1000
 
 type Level = keyof ILogger
@@ -14,7 +16,8 @@
   private readonly _left = { routine: BURST_LINES, urgent: BURST_LINES }
   private _dropped = 0
 
-  constructor (private readonly _logger: ILogger) {
+  /** `backlogBytes` tells how much waits for a slow reader of the output. */
+  constructor (private readonly _logger: ILogger, private readonly _backlogBytes: () => number = () => 0) {
     super()
     const timer = setInterval(() => this._refill(), REFILL_INTERVAL_MS)
     this._register(toDisposable(() => clearInterval(timer)))
@@ -26,7 +29,7 @@
   error (fields: Record<string, unknown>, event: string): void { this._write('error', 'urgent', fields, event) }
 
   private _write (level: Level, budget: 'routine' | 'urgent', fields: Record<string, unknown>, event: string): void {
-    if (this._left[budget] <= 0) {
+    if (this._left[budget] <= 0 || this._backlogBytes() > MAX_BACKLOG_BYTES) {
       this._dropped += 1
       return
     }
--- a/src/node/entry/createLogger.ts
+++ b/src/node/entry/createLogger.ts
@@ -1,10 +1,11 @@
+import type { Writable } from 'node:stream'
 import { pino } from 'pino'
 import * as logfmtModule from 'pino-logfmt'
 import type { LogFmtTransportOptions } from 'pino-logfmt'
 import type { ILogger } from '../../common/metrics/ILogger.js'
 import type { RunningLogger } from './RunningLogger.js'
 
-type BuildStream = (options: LogFmtTransportOptions) => Promise<NodeJS.WritableStream>
+type BuildStream = (options: LogFmtTransportOptions) => Promise<Writable>
 
 // The package's types leave out the default export that its README documents as the transport target.
 const buildLogfmt = (logfmtModule as unknown as { default: BuildStream }).default
@@ -24,10 +25,10 @@
     warn: (fields, event) => base.warn(fields, event),
     error: (fields, event) => base.error(fields, event)
   }
-  return { logger, close: async () => await closeStream(stream) }
+  return { logger, backlogBytes: () => stream.writableLength, close: async () => await closeStream(stream) }
 }
 
-async function closeStream (stream: NodeJS.WritableStream): Promise<void> {
+async function closeStream (stream: Writable): Promise<void> {
   await new Promise<void>(resolve => {
     const timer = setTimeout(resolve, CLOSE_TIMEOUT_MS)
     stream.once('close', () => { clearTimeout(timer); resolve() })
