Tell a request's story from the logs of all entries

Cause: on-call had to search the logs of a dozen entries for an id, and for the batch and the leader changes around it.

Change: hyssopvalve trace ID FILE... prints the lines that name the id, the begin and end of its batches and changes of the leader in between, in order of time.

--- a/src/node/cli/runCli.ts
+++ b/src/node/cli/runCli.ts
@@ -1,11 +1,13 @@
 import { cac, type CAC } from 'cac'
 import { createServiceRegistration } from '../entry/createServiceRegistration.js'
 import { overridableFields } from '../../common/settings/overridableFields.js'
+import { traceLogLines } from '../../common/metrics/traceLogLines.js'
 import { AdminClient } from './AdminClient.js'
 import { CliFault } from './CliFault.js'
 import type { CliIo } from './CliIo.js'
 import { flagOf } from './flagOf.js'
 import { loadSettings } from './loadSettings.js'
+import { readInputFile } from './readInputFile.js'
 import { runContractCommand } from './runContractCommand.js'
 import { runEntryCommand } from './runEntryCommand.js'
 
@@ -67,6 +69,13 @@
     .example('  hyssopvalve contract diff lin-shun --revision 5')
     .action(async (action: string, target: string, options: Options) =>
       await runContractCommand(action, String(target), options, () => connect(options, io), io))
+  cli.command('trace <id> <...files>', 'Show what the log lines of all processes tell of a request, batch or item')
+    .example('  hyssopvalve trace 9c41d07be2a35f68 entry-1.log entry-2.log')
+    .action((id: string, files: string[]) => {
+      const lines = traceLogLines(files.flatMap(file => readInputFile(file).split('\n')), String(id))
+      if (lines.length === 0) throw new CliFault(1, [`no line names ${id}`])
+      for (const line of lines) io.out(line)
+    })
   cli.command('status', 'Show the state of an entry').action(async (options: Options) => {
     io.out(JSON.stringify(await connect(options, io).call('GET', '/status'), undefined, 2))
   })
