Share the fixtures of the call tests and of the entry's settings

Cause: the paused forwarder stood in OnceCall.test.ts and RepeatableCall.test.ts, and the settings of a test entry in Entry.test.ts and runEntryCommand.test.ts, word for word. Change: one fixture each.

--- a/src/common/forward/OnceCall.test.ts
+++ b/src/common/forward/OnceCall.test.ts
@@ -1,25 +1,18 @@
-import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import { beforeEach, describe, it, mock } from 'node:test'
 import { expect } from 'earl'
 import { err, ok } from 'neverthrow'
 import type { UpstreamError } from '../upstream/UpstreamError.js'
-import { ForwarderHarness } from './testing/ForwarderHarness.js'
+import type { ForwarderHarness } from './testing/ForwarderHarness.js'
+import { usePausedForwarder } from './testing/usePausedForwarder.test.js'
 
 const refused: UpstreamError = { kind: 'connect_failed', message: '', sent: false }
 const reset: UpstreamError = { kind: 'reset', message: '', sent: true }
 
 describe('OnceCall', () => {
+  const forwarder = usePausedForwarder()
   let h: ForwarderHarness
 
-  beforeEach(() => {
-    mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'], now: 1000 })
-    mock.method(performance, 'now', () => Date.now())
-    h = new ForwarderHarness((ms) => mock.timers.tick(ms))
-  })
-
-  afterEach(() => {
-    mock.timers.reset()
-    mock.restoreAll()
-  })
+  beforeEach(() => { h = forwarder() })
 
   it('sends a never-repeat call once and stores its answer', async () => {
     await h.warmUp(40)
--- a/src/common/forward/RepeatableCall.test.ts
+++ b/src/common/forward/RepeatableCall.test.ts
@@ -1,4 +1,4 @@
-import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import { beforeEach, describe, it, mock } from 'node:test'
 import { expect } from 'earl'
 import { err, ok } from 'neverthrow'
 import type { UpstreamError } from '../upstream/UpstreamError.js'
@@ -8,23 +8,16 @@
 import { LatencyWindow } from './LatencyWindow.js'
 import { RepeatableCall } from './RepeatableCall.js'
 import { ForwarderHarness } from './testing/ForwarderHarness.js'
+import { usePausedForwarder } from './testing/usePausedForwarder.test.js'
 
 const refused: UpstreamError = { kind: 'connect_failed', message: '', sent: false }
 const reset: UpstreamError = { kind: 'reset', message: '', sent: true }
 
 describe('RepeatableCall', () => {
+  const forwarder = usePausedForwarder()
   let h: ForwarderHarness
 
-  beforeEach(() => {
-    mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'], now: 1000 })
-    mock.method(performance, 'now', () => Date.now())
-    h = new ForwarderHarness((ms) => mock.timers.tick(ms))
-  })
-
-  afterEach(() => {
-    mock.timers.reset()
-    mock.restoreAll()
-  })
+  beforeEach(() => { h = forwarder() })
 
   it('repeats a lookup on another upstream after a reset or a refused connection', async () => {
     const outcome = await h.start()
--- a/src/node/cli/runEntryCommand.test.ts
+++ b/src/node/cli/runEntryCommand.test.ts
@@ -1,24 +1,12 @@
 import { describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
-import { readEntrySettings } from '../../common/settings/readEntrySettings.js'
+import { createTestSettings } from '../entry/testing/createTestSettings.js'
 import { registerFakes } from '../entry/testing/registerFakes.js'
 import { CliFault } from './CliFault.js'
 import { runEntryCommand } from './runEntryCommand.js'
 
-const settings = readEntrySettings(`[entry]
-id = entry-1
-failure_domain = steam-hall
-listen = 127.0.0.1:0
-peer = 127.0.0.1:0
-rpc = 127.0.0.1:0
-peer_key = 0123456789abcdef
-[platform]
-log = 127.0.0.1:1
-membership = 127.0.0.1:1
-[timing]
-drain_notice_ms = 50
-`)._unsafeUnwrap()
+const settings = createTestSettings('drain_notice_ms = 50')
 
 describe('runEntryCommand', () => {
   it('prints the address when it listens, and exits with 0 when the first signal has drained it, also if it is repeated', async () => {
--- a/src/node/entry/Entry.test.ts
+++ b/src/node/entry/Entry.test.ts
@@ -4,27 +4,14 @@
 import { expect } from 'earl'
 import type { IServiceRegistry } from '../../common/kernel/IServiceRegistry.js'
 import { peerRegistryId } from '../../common/peer/peerRegistryId.js'
-import { readEntrySettings } from '../../common/settings/readEntrySettings.js'
 import { parseAddress } from '../peer/parseAddress.js'
 import { Entry } from './Entry.js'
 import type { RegisteredServices } from './RegisteredServices.js'
+import { createTestSettings } from './testing/createTestSettings.js'
 import { registerFakes } from './testing/registerFakes.js'
 
 const logger = { info () {}, warn () {}, error () {}, debug () {} }
-const settings = readEntrySettings(`[entry]
-id = entry-1
-failure_domain = steam-hall
-listen = 127.0.0.1:0
-peer = 127.0.0.1:0
-rpc = 127.0.0.1:0
-peer_key = 0123456789abcdef
-[platform]
-log = 127.0.0.1:1
-membership = 127.0.0.1:1
-[timing]
-drain_notice_ms = 150
-drain_limit_ms = 100
-`)._unsafeUnwrap()
+const settings = createTestSettings('drain_notice_ms = 150\ndrain_limit_ms = 100')
 
 describe('Entry', () => {
   let entry: Entry
