Hold suspects until the crash records of other entries can arrive

A request that was reset ran again at once, here or at the next entry, before the first entry had confirmed the death and its record had arrived. And a request whose caller left while it waited at the upstream was no suspect when it crashed that upstream later, because its slot was closed.

Change: a suspect waits 200 ms after its crash; a request that was reset waits until its upstream answers a poll, 200 ms at most; requests abandoned or past their deadline in the last 2 s count as in flight when an upstream dies. 'handles a request that was reset as a suspect' now waits 250 ms before it expects one of the two to run: that both do not run at once is still checked, and that none runs within the pause is new.

The unit tests fail without the changes.

--- a/src/common/admission/Admission.test.ts
+++ b/src/common/admission/Admission.test.ts
@@ -179,6 +179,8 @@
     await release('r', { kind: 'failed', sent: true })
     ask('p')
     ask('r')
+    expect(await taken()).toEqual([])
+    mock.timers.tick(250)
     expect(await taken()).toEqual(['p'])
   })
 
--- a/src/common/admission/Admission.ts
+++ b/src/common/admission/Admission.ts
@@ -243,7 +243,7 @@
     if (result.kind === 'completed') {
       this._guard.onCompleted(request.fingerprint)
     } else if (result.kind === 'failed' && result.sent) {
-      this._guard.onReset(request.fingerprint)
+      this._guard.onReset(request.fingerprint, upstream)
     } else if (result.kind === 'timeout') {
       this._limits.onTimeout(upstream, performance.now())
     }
--- a/src/common/admission/SlotResult.ts
+++ b/src/common/admission/SlotResult.ts
@@ -5,4 +5,6 @@
   | { kind: 'moved', durationMs: number, units: number }
   | { kind: 'failed', sent: boolean }
   | { kind: 'timeout' }
+  /** The caller left after the request was sent; the upstream may still run it. */
+  | { kind: 'abandoned' }
   | { kind: 'cancelled' }
--- /dev/null
+++ b/src/common/admission/SuspectGuard.test.ts
@@ -0,0 +1,43 @@
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import { expect } from 'earl'
+import type { ISuspectTable } from '../crash/ISuspectTable.js'
+import type { Upstream } from '../upstream/Upstream.js'
+import { SuspectGuard } from './SuspectGuard.js'
+
+const noSuspects = { isSuspect: () => false, isSettling: () => false } as unknown as ISuspectTable
+
+describe('SuspectGuard', () => {
+  let guard: SuspectGuard
+  let upstream: { loadReadAtMs?: number }
+
+  const mustWait = (): boolean => guard.mustWait('s', 'f')
+
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['Date'], now: 1000 })
+    mock.method(performance, 'now', () => Date.now())
+    guard = new SuspectGuard(noSuspects)
+    upstream = { loadReadAtMs: 900 }
+    guard.onReset('f', upstream as Upstream)
+  })
+
+  afterEach(() => {
+    mock.timers.reset()
+    mock.restoreAll()
+  })
+
+  // Without the pause, a second attempt or another entry crashes the next upstream before the first crash is known.
+  it('holds a request that was reset, and no other one', () => {
+    expect([mustWait(), guard.mustWait('s', 'other')]).toEqual([true, false])
+  })
+
+  it('releases it when its upstream answers a poll', () => {
+    upstream.loadReadAtMs = 1010
+    mock.timers.tick(20)
+    expect([mustWait(), guard.isSuspect('f')]).toEqual([false, true])
+  })
+
+  it('releases it after a pause when nothing is heard of its upstream', () => {
+    mock.timers.tick(250)
+    expect([mustWait(), guard.isSuspect('f')]).toEqual([false, true])
+  })
+})
--- a/src/common/admission/SuspectGuard.ts
+++ b/src/common/admission/SuspectGuard.ts
@@ -1,23 +1,34 @@
 import type { ISuspectTable } from '../crash/ISuspectTable.js'
+import type { Upstream } from '../upstream/Upstream.js'
 
 /** Time for which a request that was reset is handled as a suspect, until polls show whether its upstream crashed. */
 const RESET_HOLD_MS = 2_000
+/**
+ * Time for which it does not run again unless its upstream answers a poll. A caller whose deadline is
+ * 150 ms otherwise reaches a second entry before the first one knows of the crash.
+ */
+const RESET_PAUSE_MS = 200
+
+interface Reset {
+  upstream: Upstream
+  atMs: number
+}
 
 /** Lets each service run one suspect at a time on this entry, which implies one on each upstream. */
 export class SuspectGuard {
   private readonly _running = new Map<string, number>()
-  private readonly _resetAtMs = new Map<string, number>()
+  private readonly _resets = new Map<string, Reset>()
 
   constructor (private readonly _suspects: ISuspectTable) {}
 
   isSuspect (fingerprint: string): boolean {
-    const resetAtMs = this._resetAtMs.get(fingerprint) ?? -Infinity
+    const resetAtMs = this._resets.get(fingerprint)?.atMs ?? -Infinity
     return performance.now() - resetAtMs < RESET_HOLD_MS || this._suspects.isSuspect(fingerprint)
   }
 
   /** True when the request must wait: another suspect runs, or its own last crash is not judged yet. */
   mustWait (service: string, fingerprint: string): boolean {
-    if (this._suspects.isSettling(fingerprint)) {
+    if (this._suspects.isSettling(fingerprint) || this._isResetOpen(fingerprint)) {
       return true
     }
     return this.isSuspect(fingerprint) && (this._running.get(service) ?? 0) > 0
@@ -29,16 +40,25 @@
     return () => this._running.set(service, (this._running.get(service) ?? 1) - 1)
   }
 
-  onReset (fingerprint: string): void {
+  onReset (fingerprint: string, upstream: Upstream): void {
     const nowMs = performance.now()
-    for (const [key, atMs] of this._resetAtMs) {
-      if (nowMs - atMs >= RESET_HOLD_MS) this._resetAtMs.delete(key)
+    for (const [key, { atMs }] of this._resets) {
+      if (nowMs - atMs >= RESET_HOLD_MS) this._resets.delete(key)
     }
-    this._resetAtMs.set(fingerprint, nowMs)
+    this._resets.set(fingerprint, { upstream, atMs: nowMs })
   }
 
   onCompleted (fingerprint: string): void {
-    this._resetAtMs.delete(fingerprint)
+    this._resets.delete(fingerprint)
     this._suspects.recordCompletion(fingerprint)
   }
+
+  /** True until the upstream of the last reset answers a poll; a restarted one is a crash, which the suspect table knows. */
+  private _isResetOpen (fingerprint: string): boolean {
+    const reset = this._resets.get(fingerprint)
+    if (reset === undefined || performance.now() - reset.atMs >= RESET_PAUSE_MS) {
+      return false
+    }
+    return (reset.upstream.loadReadAtMs ?? -Infinity) <= reset.atMs
+  }
 }
--- a/src/common/crash/ISuspectTable.ts
+++ b/src/common/crash/ISuspectTable.ts
@@ -9,8 +9,8 @@
   /** An upstream died with these requests of this entry in flight. */
   recordCrash (upstreamId: string, bootId: string, fingerprints: string[]): void
   /**
-   * True for a short time after a crash that would block the request, until the crash records of
-   * other entries can have arrived; the request must wait until then.
+   * True for a short time after a crash with the request in flight, until the crash records of other
+   * entries can have arrived; the request must wait until then. Longer when the crash would block it.
    */
   isSettling (fingerprint: string): boolean
 }
--- a/src/common/crash/SuspectTable.test.ts
+++ b/src/common/crash/SuspectTable.test.ts
@@ -31,6 +31,24 @@
     expect(table.suspects()).toEqual(['f', 'g'])
   })
 
+  // A caller with a short deadline repeats at another entry before the crash records of the first one arrive.
+  it('lets no suspect run again until the crash records of other entries can have arrived', () => {
+    table.recordCrash('u', 'b1', ['poison'])
+    expect([table.isSettling('poison'), table.isBlocked('poison')]).toEqual([true, false])
+    mock.timers.tick(100)
+    apply('v', 'b1', ['poison'])
+    mock.timers.tick(150)
+    expect([table.isSettling('poison'), table.isBlocked('poison')]).toEqual([true, false])
+    settle()
+    expect(table.isBlocked('poison')).toEqual(true)
+  })
+
+  it('lets a suspect that was not condemned run soon after its crash', () => {
+    table.recordCrash('u', 'b1', ['innocent'])
+    mock.timers.tick(250)
+    expect([table.isSettling('innocent'), table.isSuspect('innocent')]).toEqual([false, true])
+  })
+
   it('blocks at the second crash as the only suspect, after the records of others can have arrived', () => {
     table.recordCrash('u', 'b1', ['poison', 'innocent'])
     table.recordCrash('u', 'b2', ['poison', 'new'])
--- a/src/common/crash/SuspectTable.ts
+++ b/src/common/crash/SuspectTable.ts
@@ -23,6 +23,8 @@
 const MAX_CRASHES_ALONE = 2
 /** Time for the crash records of other entries to arrive; appends are 50 ms apart and reads follow at once. */
 const SETTLE_MS = 1_000
+/** The same for a request that may run again: one append and one read, with a margin for a busy host. */
+const SPREAD_MS = 200
 /** Time for which a peer's hint makes a request a suspect. */
 const PEER_HINT_MS = 10_000
 
@@ -56,7 +58,8 @@
 
   isSettling (fingerprint: string): boolean {
     const verdict = this._verdict(fingerprint)
-    return verdict !== undefined && this._isCondemned(fingerprint) && Date.now() - verdict.lastAtMs < SETTLE_MS
+    const settleMs = this._isCondemned(fingerprint) ? SETTLE_MS : SPREAD_MS
+    return verdict !== undefined && Date.now() - verdict.lastAtMs < settleMs
   }
 
   isSuspect (fingerprint: string): boolean {
--- a/src/common/forward/AttemptRunner.ts
+++ b/src/common/forward/AttemptRunner.ts
@@ -54,7 +54,7 @@
     const sent = { requestId: options.requestId, method, path, headers, deadlineAtMs, ...(body.length > 0 ? { body } : {}) }
     const answer = await this._client.call(slot.upstream.address, sent, options.callSignal)
     if (answer.isErr()) {
-      slot.release(toSlotResult(answer.error))
+      slot.release(toSlotResult(answer.error, request.signal.aborted))
       return err({ stage: 'upstream', error: answer.error, upstreamId: slot.upstream.id })
     }
     if (answer.value.status >= SERVER_ERROR) {
@@ -68,14 +68,15 @@
   }
 }
 
-function toSlotResult (error: UpstreamError): SlotResult {
+/** A hedge that lost is cancelled while its caller stays. */
+function toSlotResult (error: UpstreamError, hasCallerLeft: boolean): SlotResult {
   switch (error.kind) {
     case 'connect_failed': return { kind: 'failed', sent: false }
     case 'reset':
     case 'truncated': return { kind: 'failed', sent: true }
     case 'timeout': return { kind: 'timeout' }
+    case 'cancelled': return { kind: error.sent && hasCallerLeft ? 'abandoned' : 'cancelled' }
     case 'mismatched':
-    case 'cancelled':
     case 'deadline_before_send': return { kind: 'cancelled' }
   }
 }
--- a/src/common/upstream/UpstreamRecord.ts
+++ b/src/common/upstream/UpstreamRecord.ts
@@ -10,6 +10,11 @@
 const RECOVERY_LIMIT = 2
 /** Time after a reset within which a refused connection or a new boot id makes it a crash. */
 const RESET_MEMORY_MS = 10_000
+/**
+ * The same after a request whose caller left or whose deadline passed. It may wait at the upstream and
+ * crash it later, so that callers with short deadlines would crash one upstream after the other unnoticed.
+ */
+const ABANDONED_MEMORY_MS = 2_000
 
 /** One upstream of the table, with the states that the interface combines. */
 export class UpstreamRecord implements Upstream {
@@ -39,7 +44,8 @@
   private _crashedBootId?: string
   /** Incarnation whose leaving state ended with a newer boot id; the list may still show it for a while. */
   private _endedIncarnation?: string
-  private _resets: Array<{ fingerprint: string, atMs: number }> = []
+  /** Requests without an answer that may have run when this boot ended. */
+  private _open: Array<{ fingerprint: string, untilMs: number }> = []
 
   constructor (member: Member) {
     this.id = member.id
@@ -98,7 +104,7 @@
       this._endedIncarnation = this.incarnation
     }
     this._bootId = report.boot_id
-    this._resets = []
+    this._open = []
     this.isLeaving = report.state === 'leaving'
   }
 
@@ -110,12 +116,16 @@
   }
 
   recordReset (fingerprint: string, nowMs: number): void {
-    this._resets.push({ fingerprint, atMs: nowMs })
-    this._resets = this._resets.filter((reset) => nowMs - reset.atMs <= RESET_MEMORY_MS)
+    this._remember(fingerprint, nowMs, RESET_MEMORY_MS)
   }
 
-  hasRecentReset (nowMs: number): boolean {
-    return this._resets.some((reset) => nowMs - reset.atMs <= RESET_MEMORY_MS)
+  recordAbandoned (fingerprint: string, nowMs: number): void {
+    this._remember(fingerprint, nowMs, ABANDONED_MEMORY_MS)
+  }
+
+  /** True when a request without an answer may have run until now. */
+  hasOpenRequest (nowMs: number): boolean {
+    return this._open.some(({ untilMs }) => nowMs <= untilMs)
   }
 
   /** Fingerprints to blame for the end of this boot, or `undefined` when it was reported already. */
@@ -124,10 +134,15 @@
       return undefined
     }
     this._crashedBootId = this.bootId
-    const recent = this._resets.filter((reset) => nowMs - reset.atMs <= RESET_MEMORY_MS)
-    const fingerprints = [...recent, ...this.inFlight].map((request) => request.fingerprint)
-    this._resets = []
+    const open = this._open.filter(({ untilMs }) => nowMs <= untilMs)
+    const fingerprints = [...open, ...this.inFlight].map((request) => request.fingerprint)
+    this._open = []
     // The platform may cut off what is left on an upstream that leaves; that is no crash.
     return this.isLeaving ? [] : [...new Set(fingerprints)]
   }
+
+  private _remember (fingerprint: string, nowMs: number, memoryMs: number): void {
+    this._open = this._open.filter(({ untilMs }) => nowMs <= untilMs)
+    this._open.push({ fingerprint, untilMs: nowMs + memoryMs })
+  }
 }
--- a/src/common/upstream/UpstreamTable.test.ts
+++ b/src/common/upstream/UpstreamTable.test.ts
@@ -93,6 +93,17 @@
     expect(crashes).toEqual([{ bootId: 'b1', fingerprints: [] }])
   })
 
+  // It may have waited at the upstream when its caller left, and crashed it later.
+  it('suspects a request whose deadline passed or whose caller left shortly before the crash', () => {
+    table.end('u', table.begin('u', work('old')), { kind: 'timeout' })
+    mock.timers.tick(2_500)
+    table.end('u', table.begin('u', work('f1')), { kind: 'timeout' })
+    table.end('u', table.begin('u', work('f2')), { kind: 'abandoned' })
+    table.end('u', table.begin('u', work('f3')), { kind: 'cancelled' })
+    table.reportPollFailure('u', true)
+    expect(crashes).toEqual([{ bootId: 'b1', fingerprints: ['f1', 'f2'] }])
+  })
+
   it('blames no request when a leaving upstream ends', () => {
     table.begin('u', work('f1'))
     report('b1', 'leaving')
--- a/src/common/upstream/UpstreamTable.ts
+++ b/src/common/upstream/UpstreamTable.ts
@@ -164,6 +164,9 @@
     } else if (result.kind === 'moved') {
       record.times.recordAtLeast(request.size, result.durationMs / Math.max(1, result.units), nowMs)
     } else {
+      if (result.kind === 'timeout' || result.kind === 'abandoned') {
+        record.recordAbandoned(request.fingerprint, nowMs)
+      }
       record.times.recordAtLeast(request.size, (nowMs - request.startedAtMs) / request.units, nowMs)
     }
   }
@@ -191,8 +194,8 @@
 
   private _onRefused (record: UpstreamRecord): void {
     const nowMs = performance.now()
-    // Nobody listens any more where requests were cut off: the process died.
-    if (record.hasRecentReset(nowMs)) {
+    // Nobody listens any more where requests had no answer: the process died.
+    if (record.hasOpenRequest(nowMs)) {
       this._reportCrash(record, 'connection refused')
     }
     this._markDown(record, 'connection refused')
