End a drain's notice only when callers have stopped connecting

SIGTERM to the balancer's change took 20 to 100 ms, so its lag was not the reason. The entry stood still while connections waited to be accepted; timers run before sockets are read, so that the listener closed first and the kernel reset them.

Change: after the notice the entry goes on until half a notice has passed without a new connection, at most three notices, and lets the sockets be read before each look at the time. A line drain_notice_ended says how long it was.

--- a/src/node/entry/Drain.ts
+++ b/src/node/entry/Drain.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises'
+import { setImmediate as pollTurn, setTimeout as sleep } from 'node:timers/promises'
 import type { IContractStore } from '../../common/contract/IContractStore.js'
 import { contractStoreId } from '../../common/contract/contractStoreId.js'
 import type { ILogHub } from '../../common/log/ILogHub.js'
@@ -15,6 +15,10 @@
 import { httpServerId } from '../http/httpServerId.js'
 
 const CHECK_INTERVAL_MS = 20
+/** Part of the notice that must pass without a new connection before the listener closes. */
+const QUIET_SHARE = 0.5
+/** Longest notice while callers keep connecting, as a multiple of the setting. */
+const MAX_NOTICES = 3
 // Results of claims that are still queued would otherwise leave their keys without a result.
 const FLUSH_TIMEOUT_MS = 10_000
 
@@ -36,11 +40,11 @@
     this._peers.startDraining()
     this._gossip.announce()
     this._logger.info({ in_flight: this._inFlight() }, 'drain_started')
-    await sleep(this._settings.drainNoticeMs)
+    await this._serveNotice()
     const limitAtMs = performance.now() + this._limitMs()
     this._server.closeIdle()
     while (this._inFlight() > 0 && performance.now() < limitAtMs) {
-      await sleep(CHECK_INTERVAL_MS)
+      await nextCheck()
       this._server.closeIdle()
     }
     const left = this._inFlight()
@@ -49,6 +53,21 @@
     return left === 0
   }
 
+  /**
+   * Serves until the balancer has stopped sending. Its view or this process may lag on a busy host, and
+   * closing the listener resets the connections that wait to be accepted.
+   */
+  private async _serveNotice (): Promise<void> {
+    const { drainNoticeMs } = this._settings
+    const startedAtMs = performance.now()
+    await sleep(drainNoticeMs)
+    await pollTurn()
+    const isOver = (): boolean => performance.now() - startedAtMs >= MAX_NOTICES * drainNoticeMs
+    while (this._server.quietMs() < QUIET_SHARE * drainNoticeMs && !isOver()) await nextCheck()
+    const noticeMs = Math.round(performance.now() - startedAtMs)
+    this._logger.info({ notice_ms: noticeMs, quiet_ms: Math.round(this._server.quietMs()) }, 'drain_notice_ended')
+  }
+
   private _inFlight (): number {
     return this._server.inFlight() + this._otherWork()
   }
@@ -59,3 +78,9 @@
     return Math.max(this._settings.drainLimitMs, ...deadlines)
   }
 }
+
+/** Timers run before sockets are read, so that a process that stood still would not see what has arrived. */
+async function nextCheck (): Promise<void> {
+  await sleep(CHECK_INTERVAL_MS)
+  await pollTurn()
+}
--- a/src/node/entry/Entry.test.ts
+++ b/src/node/entry/Entry.test.ts
@@ -68,6 +68,23 @@
     expect(flushed).toEqual(true)
   })
 
+  // A balancer on a busy host sends to a stopping entry for longer than the notice; closing the listener resets its connections.
+  it('serves beyond the notice while callers keep connecting, and not without end', async () => {
+    callMs = 10
+    await start()
+    const startedAtMs = performance.now()
+    const drained = entry.drain()
+    const answers: string[] = []
+    while (performance.now() - startedAtMs < 330) {
+      answers.push(await call())
+      await sleep(5)
+    }
+    expect(new Set(answers)).toEqual(new Set(['200 done']))
+    await drained
+    expect(performance.now() - startedAtMs).toBeLessThan(1000)
+    await expect(fetch(`${url}/livez`)).toBeRejectedWith('fetch failed')
+  })
+
   it('does not wait for idle connections and waits for other work', async () => {
     otherWork = 1
     await start()
--- a/src/node/http/HttpServer.ts
+++ b/src/node/http/HttpServer.ts
@@ -33,6 +33,7 @@
   private readonly _server: Server
   private readonly _responses = new Map<Duplex, ServerResponse>()
   private _inFlight = 0
+  private _connectedAtMs = performance.now()
 
   constructor (
     routes: IRoutes[],
@@ -66,6 +67,10 @@
     return this._inFlight
   }
 
+  quietMs (): number {
+    return performance.now() - this._connectedAtMs
+  }
+
   closeIdle (): void {
     if (this._server.listening) this._server.close()
     this._server.closeIdleConnections()
@@ -83,6 +88,7 @@
       requireHostHeader: false
     }, listener)
     server.maxConnections = this._settings.maxConnections
+    server.on('connection', () => { this._connectedAtMs = performance.now() })
     server.on('drop', () => this._metrics.count('http_connections_refused'))
     server.on('clientError', (error: NodeJS.ErrnoException, socket) => this._onClientError(error, socket))
     return server
