Grow the fault run into a soak with series, clocks, kept connections and live checks

The fault run drew single faults and doubles, called on new connections only and checked at the end.

Series of two to five signals and clock steps hit one entry; steps of the time of day go through a module that the harness loads into the entry. One caller per entry keeps its connection. Rules that hold for any part of a history are checked every 2 s. A request that meets the close of its kept connection during a planned stop, and got no byte of an answer, is no violation: its caller may repeat it. An entry no longer ends on SIGHUP; it logs that settings are not reloaded.

--- /dev/null
+++ b/chaos/LiveCheck.ts
@@ -0,0 +1,53 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { checkNotRun } from './checker/checkNotRun.js'
+import { checkOrigin } from './checker/checkOrigin.js'
+import { checkPlannedStop } from './checker/checkPlannedStop.js'
+import { checkResponses } from './checker/checkResponses.js'
+import { checkSamplesOnce } from './checker/checkSamplesOnce.js'
+import { checkStaleness } from './checker/checkStaleness.js'
+import type { History } from './checker/History.js'
+import type { PlannedStop } from './checker/PlannedStop.js'
+import type { Violation } from './checker/Violation.js'
+
+const INTERVAL_MS = 2_000
+
+/** Rules that hold for any part of a history; the others compare with what is read later. */
+const RULES = [checkOrigin, checkStaleness, checkResponses, checkNotRun, checkPlannedStop, checkSamplesOnce]
+
+/** Checks the history while the run goes on, and reports each violation when it is first seen. */
+export class LiveCheck {
+  private readonly _seen = new Set<string>()
+  private _isOn = true
+
+  constructor (
+    private readonly _read: () => Promise<History>,
+    private readonly _report: (violation: Violation) => void
+  ) {}
+
+  async run (): Promise<void> {
+    while (this._isOn) {
+      await sleep(INTERVAL_MS)
+      // A trainer that is paused or lost cannot be read now; the next round and the end read it again.
+      const history = await this._read().catch(() => undefined)
+      if (history !== undefined) this._check(history)
+    }
+  }
+
+  stop (): void {
+    this._isOn = false
+  }
+
+  private _check (history: History): void {
+    for (const violation of RULES.flatMap(rule => rule(history))) {
+      const key = `${violation.rule} ${violation.subject}`
+      if (this._seen.has(key) || isOpen(violation)) continue
+      this._seen.add(key)
+      this._report(violation)
+    }
+  }
+}
+
+/** A stop that goes on has no exit code yet. */
+function isOpen ({ records }: Violation): boolean {
+  return records.some(item => (item as Partial<PlannedStop>).exitedAtMs === Infinity)
+}
--- a/chaos/chaos.test.ts
+++ b/chaos/chaos.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { formatResult } from './formatResult.js'
+import { MIN_PROCESSES } from './driver/planSize.js'
 import { runChaos } from './runChaos.js'
 
 // Only ends a run that would wait forever.
@@ -10,7 +11,7 @@
 describe('chaos', { timeout: TIMEOUT_MS }, () => {
   for (const seed of [1, 2]) {
     it(`keeps the invariants under the faults of seed ${seed}`, async () => {
-      const result = await runChaos(seed, SECONDS)
+      const result = await runChaos({ seed, seconds: SECONDS, poisonCount: 1, processes: MIN_PROCESSES })
       expect(result.history.calls.length).toBeGreaterThan(100)
       // The whole report is compared, so that a failure shows the records and the folder of the logs.
       const report = formatResult(seed, result)
--- a/chaos/checker/Call.ts
+++ b/chaos/checker/Call.ts
@@ -11,6 +11,8 @@
   key?: string
   /** What the whole response to this request says. */
   expected: string
+  /** Made on a connection that is used for several calls. */
+  isKept?: boolean
   startedAtMs: number
   endedAtMs: number
   deadlineMs: number
--- a/chaos/checker/checkHistory.test.ts
+++ b/chaos/checker/checkHistory.test.ts
@@ -84,6 +84,12 @@
     expect(broken(ofOtherEntry)).toEqual(['7 leaving'])
   })
 
+  it('8: excuses a request that met the close of its kept connection, and only that', () => {
+    expect(broken(cut('c3', { isKept: true }))).toEqual([])
+    expect(broken(cut('c3', { isKept: true, status: 200 }))).toEqual(['8 planned stop'])
+    expect(broken(cut('c1', { isKept: true }))).toEqual(['8 planned stop'])
+  })
+
   it('8: finds a request cut by a stop, unless a kill or a pause of its entry touched it', () => {
     expect(broken(cut('c3'))).toEqual(['8 planned stop'])
     expect(broken(cut('c5'))).toEqual(['8 planned stop'])
--- a/chaos/driver/FaultInjector.ts
+++ b/chaos/driver/FaultInjector.ts
@@ -34,6 +34,9 @@
       case 'entry_kill': await this._kill(this._site.cluster.entry(fault.target), fault.holdMs); break
       case 'entry_pause': await this._pause(this._site.cluster.entry(fault.target), fault.holdMs); break
       case 'entry_stop': await this._pool.stop(this._site.cluster.entry(fault.target), fault.holdMs); break
+      case 'entry_hup': this._site.cluster.entry(fault.target).signal('SIGHUP'); break
+      case 'entry_clock_ahead':
+      case 'entry_clock_back': await this._stepClock(fault); break
       case 'upstream_leaving': await this._leave(fault.target, fault.holdMs); break
       default: await this._switch(fault)
     }
@@ -53,6 +56,13 @@
     entry.resume()
   }
 
+  private async _stepClock ({ kind, target, holdMs }: PlannedFault): Promise<void> {
+    const entry = this._site.cluster.entry(target)
+    entry.stepClock((faultKinds[kind] as { stepMs: number }).stepMs)
+    await sleep(holdMs)
+    entry.stepClock(0)
+  }
+
   private async _leave (id: string, holdMs: number): Promise<void> {
     const mark = { upstream: id, fromMs: Date.now(), toMs: Infinity }
     this.marks.push(mark)
--- a/chaos/driver/Site.ts
+++ b/chaos/driver/Site.ts
@@ -2,6 +2,7 @@
 import { exampleContract } from '../../tools/harness/exampleContract.js'
 import type { StandIn } from '../../tools/harness/StandIn.js'
 import { faultKinds } from './faultKinds.js'
+import type { SiteSize } from './SiteSize.js'
 
 const ROUTES: string[] = [...faultKinds.route_cut.targets, ...faultKinds.gossip_loss.targets.map(route => route.replace('/udp', ''))]
 const TRAINER_FLAGS = { 'weights-every-ms': 2500, groups: 3, samples: 2, 'max-tokens': 48, 'train-ms': 100, ahead: 1 }
@@ -23,15 +24,15 @@
     this._switches = new Map([...platform, ...upstreams, ...trainers.map(({ process }): [string, StandIn] => [process.name, process])])
   }
 
-  static async start (): Promise<Site> {
+  static async start (size: SiteSize): Promise<Site> {
     const engineFlags = () => ({ 'tokens-per-second': 100, capacity: 8 })
     const cluster = await Cluster.start({
-      entries: 12,
+      entries: size.entries,
       services: {
-        'shaping-llm': { kind: 'engine', count: 3, flags: engineFlags, checksFence: true },
-        mester: { kind: 'engine', count: 3, flags: engineFlags, checksFence: false },
-        'order-app': { kind: 'plain', count: 3 },
-        kapu: { kind: 'plain', count: 3 }
+        'shaping-llm': { kind: 'engine', count: size.upstreams, flags: engineFlags, checksFence: true },
+        mester: { kind: 'engine', count: size.upstreams, flags: engineFlags, checksFence: false },
+        'order-app': { kind: 'plain', count: size.upstreams },
+        kapu: { kind: 'plain', count: size.upstreams }
       },
       contracts: [await exampleContract('lin-shun'), await exampleContract('almaskert')],
       // Above the balancer's lag, as in production.
--- a/chaos/driver/faultKinds.ts
+++ b/chaos/driver/faultKinds.ts
@@ -6,6 +6,16 @@
 const GOSSIP = ['entry-1>entry-2/udp', 'entry-2>entry-1/udp', 'entry-3>entry-4/udp', 'entry-4>entry-3/udp']
 const TRAINERS = ['trainer-brim', 'trainer-cellar-red', 'trainer-cellar-white']
 
+interface FaultPlan {
+  targets: string[]
+  /** Posted to the target's fault switch. */
+  fields?: Record<string, unknown>
+  /** Change of an entry's time of day. */
+  stepMs?: number
+  /** Left out of the single faults, whose draws the seeds of earlier runs rest on. */
+  isSeriesOnly?: boolean
+}
+
 /**
  * Faults of the schedule with their possible targets. `fields` are posted to the target's fault
  * switch; the kinds without them act on the process or the membership list.
@@ -14,6 +24,9 @@
   entry_kill: { targets: ENTRIES },
   entry_pause: { targets: ENTRIES },
   entry_stop: { targets: ENTRIES },
+  entry_hup: { targets: ENTRIES, isSeriesOnly: true },
+  entry_clock_ahead: { targets: ENTRIES, isSeriesOnly: true, stepMs: 2_000 },
+  entry_clock_back: { targets: ENTRIES, isSeriesOnly: true, stepMs: -2_000 },
   route_cut: { targets: ROUTES, fields: { cut: true } },
   route_one_way: { targets: ROUTES, fields: { one_way_cut: 'to_client' } },
   route_one_way_back: { targets: ROUTES, fields: { one_way_cut: 'to_target' } },
@@ -49,4 +62,4 @@
   trainer_lost_reads: { targets: TRAINERS, fields: { drop_read_answers: 2 } },
   trainer_pause: { targets: TRAINERS, fields: { paused: true } },
   balancer_outage: { targets: ['balancer'], fields: { outage: true } }
-} satisfies Record<string, { targets: string[], fields?: Record<string, unknown> }>
+} satisfies Record<string, FaultPlan>
--- a/chaos/driver/makeCall.ts
+++ b/chaos/driver/makeCall.ts
@@ -1,4 +1,4 @@
-import { request } from 'undici'
+import { type Client, request } from 'undici'
 import { tokens } from '../../tools/harness/tokens.js'
 import type { Call } from '../checker/Call.js'
 import { windows } from '../checker/windows.js'
@@ -14,17 +14,16 @@
   abandonAfterMs?: number
 }
 
-/** Makes one call on a connection of its own and records what came back. */
-export async function makeCall (plan: Plan): Promise<Call> {
+/** Makes one call on the client's kept connection, or on one of its own, and records what came back. */
+export async function makeCall (plan: Plan, client?: Client): Promise<Call> {
   const { address, method, path, body, abandonAfterMs, ...known } = plan
-  const call: Call = { ...known, startedAtMs: Date.now(), endedAtMs: 0, end: 'cut', status: 0, content: '' }
+  const call: Call = { ...known, startedAtMs: Date.now(), endedAtMs: 0, end: 'cut', status: 0, content: '', ...(client !== undefined && { isKept: true }) }
   const limit = AbortSignal.timeout(plan.deadlineMs + windows.hangMarginMs)
   const abandon = abandonAfterMs === undefined ? undefined : AbortSignal.timeout(abandonAfterMs)
   try {
     const response = await request(`http://${address}${path}`, {
       method,
-      // A kept connection may close at the moment of the next request, which no invariant covers.
-      reset: true,
+      ...(client === undefined ? { reset: true } : { dispatcher: client }),
       headersTimeout: 0,
       bodyTimeout: 0,
       signal: AbortSignal.any(abandon === undefined ? [limit] : [limit, abandon]),
--- a/chaos/driver/planFaults.ts
+++ b/chaos/driver/planFaults.ts
@@ -13,7 +13,7 @@
 /** Draws the faults of a run from the seed: every kind once in each round, some at once, some twice. */
 export function planFaults (seed: number, durationMs: number): PlannedFault[] {
   // A drain of about a second seldom meets a call that would be cut, so that stops come more often.
-  const kinds: FaultKind[] = [...Object.keys(faultKinds) as FaultKind[], 'entry_stop', 'entry_stop', 'entry_stop']
+  const kinds: FaultKind[] = [...singleKinds(), 'entry_stop', 'entry_stop', 'entry_stop']
   const count = Math.max(1, Math.round(durationMs / MEAN_GAP_MS))
   const rounds = Math.ceil(count / kinds.length)
   const order = fc.sample(fc.shuffledSubarray(kinds, { minLength: kinds.length }), { seed, numRuns: rounds }).flat()
@@ -38,3 +38,7 @@
   if (kind === 'entry_pause') return PAUSE_MS
   return kind === 'upstream_leaving' ? LEAVING_MS : drawnMs
 }
+
+function singleKinds (): FaultKind[] {
+  return (Object.keys(faultKinds) as FaultKind[]).filter(kind => !('isSeriesOnly' in faultKinds[kind]))
+}
--- a/chaos/formatResult.ts
+++ b/chaos/formatResult.ts
@@ -1,11 +1,9 @@
 import type { ChaosResult } from './ChaosResult.js'
+import { formatViolation } from './formatViolation.js'
 
 /** Report of a run: each violation with its records, then the line of totals. */
 export function formatResult (seed: number, { history, violations, logFolder }: ChaosResult): string {
-  const lines = violations.flatMap(({ rule, subject, message, records }) => [
-    `violation rule="${rule}" subject="${subject}" ${message}`,
-    ...records.map(item => `  ${JSON.stringify(item)}`)
-  ])
+  const lines = violations.flatMap(formatViolation)
   if (logFolder !== undefined) lines.push(`logs and history: ${logFolder}`)
   lines.push(`chaos: seed=${seed} requests=${history.calls.length} faults=${history.faults.length} violations=${violations.length}`)
   return lines.join('\n')
--- a/chaos/main.ts
+++ b/chaos/main.ts
@@ -1,30 +1,50 @@
 import { cac } from 'cac'
+import { MIN_PROCESSES, maxProcesses } from './driver/planSize.js'
 import { formatResult } from './formatResult.js'
+import { formatViolation } from './formatViolation.js'
+import { regressionSeeds } from './regressionSeeds.js'
 import { runChaos } from './runChaos.js'
+import type { SoakOptions } from './SoakOptions.js'
 
 // Start, settling and collection take less; only a fault of the driver itself needs this limit.
 const OVERHEAD_MS = 300_000
 
-const cli = cac('chaos')
+const cli = cac('soak')
 cli.option('--seed <seed>', 'Seed of schedule and workload', { default: 1 })
+cli.option('--runs <count>', 'Runs one after another, with the seeds that follow', { default: 1 })
 cli.option('--seconds <seconds>', 'Time during which calls and faults begin', { default: 20 })
+cli.option('--processes <count>', 'Processes of the whole system, stand-ins included', { default: MIN_PROCESSES })
 cli.option('--poison <count>', 'Requests that crash each engine that runs them', { default: 1 })
+cli.option('--regressions', 'Run the seeds that failed once')
 cli.help()
 const { options } = cli.parse()
-const seed = Number(options['seed'])
-const seconds = Number(options['seconds'])
-const poisonCount = Number(options['poison'])
-if (options['help'] !== true) {
-  if (!Number.isInteger(seed) || !(seconds > 0) || !(poisonCount >= 0)) {
-    console.error('--seed must be an integer, --seconds above 0 and --poison 0 or more')
-    process.exit(2)
+if (options['help'] !== true) process.exit(await main())
+
+async function main (): Promise<number> {
+  const [seed, runs, seconds, processes, poisonCount] = ['seed', 'runs', 'seconds', 'processes', 'poison'].map(name => Number(options[name])) as [number, number, number, number, number]
+  const isValid = [seed, runs, processes].every(Number.isInteger) && runs > 0 && seconds > 0 && poisonCount >= 0
+  if (!isValid || processes < MIN_PROCESSES || processes > maxProcesses()) {
+    console.error(`--seed and --runs must be integers, --seconds above 0, --poison 0 or more and --processes from ${MIN_PROCESSES} to ${maxProcesses()}`)
+    return 2
   }
-  setTimeout(() => {
+  const plans: SoakOptions[] = options['regressions'] === true
+    ? regressionSeeds.map(item => ({ ...item, processes }))
+    : Array.from({ length: runs }, (_, index) => ({ seed: seed + index, seconds, poisonCount, processes }))
+  let failed = 0
+  for (const plan of plans) if (!await runOne(plan)) failed++
+  if (plans.length > 1) console.log(`soak: runs=${plans.length} failed=${failed}`)
+  return failed === 0 ? 0 : 1
+}
+
+async function runOne (plan: SoakOptions): Promise<boolean> {
+  const guard = setTimeout(() => {
     console.log('violation rule="ends" subject="run" the run itself did not end')
-    console.log(`chaos: seed=${seed} requests=0 faults=0 violations=1`)
+    console.log(`chaos: seed=${plan.seed} requests=0 faults=0 violations=1`)
     process.exit(1)
-  }, seconds * 1000 + OVERHEAD_MS).unref()
-  const result = await runChaos(seed, seconds, poisonCount)
-  console.log(formatResult(seed, result))
-  process.exit(result.violations.length === 0 ? 0 : 1)
+  }, plan.seconds * 1000 + OVERHEAD_MS)
+  const startedAtMs = Date.now()
+  const result = await runChaos(plan, violation => console.log(`after ${Date.now() - startedAtMs} ms: ${formatViolation(violation)[0]}`))
+  clearTimeout(guard)
+  console.log(formatResult(plan.seed, result))
+  return result.violations.length === 0
 }
--- a/chaos/runChaos.ts
+++ b/chaos/runChaos.ts
@@ -6,14 +6,20 @@
 import { checkHistory } from './checker/checkHistory.js'
 import type { History } from './checker/History.js'
 import type { TrainerHistory } from './checker/TrainerHistory.js'
+import type { Violation } from './checker/Violation.js'
 import { EntryPool } from './driver/EntryPool.js'
 import { FaultInjector } from './driver/FaultInjector.js'
+import { KeptClients } from './driver/KeptClients.js'
 import { LedgerReader } from './driver/LedgerReader.js'
 import { OperatorLoad } from './driver/OperatorLoad.js'
 import { planFaults } from './driver/planFaults.js'
+import { planSeries } from './driver/planSeries.js'
+import { planSize } from './driver/planSize.js'
 import { planWork } from './driver/planWork.js'
 import { Site } from './driver/Site.js'
 import { Workload } from './driver/Workload.js'
+import { LiveCheck } from './LiveCheck.js'
+import type { SoakOptions } from './SoakOptions.js'
 
 // Leases, heartbeat time-outs and order backoffs of the harness pass several times in it.
 const SETTLE_MS = 45_000
@@ -21,27 +27,41 @@
 const HOLD_MS = 10_000
 
 /**
- * Runs the workload under the faults that the seed draws, and checks what was recorded.
- * `poisonCount` requests crash each engine that runs them.
+ * Runs the workload under the faults that the seed draws, and checks what was recorded. `onViolation`
+ * hears of those that show while the run goes on; the result has all of them.
  */
-export async function runChaos (seed: number, seconds: number, poisonCount = 1): Promise<ChaosResult> {
-  const site = await Site.start()
+export async function runChaos (options: SoakOptions, onViolation: (violation: Violation) => void = () => {}): Promise<ChaosResult> {
+  const site = await Site.start(planSize(options.processes))
   try {
-    const history = await record(site, seed, seconds * 1000, poisonCount)
+    const history = await record(site, options, onViolation)
     const violations = checkHistory(history)
-    return violations.length === 0 ? { history, violations } : { history, violations, logFolder: await keepLogs(site, history, seed) }
+    return violations.length === 0 ? { history, violations } : { history, violations, logFolder: await keepLogs(site, history, options.seed) }
   } finally {
     await site.cluster.dispose()
   }
 }
 
-async function record (site: Site, seed: number, durationMs: number, poisonCount: number): Promise<History> {
+async function record (site: Site, { seed, seconds, poisonCount }: SoakOptions, onViolation: (violation: Violation) => void): Promise<History> {
+  const durationMs = seconds * 1000
   const pool = new EntryPool(site)
   const injector = new FaultInjector(site, pool)
   const work = new Workload(seed, site, pool)
+  const kept = new KeptClients(site.cluster.entries)
   const operators = new OperatorLoad(site, pool)
   const ledgers = new LedgerReader(site, injector.faults)
   const unsettled: string[] = []
+  const read = async (): Promise<History> => ({
+    calls: [...work.calls, ...kept.calls],
+    runs: ledgers.runs,
+    trainers: await Promise.all(site.trainers.map(async trainer => await readTrainer(site, trainer))),
+    publications: operators.publications,
+    views: operators.views,
+    marks: injector.marks,
+    stops: pool.stops,
+    faults: injector.faults,
+    unsettled: [...unsettled, ...work.unsettled]
+  })
+  const live = new LiveCheck(read, onViolation)
   const settle = async (what: string, action: Promise<unknown>, limitMs = SETTLE_MS) => {
     const limit = AbortSignal.timeout(limitMs)
     const late = new Promise((_resolve, reject) => limit.addEventListener('abort', () => reject(new Error('not in time'))))
@@ -49,28 +69,25 @@
   }
   const publishing = operators.run()
   const reading = ledgers.run()
+  const keeping = kept.run()
+  const checking = live.run()
+  const faults = [...planFaults(seed, durationMs), ...planSeries(seed, durationMs, site.cluster.entries.map(entry => entry.name))]
   await Promise.all([
     settle('calls', work.run(planWork(seed, durationMs, poisonCount), durationMs + SETTLE_MS), durationMs + 2 * SETTLE_MS),
-    settle('faults', injector.run(planFaults(seed, durationMs)), durationMs + HOLD_MS + SETTLE_MS)
+    settle('faults', injector.run(faults), durationMs + HOLD_MS + SETTLE_MS)
   ])
   operators.stop()
+  live.stop()
+  kept.stop()
   await settle('publications', publishing)
+  await settle('kept connections', keeping)
+  await settle('live check', checking)
   await settle('contracts', waitUntil('all entries show the accepted contracts', async () => await operators.settle(), SETTLE_MS))
   await settle('probes', work.probe(SETTLE_MS), 2 * SETTLE_MS)
   await Promise.all(site.trainers.map(async trainer => await settle(trainer.process.name, advance(trainer))))
   await settle('ledgers', ledgers.finish())
   await settle('ledger reads', reading)
-  return {
-    calls: work.calls,
-    runs: ledgers.runs,
-    trainers: await Promise.all(site.trainers.map(async trainer => await readTrainer(site, trainer))),
-    publications: operators.publications,
-    views: operators.views,
-    marks: injector.marks,
-    stops: pool.stops,
-    faults: injector.faults,
-    unsettled: [...unsettled, ...work.unsettled]
-  }
+  return await read()
 }
 
 /** Waits until the trainer has trained a step that it began after all faults were healed. */
--- a/src/node/cli/runEntryCommand.ts
+++ b/src/node/cli/runEntryCommand.ts
@@ -10,6 +10,8 @@
   const { logger, close } = await createLogger(logLevel, settings.id)
   // Registered before the start: without a handler a signal during the start kills the process.
   const signal = waitForSignal()
+  const onHangUp = (): void => logger.info({ signal: 'SIGHUP' }, 'settings_reload_ignored')
+  process.on('SIGHUP', onHangUp)
   let entry: Entry | undefined
   try {
     entry = new Entry(settings, logger, registerServices)
@@ -24,6 +26,7 @@
   logger.info({ signal: await signal }, 'signal_received')
   const isDrained = await entry.drain()
   entry.dispose()
+  process.off('SIGHUP', onHangUp)
   await close()
   return isDrained ? 0 : 1
 }
--- a/tools/harness/ManagedProcess.ts
+++ b/tools/harness/ManagedProcess.ts
@@ -31,6 +31,16 @@
   /** `script` is relative to `dist`. */
   constructor (readonly name: string, readonly script: string, public args: string[]) {}
 
+  /** Modules that the process loads before its script. */
+  protected get imports (): string[] {
+    return []
+  }
+
+  /** Variables added to its environment. */
+  protected get environment (): NodeJS.ProcessEnv {
+    return {}
+  }
+
   get pid (): number | undefined {
     return this._child?.pid
   }
@@ -47,7 +57,9 @@
   /** Starts the process and resolves when it printed its ready line; rejects when it exits before. */
   async start (): Promise<void> {
     if (this.isRunning) throw new Error(`${this.name} runs already`)
-    const child = spawn(process.execPath, ['--import', EXIT_WITH_PARENT, ROOT + this.script, ...this.args], {
+    const imports = [EXIT_WITH_PARENT, ...this.imports].flatMap(module => ['--import', module])
+    const child = spawn(process.execPath, [...imports, ROOT + this.script, ...this.args], {
+      env: { ...process.env, ...this.environment },
       stdio: ['pipe', 'pipe', 'pipe']
     })
     this._child = child
