--- a/bench/Arrival.ts
+++ b/bench/Arrival.ts
@@ -4,7 +4,7 @@
   atMs: number
   /** Kind of work, under which its latency is reported. */
   label: string
-  customer: 'lin-shun' | 'almaskert'
+  organisation: 'lin-shun' | 'almaskert'
   method: 'GET' | 'POST'
   path: string
   headers?: Record<string, string>
--- a/bench/capacity/memory.ts
+++ b/bench/capacity/memory.ts
@@ -18,7 +18,7 @@
 
 const fold = new ClaimFold(() => 3_600_000, { onWon () {}, onSettled () {} }, logger)
 const perClaim = measure(CLAIMS, index => {
-  const fields = { customer: 'lin-shun', service: 'order-app', key: `ticket-${index}` }
+  const fields = { organisation: 'lin-shun', service: 'order-app', key: `ticket-${index}` }
   const claim = { type: 'claim', id: `p:${index}`, ...fields, body_sha256: 'a'.repeat(64), entry: 'entry-1', at_ms: Date.now() }
   const answer = { status: 200, headers: { 'content-type': 'application/json' }, body_base64: 'e'.repeat(80), body_omitted: false }
   fold.apply({ offset: index * 2, timeMs: Date.now(), value: claim })
--- a/bench/lookup.ts
+++ b/bench/lookup.ts
@@ -1,6 +1,6 @@
 import type { Arrival } from './Arrival.js'
 
 /** A lookup that may be repeated. */
-export function lookup (id: number | string, customer: Arrival['customer'] = 'lin-shun', label = 'lookup'): Omit<Arrival, 'atMs'> {
-  return { label, customer, method: 'GET', path: `/v1/services/order-app/orders/${id}` }
+export function lookup (id: number | string, organisation: Arrival['organisation'] = 'lin-shun', label = 'lookup'): Omit<Arrival, 'atMs'> {
+  return { label, organisation, method: 'GET', path: `/v1/services/order-app/orders/${id}` }
 }
--- a/bench/scenarios/overload.ts
+++ b/bench/scenarios/overload.ts
@@ -17,7 +17,7 @@
 // Lets the upstreams work off what a variant without bounds left with them.
 const SETTLE_MS = 2000
 
-/** 1.5 times capacity, most of it from one customer. */
+/** 1.5 times capacity, most of it from one organisation. */
 export const overload: Scenario = {
   variants: ['default', 'unbounded', 'plain'],
   roundMs: 5000,
--- a/bench/sendArrival.ts
+++ b/bench/sendArrival.ts
@@ -14,7 +14,7 @@
     const response = await request(`http://${address}${arrival.path}`, {
       dispatcher: agent,
       method: arrival.method,
-      headers: { ...arrival.headers, authorization: `Bearer ${tokens[arrival.customer]}` },
+      headers: { ...arrival.headers, authorization: `Bearer ${tokens[arrival.organisation]}` },
       body: arrival.body,
       reset: isReset,
       signal: AbortSignal.timeout(TIMEOUT_MS)
--- a/bench/ticket.ts
+++ b/bench/ticket.ts
@@ -5,5 +5,5 @@
 export function ticket (id: number): Omit<Arrival, 'atMs'> {
   const body = JSON.stringify({ hood: id })
   const headers = { 'idempotency-key': randomUUID(), 'content-type': 'application/json' }
-  return { label: 'ticket', customer: 'lin-shun', method: 'POST', path: '/v1/services/order-app/tickets', headers, body }
+  return { label: 'ticket', organisation: 'lin-shun', method: 'POST', path: '/v1/services/order-app/tickets', headers, body }
 }
--- a/chaos/checker/Call.ts
+++ b/chaos/checker/Call.ts
@@ -5,7 +5,7 @@
   kind: 'lookup' | 'ticket' | 'stream'
   /** Entry that the caller connected to, or `balancer`. */
   entry: string
-  customer: string
+  organisation: string
   service: string
   /** Idempotency-Key of a ticket. */
   key?: string
--- a/chaos/checker/ContractView.ts
+++ b/chaos/checker/ContractView.ts
@@ -1,7 +1,7 @@
 /** Contract that a ready entry showed as in force. */
 export interface ContractView {
   entry: string
-  customer: string
+  organisation: string
   revision: number
   text: string
   /** Start of the request. */
--- a/chaos/checker/Publication.ts
+++ b/chaos/checker/Publication.ts
@@ -1,6 +1,6 @@
 /** One publication of a contract as its operator saw it; without a revision it was not accepted. */
 export interface Publication {
-  customer: string
+  organisation: string
   operator: string
   entry: string
   base: number
--- a/chaos/checker/checkContracts.ts
+++ b/chaos/checker/checkContracts.ts
@@ -15,7 +15,7 @@
 function differing ({ publications, views }: History): Violation[] {
   const texts = new Map<string, { text: string }>()
   return [...publications.filter(item => item.revision !== undefined), ...views].flatMap(item => {
-    const subject = `${item.customer} revision ${item.revision}`
+    const subject = `${item.organisation} revision ${item.revision}`
     const known = texts.get(subject)
     if (known === undefined) texts.set(subject, item)
     return known === undefined || known.text === item.text ? [] : [{ rule: RULE, subject, message: 'two texts', records: [known, item] }]
@@ -25,7 +25,7 @@
 function reverted ({ views }: History): Violation[] {
   const highest = new Map<string, ContractView>()
   return views.toSorted((a, b) => a.atMs - b.atMs).flatMap(view => {
-    const subject = `${view.customer} at ${view.entry}`
+    const subject = `${view.organisation} at ${view.entry}`
     const known = highest.get(subject)
     if (known === undefined || view.revision > known.revision) highest.set(subject, view)
     return known === undefined || view.revision >= known.revision ? [] : [{ rule: RULE, subject, message: 'reverted', records: [known, view] }]
@@ -34,11 +34,11 @@
 
 function late ({ publications, views, faults }: History): Violation[] {
   return publications.flatMap(publication => views.flatMap(view => {
-    const { customer, revision = 0, endedAtMs } = publication
-    if (view.customer !== customer || view.revision >= revision || view.atMs < endedAtMs) return []
+    const { organisation, revision = 0, endedAtMs } = publication
+    if (view.organisation !== organisation || view.revision >= revision || view.atMs < endedAtMs) return []
     const endMs = extendWindow(endedAtMs, windows.contractMs, faults.filter(fault => hinders(fault, view.entry)))
     if (view.atMs < endMs && !view.isFinal) return []
-    return [{ rule: RULE, subject: `${customer} at ${view.entry}`, message: `revision ${revision} is not in force`, records: [publication, view] }]
+    return [{ rule: RULE, subject: `${organisation} at ${view.entry}`, message: `revision ${revision} is not in force`, records: [publication, view] }]
   }))
 }
 
--- a/chaos/checker/checkHistory.test.ts
+++ b/chaos/checker/checkHistory.test.ts
@@ -109,7 +109,7 @@
   })
 
   it('9: finds a contract that reverts, differs between entries or is late', () => {
-    const view = { entry: 'entry-1', customer: 'lin-shun', revision: 1, text: 'one', atMs: 1300, isFinal: false }
+    const view = { entry: 'entry-1', organisation: 'lin-shun', revision: 1, text: 'one', atMs: 1300, isFinal: false }
     expect(broken(history => { history.views.push(view) })).toEqual(['9 contracts'])
     expect(broken(history => { history.views.push({ ...view, entry: 'entry-2', revision: 2 }) })).toEqual(['9 contracts'])
     expect(broken(history => { history.publications.push({ ...history.publications[0]!, operator: 'ilona', text: 'other' }) })).toEqual(['9 contracts'])
--- a/chaos/checker/testing/createHistory.ts
+++ b/chaos/checker/testing/createHistory.ts
@@ -1,6 +1,6 @@
 import type { History } from '../History.js'
 
-const call = { entry: 'entry-1', customer: 'lin-shun', startedAtMs: 1000, endedAtMs: 1100, deadlineMs: 2000, status: 200 }
+const call = { entry: 'entry-1', organisation: 'lin-shun', startedAtMs: 1000, endedAtMs: 1100, deadlineMs: 2000, status: 200 }
 const origin = [{ from: 0, to: 2, version: 3, kv_version: 3 }, { from: 2, to: 3, version: 4, kv_version: 3 }]
 const tokens = [3001, 3002, 4001]
 const group = {
@@ -38,10 +38,10 @@
       stepsDone: 1,
       received: [{ ...group, group: 's0-g0', samples: samples() }, { ...group, group: 's0-g1', samples: samples() }]
     }],
-    publications: [{ customer: 'lin-shun', operator: 'mei', entry: 'entry-1', base: 1, text: 'two', startedAtMs: 1000, endedAtMs: 1100, revision: 2 }],
+    publications: [{ organisation: 'lin-shun', operator: 'mei', entry: 'entry-1', base: 1, text: 'two', startedAtMs: 1000, endedAtMs: 1100, revision: 2 }],
     views: [
-      { entry: 'entry-1', customer: 'lin-shun', revision: 1, text: 'one', atMs: 900, isFinal: false },
-      { entry: 'entry-1', customer: 'lin-shun', revision: 2, text: 'two', atMs: 1200, isFinal: true }
+      { entry: 'entry-1', organisation: 'lin-shun', revision: 1, text: 'one', atMs: 900, isFinal: false },
+      { entry: 'entry-1', organisation: 'lin-shun', revision: 2, text: 'two', atMs: 1200, isFinal: true }
     ],
     marks: [{ upstream: 'order-app-1', fromMs: 2000, toMs: 20_000 }],
     stops: [{ entry: 'entry-2', fromMs: 1000, exitedAtMs: 3000, exitCode: 0 }],
--- a/chaos/driver/KeptClients.ts
+++ b/chaos/driver/KeptClients.ts
@@ -7,7 +7,7 @@
 const GAP_MS = 60
 const RECONNECT_MS = 200
 const DEADLINE_MS = 2_000
-const CUSTOMER = 'lin-shun'
+const ORGANISATION = 'lin-shun'
 const SERVICE = 'order-app'
 
 /**
@@ -38,7 +38,7 @@
         kind: 'lookup',
         entry: entry.name,
         address: entry.listen,
-        customer: CUSTOMER,
+        organisation: ORGANISATION,
         service: SERVICE,
         expected: id,
         deadlineMs: DEADLINE_MS,
--- a/chaos/driver/OperatorLoad.ts
+++ b/chaos/driver/OperatorLoad.ts
@@ -8,7 +8,7 @@
 import type { EntryPool } from './EntryPool.js'
 import type { Site } from './Site.js'
 
-const CUSTOMERS = ['lin-shun', 'almaskert'] as const
+const ORGANISATIONS = ['lin-shun', 'almaskert'] as const
 const PUBLISH_EVERY_MS = 1000
 const VIEW_EVERY_MS = 400
 
@@ -34,9 +34,9 @@
   /** Views of every entry; true when all entries show the highest revision that was accepted. */
   async settle (): Promise<boolean> {
     const views = (await Promise.all(this._site.cluster.entries.map(async entry => await this._view(entry)))).flat()
-    const isSettled = CUSTOMERS.every(customer => {
-      const accepted = this.publications.filter(item => item.customer === customer).map(item => item.revision ?? 0)
-      const shown = views.filter(view => view.customer === customer).map(view => view.revision)
+    const isSettled = ORGANISATIONS.every(organisation => {
+      const accepted = this.publications.filter(item => item.organisation === organisation).map(item => item.revision ?? 0)
+      const shown = views.filter(view => view.organisation === organisation).map(view => view.revision)
       return shown.length === this._site.cluster.entries.length && Math.min(...shown) >= Math.max(1, ...accepted)
     })
     this.views.push(...views.map(view => ({ ...view, isFinal: isSettled })))
@@ -45,23 +45,23 @@
 
   private async _publishAll (): Promise<void> {
     while (this._isOn) {
-      await Promise.all(CUSTOMERS.map(async customer => await this._race(customer).catch(() => {})))
+      await Promise.all(ORGANISATIONS.map(async organisation => await this._race(organisation).catch(() => {})))
       await sleep(PUBLISH_EVERY_MS)
     }
   }
 
-  private async _race (customer: typeof CUSTOMERS[number]): Promise<void> {
+  private async _race (organisation: typeof ORGANISATIONS[number]): Promise<void> {
     const { open } = this._pool
     const turn = this._count++
     const entries = [open[turn % open.length]!, open[(turn + 1) % open.length]!]
-    const { revision: base } = await httpJson('GET', entries[0]!.listen, `/admin/v1/contracts/${customer}`, undefined, tokens.operators.mei)
-    const example = await exampleContract(customer)
+    const { revision: base } = await httpJson('GET', entries[0]!.listen, `/admin/v1/contracts/${organisation}`, undefined, tokens.operators.mei)
+    const example = await exampleContract(organisation)
     await Promise.all((['mei', 'ilona'] as const).map(async (operator, index) => {
       const text = `${example}\n; publication ${turn} by ${operator}\n`
       const startedAtMs = Date.now()
       const entry = entries[index]!
-      const answer = await httpJson('POST', entry.listen, `/admin/v1/contracts/${customer}`, { base_revision: base, text }, tokens.operators[operator]).catch(() => undefined)
-      this.publications.push({ customer, operator, entry: entry.name, base, text, startedAtMs, endedAtMs: Date.now(), revision: answer?.revision })
+      const answer = await httpJson('POST', entry.listen, `/admin/v1/contracts/${organisation}`, { base_revision: base, text }, tokens.operators[operator]).catch(() => undefined)
+      this.publications.push({ organisation, operator, entry: entry.name, base, text, startedAtMs, endedAtMs: Date.now(), revision: answer?.revision })
     }))
   }
 
@@ -76,7 +76,7 @@
   private async _view (entry: EntryProcess): Promise<ContractView[]> {
     const atMs = Date.now()
     if (await entry.readiness() !== 200) return []
-    const shown = await Promise.all(CUSTOMERS.map(async customer => await httpJson('GET', entry.listen, `/admin/v1/contracts/${customer}`, undefined, tokens.operators.mei).catch(() => undefined)))
-    return shown.filter(item => item !== undefined).map(({ customer, revision, text }) => ({ entry: entry.name, customer, revision, text, atMs, isFinal: false }))
+    const shown = await Promise.all(ORGANISATIONS.map(async organisation => await httpJson('GET', entry.listen, `/admin/v1/contracts/${organisation}`, undefined, tokens.operators.mei).catch(() => undefined)))
+    return shown.filter(item => item !== undefined).map(({ organisation, revision, text }) => ({ entry: entry.name, organisation, revision, text, atMs, isFinal: false }))
   }
 }
--- a/chaos/driver/WorkItem.ts
+++ b/chaos/driver/WorkItem.ts
@@ -1,7 +1,7 @@
 /** A piece of the workload; `via` and `via2` choose the entries of the first and the repeated call. */
 export interface WorkItem {
   kind: 'lookup' | 'ticket' | 'stream' | 'poison'
-  customer: 'lin-shun' | 'almaskert'
+  organisation: 'lin-shun' | 'almaskert'
   atMs: number
   via: number
   via2: number
--- a/chaos/driver/Workload.ts
+++ b/chaos/driver/Workload.ts
@@ -55,16 +55,16 @@
   }
 
   /**
-   * After the run, every entry must answer a lookup of each customer and a stream. Refused probes are
+   * After the run, every entry must answer a lookup of each organisation and a stream. Refused probes are
    * repeated until the given time has passed, so that a busy machine alone is no violation.
    */
   async probe (settleMs: number): Promise<void> {
     const endMs = performance.now() + settleMs
-    const probes = this._site.cluster.entries.flatMap(({ name, listen }) => (['lin-shun', 'almaskert'] as const).flatMap(customer => {
+    const probes = this._site.cluster.entries.flatMap(({ name, listen }) => (['lin-shun', 'almaskert'] as const).flatMap(organisation => {
       const target = { entry: name, address: listen }
       return [
-        this._untilAnswered(endMs, async () => await this._lookup({ customer }, target)),
-        this._untilAnswered(endMs, async () => await this._makeStream(customer, 4, '', target))
+        this._untilAnswered(endMs, async () => await this._lookup({ organisation }, target)),
+        this._untilAnswered(endMs, async () => await this._makeStream(organisation, 4, '', target))
       ]
     }))
     for (const call of await Promise.all(probes)) {
@@ -80,11 +80,11 @@
     }
   }
 
-  private async _lookup ({ customer }: Pick<WorkItem, 'customer'>, target: Target): Promise<Call> {
-    const service = SERVICES[customer].plain
+  private async _lookup ({ organisation }: Pick<WorkItem, 'organisation'>, target: Target): Promise<Call> {
+    const service = SERVICES[organisation].plain
     const id = this._id()
     return await this._make({
-      ...target, id, kind: 'lookup', customer, service, expected: id, deadlineMs: LOOKUP_DEADLINE_MS, method: 'GET', path: `/v1/services/${service}/orders/${id}`
+      ...target, id, kind: 'lookup', organisation, service, expected: id, deadlineMs: LOOKUP_DEADLINE_MS, method: 'GET', path: `/v1/services/${service}/orders/${id}`
     })
   }
 
@@ -103,14 +103,14 @@
     }
   }
 
-  private async _send ({ customer }: WorkItem, key: string, via: number, abandonAfterMs?: number): Promise<Call> {
-    const service = SERVICES[customer].plain
+  private async _send ({ organisation }: WorkItem, key: string, via: number, abandonAfterMs?: number): Promise<Call> {
+    const service = SERVICES[organisation].plain
     const body = JSON.stringify({ ticket: key })
     return await this._make({
       ...this._target(via),
       id: this._id(),
       kind: 'ticket',
-      customer,
+      organisation,
       service,
       key,
       body,
@@ -126,12 +126,12 @@
     const isPoison = item.kind === 'poison'
     const mark = isPoison ? ` crash-engine ${this._id()}` : ''
     for (let call = 0; call < (isPoison ? POISON_CALLS : 1); call++) {
-      await this._makeStream(item.customer, item.tokens, mark, this._target(item.via + call), item.isAbandoned ? item.repeatAfterMs : undefined)
+      await this._makeStream(item.organisation, item.tokens, mark, this._target(item.via + call), item.isAbandoned ? item.repeatAfterMs : undefined)
     }
   }
 
-  private async _makeStream (customer: WorkItem['customer'], tokens: number, mark: string, target: Target, abandonAfterMs?: number): Promise<Call> {
-    const service = SERVICES[customer].engine
+  private async _makeStream (organisation: WorkItem['organisation'], tokens: number, mark: string, target: Target, abandonAfterMs?: number): Promise<Call> {
+    const service = SERVICES[organisation].engine
     const id = this._id()
     // A repeated poison request must be the same request to be recognized.
     const prompt = mark === '' ? `request ${id} len=${tokens}` : `len=${tokens}${mark}`
@@ -140,7 +140,7 @@
       ...target,
       id,
       kind: 'stream',
-      customer,
+      organisation,
       service,
       expected: Array.from({ length: tokens }, (_, index) => tokenText(source.at(0, index))).join(''),
       deadlineMs: STREAM_DEADLINE_MS,
--- a/chaos/driver/makeCall.ts
+++ b/chaos/driver/makeCall.ts
@@ -5,7 +5,7 @@
 import { readStream } from './readStream.js'
 
 /** A call that is to be made. */
-interface Plan extends Pick<Call, 'id' | 'kind' | 'entry' | 'customer' | 'service' | 'key' | 'expected' | 'deadlineMs'> {
+interface Plan extends Pick<Call, 'id' | 'kind' | 'entry' | 'organisation' | 'service' | 'key' | 'expected' | 'deadlineMs'> {
   address: string
   method: 'GET' | 'POST'
   path: string
@@ -46,7 +46,7 @@
 
 function headersOf (plan: Plan): Record<string, string> {
   return {
-    authorization: `Bearer ${tokens[plan.customer as 'lin-shun' | 'almaskert']}`,
+    authorization: `Bearer ${tokens[plan.organisation as 'lin-shun' | 'almaskert']}`,
     'x-request-id': plan.id,
     'x-deadline-ms': String(plan.deadlineMs),
     ...(plan.body === undefined ? {} : { 'content-type': 'application/json' }),
--- a/chaos/driver/planWork.ts
+++ b/chaos/driver/planWork.ts
@@ -8,7 +8,7 @@
 export function planWork (seed: number, durationMs: number, poisonCount: number): WorkItem[] {
   const item = fc.noBias(fc.record({
     kind: fc.constantFrom(...KINDS),
-    customer: fc.constantFrom('lin-shun' as const, 'almaskert' as const),
+    organisation: fc.constantFrom('lin-shun' as const, 'almaskert' as const),
     atMs: fc.nat(durationMs),
     via: fc.nat(1000),
     via2: fc.nat(1000),
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -66,8 +66,8 @@
   await countSamples(trainers)
 }
 
-async function startTrainer (customer: 'lin-shun' | 'almaskert', trainer: string, front: string): Promise<StandIn> {
-  return await cluster.startTrainer(customer, trainer, {
+async function startTrainer (organisation: 'lin-shun' | 'almaskert', trainer: string, front: string): Promise<StandIn> {
+  return await cluster.startTrainer(organisation, trainer, {
     addresses: front, steps: STEPS, groups: GROUPS, samples: SAMPLES, 'max-tokens': 160, 'weights-every-ms': 1000
   })
 }
--- a/src/common/admission/Admission.test.ts
+++ b/src/common/admission/Admission.test.ts
@@ -32,7 +32,7 @@
   /** Asks for a slot; its name or its refusal is logged when it is known. */
   function ask (name: string, patch: Partial<AdmissionRequest> = {}): void {
     admission.acquire({
-      customer: 'c', service: 's', workClass: 'w', size: 'short', units: 1, fingerprint: name, deadlineAtMs: performance.now() + 60_000, ...patch
+      organisation: 'c', service: 's', workClass: 'w', size: 'short', units: 1, fingerprint: name, deadlineAtMs: performance.now() + 60_000, ...patch
     }).match((slot) => {
       slots.set(name, slot)
       log.push(name)
@@ -62,7 +62,7 @@
     limitsOf = {}
     random = () => 0
     suspects = { blocked: new Set(), settling: new Set(), suspected: new Set(), crashes: [] }
-    const contracts = { current: (customer: string) => ({ contract: { limits: { ...limits, ...limitsOf[customer] } } }) }
+    const contracts = { current: (organisation: string) => ({ contract: { limits: { ...limits, ...limitsOf[organisation] } } }) }
     const suspectTable: ISuspectTable = {
       isBlocked: (fingerprint) => suspects.blocked.has(fingerprint),
       isSettling: (fingerprint) => suspects.settling.has(fingerprint),
@@ -94,13 +94,13 @@
     expect(order).toEqual(['s1', 's2', 's3', 's4', 's5', 's6', 's7', 'long', 's8', 's9'])
   })
 
-  it('divides places between customers by share, and orders each one by deadline', async () => {
+  it('divides places between organisations by share, and orders each one by deadline', async () => {
     setUp(['u'], 1)
     limitsOf = { big: { share: 3 } }
-    ask('first', { customer: 'other' })
+    ask('first', { organisation: 'other' })
     for (let index = 4; index >= 1; index--) {
-      ask(`small${index}`, { customer: 'small', deadlineAtMs: 10_000 + index })
-      ask(`big${index}`, { customer: 'big', deadlineAtMs: 10_000 + index })
+      ask(`small${index}`, { organisation: 'small', deadlineAtMs: 10_000 + index })
+      ask(`big${index}`, { organisation: 'big', deadlineAtMs: 10_000 + index })
     }
     await taken()
     const order: string[] = []
@@ -121,13 +121,13 @@
     expect(admission.queued('s')).toEqual(2)
   })
 
-  it('bounds the requests in flight and in the queue of a customer', async () => {
+  it('bounds the requests in flight and in the queue of an organisation', async () => {
     setUp(['u'], 8)
     limitsOf = { c: { max_in_flight: 1, max_queue: 1 } }
     ask('a')
     ask('b')
     ask('c')
-    ask('d', { customer: 'other' })
+    ask('d', { organisation: 'other' })
     expect(await taken()).toEqual(['a', 'c queue_full', 'd'])
     await release('a')
     expect(await taken()).toEqual(['b'])
--- a/src/common/admission/Admission.ts
+++ b/src/common/admission/Admission.ts
@@ -22,7 +22,7 @@
 import type { AdmissionError } from './AdmissionError.js'
 import type { AdmissionRequest } from './AdmissionRequest.js'
 import { createRoomPolicy } from './createRoomPolicy.js'
-import { CustomerCounts } from './CustomerCounts.js'
+import { OrganisationCounts } from './OrganisationCounts.js'
 import { estimateService } from './estimateService.js'
 import type { IAdmission } from './IAdmission.js'
 import { isTooLate } from './isTooLate.js'
@@ -46,7 +46,7 @@
 /** IAdmission per entry; see section 5.13 of the design page. */
 export class Admission extends Disposable implements IAdmission {
   private readonly _services = new Map<string, ServiceQueue>()
-  private readonly _counts = new CustomerCounts()
+  private readonly _counts = new OrganisationCounts()
   private readonly _limits = new LimitController()
   private readonly _guard: SuspectGuard
   private _timer?: ReturnType<typeof setInterval>
@@ -100,7 +100,7 @@
     }
     const { leastMs, turnMs } = estimateService(this._table.available(request.service), request)
     const queueOfSize = queue.queueOf(request.size)
-    const waitMs = queueOfSize.size === 0 ? 0 : queueOfSize.countAhead(request.customer, request.deadlineAtMs) * turnMs
+    const waitMs = queueOfSize.size === 0 ? 0 : queueOfSize.countAhead(request.organisation, request.deadlineAtMs) * turnMs
     if (performance.now() + waitMs + leastMs >= request.deadlineAtMs) {
       return { kind: 'deadline_unreachable', message: `expected to take ${Math.round(waitMs + leastMs)} ms, which exceeds the deadline` }
     }
@@ -119,19 +119,19 @@
       settle: (result) => {
         clearTimeout(timer)
         request.signal?.removeEventListener('abort', onAbort)
-        this._counts.addQueued(request.customer, -1)
+        this._counts.addQueued(request.organisation, -1)
         resolve(result)
       }
     }
     request.signal?.addEventListener('abort', onAbort)
     queue.noteArrival(request.size, nowMs)
     queue.queueOf(request.size).add(waiter)
-    this._counts.addQueued(request.customer, 1)
+    this._counts.addQueued(request.organisation, 1)
     this._pump(queue)
-    if (this._counts.queued(request.customer) > this._limitsOf(request.customer).max_queue) {
+    if (this._counts.queued(request.organisation) > this._limitsOf(request.organisation).max_queue) {
       const { turnMs } = estimateService(this._table.available(request.service), request)
       const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, Math.round(queue.size * turnMs)))
-      this._drop(queue, waiter, { kind: 'queue_full', message: `customer ${request.customer} has too many requests in the queue`, retryAfterMs })
+      this._drop(queue, waiter, { kind: 'queue_full', message: `organisation ${request.organisation} has too many requests in the queue`, retryAfterMs })
     }
     this._keepTime()
   }
@@ -193,12 +193,12 @@
 
   private _place (queue: ServiceQueue, waiter: Waiter, room: Upstream[], nowMs: number): Upstream | undefined {
     const { request } = waiter
-    const { customer, fingerprint, excluded } = request
+    const { organisation, fingerprint, excluded } = request
     if (this._suspects.isBlocked(fingerprint)) {
       this._drop(queue, waiter, { kind: 'request_blocked', message: 'this request crashed the upstreams that ran it' })
       return undefined
     }
-    const isFull = this._counts.inFlight(customer) >= this._limitsOf(customer).max_in_flight
+    const isFull = this._counts.inFlight(organisation) >= this._limitsOf(organisation).max_in_flight
     if (isFull || this._guard.mustWait(request.service, fingerprint)) {
       return undefined
     }
@@ -220,15 +220,15 @@
 
   private _open (waiter: Waiter, upstream: Upstream, nowMs: number): ISlot {
     const { request } = waiter
-    const { customer, service, size, units, fingerprint } = request
+    const { organisation, service, size, units, fingerprint } = request
     const endSuspect = this._guard.isSuspect(fingerprint) ? this._guard.begin(service) : undefined
     const inFlight = this._usage.begin(upstream.id, { size, units, fingerprint })
-    this._counts.addInFlight(customer, 1)
+    this._counts.addInFlight(organisation, 1)
     const queuedMs = nowMs - waiter.enqueuedAtMs
     this._metrics.duration('queue_wait', queuedMs, { service, size })
     return new Slot(upstream, queuedMs, (result) => {
       const outstanding = upstream.outstanding
-      this._counts.addInFlight(customer, -1)
+      this._counts.addInFlight(organisation, -1)
       endSuspect?.()
       this._learn(upstream, request, result)
       this._usage.end(upstream.id, inFlight, result)
@@ -277,8 +277,8 @@
     this._metrics.count('admission_refused_total', { service: request.service, kind: error.kind })
   }
 
-  private _limitsOf (customer: string): Contract['limits'] {
-    return this._contracts.current(customer)?.contract.limits ?? DEFAULT_LIMITS
+  private _limitsOf (organisation: string): Contract['limits'] {
+    return this._contracts.current(organisation)?.contract.limits ?? DEFAULT_LIMITS
   }
 
   private _serviceQueue (service: string): ServiceQueue {
@@ -287,7 +287,7 @@
       const settings = this._settings.services.find((item) => item.name === service)
       const balancer = createBalancer(settings?.balancer ?? 'expected-wait', this._random, this._hasher)
       const room = createRoomPolicy(settings?.admission ?? 'bounded')
-      queue = new ServiceQueue(service, balancer, room, (customer) => this._limitsOf(customer).share)
+      queue = new ServiceQueue(service, balancer, room, (organisation) => this._limitsOf(organisation).share)
       this._services.set(service, queue)
     }
     return queue
--- a/src/common/admission/ServiceQueue.ts
+++ b/src/common/admission/ServiceQueue.ts
@@ -23,7 +23,7 @@
     readonly service: string,
     readonly balancer: IBalancer,
     readonly room: IRoomPolicy,
-    shareOf: (customer: string) => number
+    shareOf: (organisation: string) => number
   ) {
     this.short = new ClassQueue(shareOf)
     this.long = new ClassQueue(shareOf)
--- a/src/common/claim/ClaimFold.test.ts
+++ b/src/common/claim/ClaimFold.test.ts
@@ -21,7 +21,7 @@
 }
 
 function claim (id: string, key = 'k'): object {
-  return { type: 'claim', id, customer: 'a', service: 's', key, body_sha256: 'x', entry: 'e', at_ms: 0 }
+  return { type: 'claim', id, organisation: 'a', service: 's', key, body_sha256: 'x', entry: 'e', at_ms: 0 }
 }
 
 describe('ClaimFold', () => {
@@ -66,7 +66,7 @@
 
   it('ignores results and releases of claims that do not hold the key, and malformed records', () => {
     const { fold, apply } = createFold()
-    const base = { customer: 'a', service: 's', key: 'k', claim_id: 'other' }
+    const base = { organisation: 'a', service: 's', key: 'k', claim_id: 'other' }
     const answer = { status: 200, headers: {}, body_base64: '' }
     apply(0, 1, claim('c'))
     apply(1, 2, { type: 'release', id: 'r', ...base })
--- a/src/common/claim/ClaimFold.ts
+++ b/src/common/claim/ClaimFold.ts
@@ -35,7 +35,7 @@
   private _evictedUpToMs = Number.NEGATIVE_INFINITY
 
   constructor (
-    private readonly _windowMs: (customer: string) => number,
+    private readonly _windowMs: (organisation: string) => number,
     private readonly _listener: ClaimFoldListener,
     private readonly _logger: ILogger,
     private readonly _maxKeys = MAX_KEYS
@@ -77,7 +77,7 @@
   private _applyClaim (record: Claim): void {
     const name = claimKeyName(record)
     const known = this._claims.get(name)
-    if (known !== undefined && this._timeMs - known.seenAtMs < this._windowMs(record.customer)) {
+    if (known !== undefined && this._timeMs - known.seenAtMs < this._windowMs(record.organisation)) {
       known.seenAtMs = this._timeMs
       known.appliedAtMs = performance.now()
       this._moveToEnd(name, known)
@@ -92,7 +92,7 @@
     }
     this._claims.set(name, claim)
     this._evict()
-    this._listener.onWon({ customer: record.customer, service: record.service, key: record.key }, claim)
+    this._listener.onWon({ organisation: record.organisation, service: record.service, key: record.key }, claim)
   }
 
   private _applyResult (record: Result): void {
@@ -130,8 +130,8 @@
     if (this._timeMs - this._sweptAtMs < intervalMs) return
     this._sweptAtMs = this._timeMs
     for (const [name, claim] of this._claims) {
-      const customer = name.slice(0, name.indexOf('/'))
-      if (this._timeMs - claim.seenAtMs < this._windowMs(customer)) continue
+      const organisation = name.slice(0, name.indexOf('/'))
+      if (this._timeMs - claim.seenAtMs < this._windowMs(organisation)) continue
       this._forget(name)
       this._listener.onSettled(name, 'forgotten')
     }
--- a/src/common/claim/ClaimKey.ts
+++ b/src/common/claim/ClaimKey.ts
@@ -1,6 +1,6 @@
-/** What a claim is for: one Idempotency-Key of one customer and service. */
+/** What a claim is for: one Idempotency-Key of one organisation and service. */
 export interface ClaimKey {
-  customer: string
+  organisation: string
   service: string
   key: string
 }
--- a/src/common/claim/ClaimRequest.ts
+++ b/src/common/claim/ClaimRequest.ts
@@ -1,6 +1,6 @@
 /** A call that must run at most once. */
 export interface ClaimRequest {
-  customer: string
+  organisation: string
   service: string
   /** The caller's Idempotency-Key. */
   key: string
--- a/src/common/claim/ClaimService.test.ts
+++ b/src/common/claim/ClaimService.test.ts
@@ -190,7 +190,7 @@
   log.fate = () => fates[turn++ % fates.length] ?? 'ok'
   const run = (call: Call): void => {
     const entry = call.isFirst ? entries[0] : entries[1]
-    const request = { customer: 'a', service: 's', key: call.key, bodySha256: 'x', deadlineAtMs: performance.now() + call.timeoutMs }
+    const request = { organisation: 'a', service: 's', key: call.key, bodySha256: 'x', deadlineAtMs: performance.now() + call.timeoutMs }
     entry.service.claim(request).match(outcome => {
       if (outcome.kind !== 'won') return
       const { ticket } = outcome
--- a/src/common/claim/ClaimService.ts
+++ b/src/common/claim/ClaimService.ts
@@ -52,7 +52,7 @@
     @metricsId private readonly _metrics: IMetrics
   ) {
     super()
-    this._fold = new ClaimFold(customer => this._windowMs(customer), {
+    this._fold = new ClaimFold(organisation => this._windowMs(organisation), {
       onWon: (key, claim) => this._releaseIfGivenUp(key, claim),
       onSettled: (keyName, reason) => this._waiters.wake(keyName, reason)
     }, _logger)
@@ -82,7 +82,7 @@
     const { isCaughtUp, isFailing, lastAtEndMs } = this._hub.status('claims')
     if (!isCaughtUp) return 'this entry has not read the claims to their end yet'
     if (isFailing && performance.now() - lastAtEndMs > OUTAGE_MS) return 'the log is unavailable'
-    if (!this._fold.isDecidable(this._windowMs(request.customer))) return 'too many keys are remembered'
+    if (!this._fold.isDecidable(this._windowMs(request.organisation))) return 'too many keys are remembered'
     return undefined
   }
 
@@ -90,7 +90,7 @@
   private _find (request: ClaimRequest): StoredClaim | undefined {
     const held = this._fold.find(claimKeyName(request))
     if (held === undefined) return undefined
-    return performance.now() - held.appliedAtMs < this._windowMs(request.customer) ? held : undefined
+    return performance.now() - held.appliedAtMs < this._windowMs(request.organisation) ? held : undefined
   }
 
   /** Answers from a claim that another request holds; undefined when the key has become free. */
@@ -111,9 +111,9 @@
     const remainingMs = request.deadlineAtMs - sentAtMs
     if (remainingMs <= 0) return err(unavailable('the deadline has passed'))
     const id = `${this._processId}:${this._claimCount++}`
-    const { customer, service, key, bodySha256 } = request
-    const record = { type: 'claim', id, customer, service, key, body_sha256: bodySha256, entry: this._settings.id, at_ms: Date.now() }
-    if (!claimRecordSchema.safeParse(record).success) return err(unavailable('the key, customer or service is not valid'))
+    const { organisation, service, key, bodySha256 } = request
+    const record = { type: 'claim', id, organisation, service, key, body_sha256: bodySha256, entry: this._settings.id, at_ms: Date.now() }
+    if (!claimRecordSchema.safeParse(record).success) return err(unavailable('the key, organisation or service is not valid'))
     this._awaited.add(id)
     const appended = await this._hub.append('claims', record, Math.min(remainingMs, CLAIM_TIMEOUT_MS))
     this._awaited.delete(id)
@@ -129,7 +129,7 @@
   private _ticket (id: string, key: ClaimKey, sentAtMs: number): WonClaim {
     const keyName = claimKeyName(key)
     const isYoung = (): boolean => {
-      const maxAgeMs = this._windowMs(key.customer) * MAX_AGE_OF_WINDOW
+      const maxAgeMs = this._windowMs(key.organisation) * MAX_AGE_OF_WINDOW
       return performance.now() - sentAtMs < maxAgeMs && this._fold.find(keyName)?.claimId === id
     }
     return new WonClaim(id, key, isYoung, this._hub, this._logger)
@@ -142,9 +142,9 @@
   }
 
   /** Contracts are checked to have a window below the bound, which also applies while none is known. */
-  private _windowMs (customer: string): number {
+  private _windowMs (organisation: string): number {
     const boundMs = this._settings.retentionMs / KEY_WINDOWS_PER_RETENTION
-    const windowS = this._contracts.current(customer)?.contract.limits.key_window_s
+    const windowS = this._contracts.current(organisation)?.contract.limits.key_window_s
     return windowS === undefined ? boundMs : Math.min(boundMs, windowS * MS_PER_S)
   }
 }
--- a/src/common/claim/WonClaim.ts
+++ b/src/common/claim/WonClaim.ts
@@ -40,8 +40,8 @@
   }
 
   private _fields (): { id: string } & ClaimKey & { claim_id: string } {
-    const { customer, service, key } = this._key
-    return { id: crypto.randomUUID(), customer, service, key, claim_id: this.claimId }
+    const { organisation, service, key } = this._key
+    return { id: crypto.randomUUID(), organisation, service, key, claim_id: this.claimId }
   }
 
   private _settle (action: string): boolean {
--- a/src/common/claim/claimKeyName.ts
+++ b/src/common/claim/claimKeyName.ts
@@ -1,6 +1,6 @@
 import type { ClaimKey } from './ClaimKey.js'
 
-/** Map key of a claim key; customers and services contain no slash. */
-export function claimKeyName ({ customer, service, key }: ClaimKey): string {
-  return `${customer}/${service}/${key}`
+/** Map key of a claim key; organisations and services contain no slash. */
+export function claimKeyName ({ organisation, service, key }: ClaimKey): string {
+  return `${organisation}/${service}/${key}`
 }
--- a/src/common/claim/test/ClaimEntry.ts
+++ b/src/common/claim/test/ClaimEntry.ts
@@ -26,7 +26,7 @@
 
   claim (key: string, timeoutMs: number, bodySha256 = 'x'): Seen {
     const seen: Seen = {}
-    const request = { customer: 'a', service: 's', key, bodySha256, deadlineAtMs: performance.now() + timeoutMs }
+    const request = { organisation: 'a', service: 's', key, bodySha256, deadlineAtMs: performance.now() + timeoutMs }
     this.service.claim(request).match(outcome => { seen.outcome = outcome }, error => { seen.error = error }).catch(() => {})
     return seen
   }
--- a/src/common/contract/AuditEntry.ts
+++ b/src/common/contract/AuditEntry.ts
@@ -2,7 +2,7 @@
 
 /** One accepted change of a contract: who, when, and every changed field before and after. */
 export interface AuditEntry {
-  customer: string
+  organisation: string
   revision: number
   operator: string
   atMs: number
--- a/src/common/contract/ContractFold.test.ts
+++ b/src/common/contract/ContractFold.test.ts
@@ -7,32 +7,32 @@
 import { contractText } from './test/contractText.js'
 
 const { logger } = testServices()
-const CUSTOMERS = ['a', 'b']
+const ORGANISATIONS = ['a', 'b']
 
 function createFold (): ContractFold {
   return new ContractFold(60_000, logger)
 }
 
-function publish (customer: string, base: number, share: number, digest?: string): object {
-  const text = contractText(customer, share, digest)
-  return { type: 'publish', id: crypto.randomUUID(), customer, base_revision: base, operator: 'mei', at_ms: 0, text }
+function publish (organisation: string, base: number, share: number, digest?: string): object {
+  const text = contractText(organisation, share, digest)
+  return { type: 'publish', id: crypto.randomUUID(), organisation, base_revision: base, operator: 'mei', at_ms: 0, text }
 }
 
-function snapshotOf (fold: ContractFold, customer: string, readOffset: number): object | undefined {
-  const revisions = fold.state(customer)?.revisions.map(({ revision, operator, atMs, text }) => ({ revision, operator, at_ms: atMs, text }))
+function snapshotOf (fold: ContractFold, organisation: string, readOffset: number): object | undefined {
+  const revisions = fold.state(organisation)?.revisions.map(({ revision, operator, atMs, text }) => ({ revision, operator, at_ms: atMs, text }))
   if (revisions === undefined) return undefined
-  return { type: 'snapshot', id: crypto.randomUUID(), customer, read_offset: readOffset, revisions }
+  return { type: 'snapshot', id: crypto.randomUUID(), organisation, read_offset: readOffset, revisions }
 }
 
 function shares (fold: ContractFold): unknown[] {
-  return CUSTOMERS.map(customer => {
-    const state = fold.state(customer)
+  return ORGANISATIONS.map(organisation => {
+    const state = fold.state(organisation)
     const newest = state?.revisions.at(-1)
     return [newest?.revision, newest?.contract.limits.share]
   })
 }
 
-interface Step { kind: string, customer: string, lag: number }
+interface Step { kind: string, organisation: string, lag: number }
 
 /**
  * Log of publishers and snapshot writers that act on states which are `lag` records old. After the
@@ -48,33 +48,33 @@
   const add = (value: object | undefined): void => {
     if (value !== undefined) entries.push({ offset: entries.length, timeMs: entries.length, value })
   }
-  const take = ({ kind, customer, lag }: Step): void => {
+  const take = ({ kind, organisation, lag }: Step): void => {
     const position = Math.max(0, entries.length - lag)
     const fold = foldAt(position)
-    if (kind === 'publish') add(publish(customer, fold.state(customer)?.revisions.at(-1)?.revision ?? 0, entries.length + 1))
-    if (kind === 'snapshot') add(snapshotOf(fold, customer, position))
+    if (kind === 'publish') add(publish(organisation, fold.state(organisation)?.revisions.at(-1)?.revision ?? 0, entries.length + 1))
+    if (kind === 'snapshot') add(snapshotOf(fold, organisation, position))
     if (kind === 'malformed') add({ type: 'publish', id: 7 })
   }
   before.forEach(take)
   const renewalPosition = Math.max(0, entries.length - renewalLag)
   const renewed = foldAt(renewalPosition)
-  for (const customer of CUSTOMERS) add(snapshotOf(renewed, customer, renewalPosition))
+  for (const organisation of ORGANISATIONS) add(snapshotOf(renewed, organisation, renewalPosition))
   after.forEach(take)
   return { entries, renewalPosition }
 }
 
 const stepArbitrary = fc.record({
   kind: fc.constantFrom('publish', 'publish', 'publish', 'snapshot', 'malformed'),
-  customer: fc.constantFrom(...CUSTOMERS),
+  organisation: fc.constantFrom(...ORGANISATIONS),
   lag: fc.integer({ min: 0, max: 4 })
 })
 const stepsArbitrary = fc.array(stepArbitrary, { maxLength: 14 })
 
-/** Revisions of customer `a` in the order in which they came into force. */
+/** Revisions of organisation `a` in the order in which they came into force. */
 function recordRevisions (fold: ContractFold): number[] {
   const revisions: number[] = []
-  fold.onChange(customer => {
-    if (customer === 'a') revisions.push(fold.state('a')?.revisions.at(-1)?.revision ?? 0)
+  fold.onChange(organisation => {
+    if (organisation === 'a') revisions.push(fold.state('a')?.revisions.at(-1)?.revision ?? 0)
   })
   return revisions
 }
@@ -110,20 +110,20 @@
     expect(shares(fold)[0]).toEqual([1, 1])
   })
 
-  it('ignores texts that do not parse or name another customer', () => {
+  it('ignores texts that do not parse or name another organisation', () => {
     const fold = createFold()
     fold.apply({ offset: 0, timeMs: 1, value: { ...publish('a', 0, 1), text: 'no contract' } })
     fold.apply({ offset: 1, timeMs: 2, value: { ...publish('a', 0, 1), text: contractText('b', 1) } })
-    expect(fold.customers()).toEqual([])
+    expect(fold.organisations()).toEqual([])
   })
 
-  it('refuses the later publication when two customers list the same token', () => {
+  it('refuses the later publication when two organisations list the same token', () => {
     const fold = createFold()
     const digest = 'f'.repeat(64)
     const later = publish('b', 0, 1, digest) as { id: string }
     fold.apply({ offset: 0, timeMs: 1, value: publish('a', 0, 1, digest) })
     fold.apply({ offset: 1, timeMs: 2, value: later })
-    expect(fold.customers()).toEqual(['a'])
+    expect(fold.organisations()).toEqual(['a'])
     expect(fold.decision(later.id)?.kind).toEqual('invalid')
   })
 
--- a/src/common/contract/ContractFold.ts
+++ b/src/common/contract/ContractFold.ts
@@ -16,34 +16,34 @@
 interface SeenPublish { offset: number, timeMs: number, record: Publish }
 
 const MAX_DECISIONS = 1000
-// 760 changes a day of all customers; bounds memory if a client publishes in a loop.
+// 760 changes a day of all organisations; bounds memory if a client publishes in a loop.
 const MAX_SEEN_PUBLISHES = 2000
 
 /**
- * Fold of the `contracts` stream. After a retention gap a customer's state is inexact: publishes are
+ * Fold of the `contracts` stream. After a retention gap an organisation's state is inexact: publishes are
  * decided as well as the known records allow, and kept. A snapshot that states the position at which
  * it was true makes the state exact again by replaying the publishes after that position.
  */
 export class ContractFold extends Disposable implements ILogFold {
   private readonly _onChange = this._register(new Emitter<string>())
-  /** Fires with the customer whose state has changed. */
+  /** Fires with the organisation whose state has changed. */
   readonly onChange = this._onChange.event
   private readonly _states = new Map<string, ContractState>()
   private readonly _decisions = new Map<string, ContractDecision>()
   private _seen: SeenPublish[] = []
   private _coveredFromOffset = 0
-  /** Log time from which a first publish proves that the customer had no contract before. */
-  private _newCustomerFromMs = Number.NEGATIVE_INFINITY
+  /** Log time from which a first publish proves that the organisation had no contract before. */
+  private _newOrganisationFromMs = Number.NEGATIVE_INFINITY
 
   constructor (private readonly _retentionMs: number, private readonly _logger: ILogger) {
     super()
   }
 
-  state (customer: string): ContractState | undefined {
-    return this._states.get(customer)
+  state (organisation: string): ContractState | undefined {
+    return this._states.get(organisation)
   }
 
-  customers (): string[] {
+  organisations (): string[] {
     return [...this._states.keys()]
   }
 
@@ -67,67 +67,67 @@
   onGap (earliestOffset: number): void {
     this._coveredFromOffset = earliestOffset
     // Lost records are older than retention, and existing contracts are renewed after a third of it.
-    this._newCustomerFromMs = Date.now() - this._retentionMs / 2
+    this._newOrganisationFromMs = Date.now() - this._retentionMs / 2
     this._seen = []
     for (const state of this._states.values()) state.isExact = false
   }
 
   private _applyPublish (publish: SeenPublish): void {
-    const { customer, id } = publish.record
-    const state = this._states.get(customer)
+    const { organisation, id } = publish.record
+    const state = this._states.get(organisation)
     if (this._coveredFromOffset > 0 && state?.isExact !== true) this._remember(publish)
     const decision = this._decide(publish, state)
     this._recordDecision(id, decision)
-    this._logger.info({ customer, record: id, offset: publish.offset, ...decision }, 'contract_decided')
-    if (decision.kind === 'accepted') this._onChange.fire(customer)
+    this._logger.info({ organisation, record: id, offset: publish.offset, ...decision }, 'contract_decided')
+    if (decision.kind === 'accepted') this._onChange.fire(organisation)
   }
 
   /** Decides a publish against a state and stores the new state when it is accepted. */
   private _decide (publish: SeenPublish, state: ContractState | undefined): ContractDecision {
-    const { customer, text, operator, base_revision: baseRevision } = publish.record
-    const contract = parseContract(customer, text)
+    const { organisation, text, operator, base_revision: baseRevision } = publish.record
+    const contract = parseContract(organisation, text)
     if (contract.isErr()) {
       const [error] = contract.error
       return { kind: 'invalid', field: error?.field ?? 'contract', rule: error?.rule ?? 'invalid' }
     }
     const current = currentRevision(state)
     if (baseRevision !== current) return { kind: 'conflict', currentRevision: current }
-    const owner = this._otherOwner(customer, contract.value.access.token_sha256)
+    const owner = this._otherOwner(organisation, contract.value.access.token_sha256)
     if (owner !== undefined) {
-      return { kind: 'invalid', field: 'access.token_sha256', rule: 'a token belongs to another customer already' }
+      return { kind: 'invalid', field: 'access.token_sha256', rule: 'a token belongs to another organisation already' }
     }
     const revision = current + 1
-    const accepted = { customer, revision, operator, atMs: publish.timeMs, text, contract: contract.value }
-    const isNewCustomer = state === undefined && publish.timeMs >= this._newCustomerFromMs
-    this._states.set(customer, {
+    const accepted = { organisation, revision, operator, atMs: publish.timeMs, text, contract: contract.value }
+    const isNewOrganisation = state === undefined && publish.timeMs >= this._newOrganisationFromMs
+    this._states.set(organisation, {
       revisions: mergeRevisions([accepted], state?.revisions ?? []),
-      isExact: state?.isExact ?? isNewCustomer,
+      isExact: state?.isExact ?? isNewOrganisation,
       keptAtMs: publish.timeMs
     })
     return { kind: 'accepted', revision }
   }
 
   private _applySnapshot (entry: LogEntry, record: Snapshot): void {
-    const { customer } = record
+    const { organisation } = record
     const revisions = this._readRevisions(record)
     const newest = revisions.at(-1)
     if (newest === undefined) return
-    const state = this._states.get(customer)
+    const state = this._states.get(organisation)
     const known = state?.revisions.at(-1)
     const isTrueHere = record.read_offset !== undefined && record.read_offset >= this._coveredFromOffset
     if (state?.isExact !== true && isTrueHere) {
       this._adopt(entry, record, revisions)
     } else if (state === undefined || newest.revision > currentRevision(state)) {
-      this._raise(entry, customer, revisions)
+      this._raise(entry, organisation, revisions)
     } else {
       this._merge(entry, state, revisions)
     }
-    if (this._states.get(customer)?.revisions.at(-1) !== known) this._onChange.fire(customer)
+    if (this._states.get(organisation)?.revisions.at(-1) !== known) this._onChange.fire(organisation)
   }
 
-  private _raise (entry: LogEntry, customer: string, revisions: ContractRevision[]): void {
-    const state = this._states.get(customer)
-    this._states.set(customer, {
+  private _raise (entry: LogEntry, organisation: string, revisions: ContractRevision[]): void {
+    const state = this._states.get(organisation)
+    this._states.set(organisation, {
       revisions: mergeRevisions(revisions, state?.revisions ?? []),
       isExact: state?.isExact ?? false,
       keptAtMs: entry.timeMs
@@ -144,16 +144,16 @@
 
   /** Takes a snapshot that was true at a position within the covered records, and replays what follows. */
   private _adopt (entry: LogEntry, record: Snapshot, revisions: ContractRevision[]): void {
-    const { customer } = record
-    const before = this._states.get(customer)
-    this._states.set(customer, { revisions, isExact: true, keptAtMs: entry.timeMs })
-    const later = this._seen.filter(item => item.record.customer === customer && item.offset >= (record.read_offset ?? 0))
-    for (const item of later) this._recordDecision(item.record.id, this._decide(item, this._states.get(customer)))
-    this._seen = this._seen.filter(item => item.record.customer !== customer)
-    const after = this._states.get(customer)
+    const { organisation } = record
+    const before = this._states.get(organisation)
+    this._states.set(organisation, { revisions, isExact: true, keptAtMs: entry.timeMs })
+    const later = this._seen.filter(item => item.record.organisation === organisation && item.offset >= (record.read_offset ?? 0))
+    for (const item of later) this._recordDecision(item.record.id, this._decide(item, this._states.get(organisation)))
+    this._seen = this._seen.filter(item => item.record.organisation !== organisation)
+    const after = this._states.get(organisation)
     if (before === undefined || after === undefined) return
     if (currentRevision(after) < currentRevision(before)) {
-      this._states.set(customer, before)
+      this._states.set(organisation, before)
     } else {
       after.revisions = mergeRevisions(after.revisions, before.revisions)
     }
@@ -163,16 +163,16 @@
   private _readRevisions (record: Snapshot): ContractRevision[] {
     const revisions: ContractRevision[] = []
     for (const { revision, operator, at_ms: atMs, text } of record.revisions) {
-      const contract = parseContract(record.customer, text)
-      if (contract.isOk()) revisions.push({ customer: record.customer, revision, operator, atMs, text, contract: contract.value })
+      const contract = parseContract(record.organisation, text)
+      if (contract.isOk()) revisions.push({ organisation: record.organisation, revision, operator, atMs, text, contract: contract.value })
     }
     return revisions.at(-1)?.revision === record.revisions.at(-1)?.revision ? revisions : []
   }
 
-  private _otherOwner (customer: string, digests: string[]): string | undefined {
+  private _otherOwner (organisation: string, digests: string[]): string | undefined {
     for (const [other, state] of this._states) {
       const owned = state.revisions.at(-1)?.contract.access.token_sha256 ?? []
-      if (other !== customer && digests.some(digest => owned.includes(digest))) return other
+      if (other !== organisation && digests.some(digest => owned.includes(digest))) return other
     }
     return undefined
   }
--- a/src/common/contract/ContractPublisher.ts
+++ b/src/common/contract/ContractPublisher.ts
@@ -25,38 +25,38 @@
     @entrySettingsId private readonly _settings: EntrySettings
   ) {}
 
-  publish (customer: string, baseRevision: number, operator: string, text: string): ResultAsync<ContractRevision, ContractError> {
-    const refusal = this._check(customer, baseRevision, text)
+  publish (organisation: string, baseRevision: number, operator: string, text: string): ResultAsync<ContractRevision, ContractError> {
+    const refusal = this._check(organisation, baseRevision, text)
     if (refusal !== undefined) return errAsync(refusal)
     const id = crypto.randomUUID()
-    const record = { type: 'publish', id, customer, base_revision: baseRevision, operator, at_ms: Date.now(), text }
+    const record = { type: 'publish', id, organisation, base_revision: baseRevision, operator, at_ms: Date.now(), text }
     return this._hub.append('contracts', record, PUBLISH_TIMEOUT_MS)
       .mapErr(toContractError)
-      .andThen(() => this._readDecision(customer, id))
+      .andThen(() => this._readDecision(organisation, id))
   }
 
-  private _check (customer: string, baseRevision: number, text: string): ContractError | undefined {
-    const parsed = parseContract(customer, text)
+  private _check (organisation: string, baseRevision: number, text: string): ContractError | undefined {
+    const parsed = parseContract(organisation, text)
     if (parsed.isErr()) return invalid(parsed.error)
     const faults = [...checkContract(parsed.value, text), ...checkContractSettings(parsed.value, text, this._settings)]
     if (faults.length > 0) return invalid(faults)
     if (!this._hub.status('contracts').isCaughtUp) {
       return { kind: 'contract_unavailable', message: 'this entry has not read the log to its end yet', mayLand: false }
     }
-    const currentRevision = this._store.current(customer)?.revision ?? 0
+    const currentRevision = this._store.current(organisation)?.revision ?? 0
     if (currentRevision !== baseRevision) return conflict(currentRevision)
-    if (!this._store.isExact(customer)) {
+    if (!this._store.isExact(organisation)) {
       const message = 'records were lost to retention and the revision is not confirmed yet; publish through another entry'
       return { kind: 'contract_unavailable', message, mayLand: false }
     }
     return undefined
   }
 
-  private _readDecision (customer: string, id: string): Result<ContractRevision, ContractError> {
+  private _readDecision (organisation: string, id: string): Result<ContractRevision, ContractError> {
     const decision = this._store.decision(id)
     if (decision?.kind === 'conflict') return err(conflict(decision.currentRevision))
     if (decision?.kind === 'invalid') return err(invalid([{ line: 1, field: decision.field, rule: decision.rule }]))
-    const revision = this._store.history(customer).find(item => item.revision === decision?.revision)
+    const revision = this._store.history(organisation).find(item => item.revision === decision?.revision)
     if (revision !== undefined) return ok(revision)
     return err({ kind: 'contract_unavailable', message: 'the decision about the publication is not known', mayLand: true })
   }
--- a/src/common/contract/ContractRevision.ts
+++ b/src/common/contract/ContractRevision.ts
@@ -2,7 +2,7 @@
 
 /** One accepted revision of a contract. */
 export interface ContractRevision {
-  customer: string
+  organisation: string
   revision: number
   operator: string
   atMs: number
--- a/src/common/contract/ContractStore.test.ts
+++ b/src/common/contract/ContractStore.test.ts
@@ -53,7 +53,7 @@
     await time.advance(100)
     expect((await publish(one.publisher, 0, contractText('a', 1))).revision?.revision).toEqual(1)
     expect(two.store.current('a')?.contract.limits.share).toEqual(1)
-    expect(two.store.findByTokenDigest('61'.padStart(64, '0'))?.customer).toEqual('a')
+    expect(two.store.findByTokenDigest('61'.padStart(64, '0'))?.organisation).toEqual('a')
     const error = (await publish(two.publisher, 0, contractText('a', 2))).error
     expect(error?.kind === 'contract_conflict' && error.currentRevision).toEqual(1)
   })
@@ -90,14 +90,14 @@
     await time.advance(100)
     await publish(publisher, 0, contractText('a', 1))
     const offer = (revision: number, share: number): void => {
-      store.offer({ customer: 'a', revision, operator: 'mei', atMs: 0, text: contractText('a', share) })
+      store.offer({ organisation: 'a', revision, operator: 'mei', atMs: 0, text: contractText('a', share) })
     }
     offer(1, 9)
     expect(store.current('a')?.contract.limits.share).toEqual(1)
     offer(2, 5)
     offer(1, 7)
     expect(store.current('a')?.revision).toEqual(2)
-    log.write('contracts', { type: 'publish', id: 'x', customer: 'a', base_revision: 1, operator: 'mei', at_ms: 0, text: contractText('a', 6) })
+    log.write('contracts', { type: 'publish', id: 'x', organisation: 'a', base_revision: 1, operator: 'mei', at_ms: 0, text: contractText('a', 6) })
     await time.advance(100)
     expect(store.current('a')?.contract.limits.share).toEqual(6)
   })
@@ -105,7 +105,7 @@
   it('keeps the highest of several offers while the log is unavailable', async () => {
     log.isDown = true
     const { store } = createEntry()
-    for (const revision of [3, 5, 4]) store.offer({ customer: 'a', revision, operator: 'mei', atMs: 0, text: contractText('a', revision) })
+    for (const revision of [3, 5, 4]) store.offer({ organisation: 'a', revision, operator: 'mei', atMs: 0, text: contractText('a', revision) })
     expect(store.current('a')?.contract.limits.share).toEqual(5)
   })
 
--- a/src/common/contract/ContractStore.ts
+++ b/src/common/contract/ContractStore.ts
@@ -26,7 +26,7 @@
   private readonly _fold: ContractFold
   private readonly _offers = new Map<string, ContractRevision>()
   private readonly _inForce = new Map<string, ContractRevision>()
-  private _customersByDigest = new Map<string, string>()
+  private _organisationsByDigest = new Map<string, string>()
   private _areAllPeersAsked = false
 
   constructor (
@@ -37,42 +37,42 @@
   ) {
     super()
     this._fold = this._register(new ContractFold(settings.retentionMs, _logger))
-    this._register(this._fold.onChange(customer => this._update(customer)))
+    this._register(this._fold.onChange(organisation => this._update(organisation)))
     this._hub.addFold('contracts', {
       apply: entry => this._fold.apply(entry),
       onGap: earliestOffset => this._onFoldGap(earliestOffset)
     })
   }
 
-  current (customer: string): ContractRevision | undefined {
-    return this._inForce.get(customer)
+  current (organisation: string): ContractRevision | undefined {
+    return this._inForce.get(organisation)
   }
 
   findByTokenDigest (digest: string): ContractRevision | undefined {
-    const customer = this._customersByDigest.get(digest)
-    return customer === undefined ? undefined : this._inForce.get(customer)
+    const organisation = this._organisationsByDigest.get(digest)
+    return organisation === undefined ? undefined : this._inForce.get(organisation)
   }
 
   all (): ContractRevision[] {
     return [...this._inForce.values()]
   }
 
-  history (customer: string): ContractRevision[] {
-    const current = this._inForce.get(customer)
+  history (organisation: string): ContractRevision[] {
+    const current = this._inForce.get(organisation)
     if (current === undefined) return []
-    return mergeRevisions([current], this._fold.state(customer)?.revisions ?? [])
+    return mergeRevisions([current], this._fold.state(organisation)?.revisions ?? [])
   }
 
   offer (revision: Omit<ContractRevision, 'contract'>): void {
-    const { customer } = revision
-    if (revision.revision <= (this._inForce.get(customer)?.revision ?? 0)) return
-    const contract = parseContract(customer, revision.text)
+    const { organisation } = revision
+    if (revision.revision <= (this._inForce.get(organisation)?.revision ?? 0)) return
+    const contract = parseContract(organisation, revision.text)
     if (contract.isErr()) {
-      this._logger.warn({ customer, revision: revision.revision }, 'peer_contract_invalid')
+      this._logger.warn({ organisation, revision: revision.revision }, 'peer_contract_invalid')
       return
     }
-    this._offers.set(customer, { ...revision, contract: contract.value })
-    this._update(customer)
+    this._offers.set(organisation, { ...revision, contract: contract.value })
+    this._update(organisation)
   }
 
   markPeersAsked (gapCount: number): void {
@@ -83,24 +83,24 @@
     return this._areAllPeersAsked && (this.gapCount === 0 || this._hub.status('contracts').isCaughtUp)
   }
 
-  isExact (customer: string): boolean {
-    const state = this._fold.state(customer)
-    return state?.revisions.at(-1) === this._inForce.get(customer) && state?.isExact !== false
+  isExact (organisation: string): boolean {
+    const state = this._fold.state(organisation)
+    return state?.revisions.at(-1) === this._inForce.get(organisation) && state?.isExact !== false
   }
 
   decision (recordId: string): ContractDecision | undefined {
     return this._fold.decision(recordId)
   }
 
-  renewal (customer: string): ContractRenewal | undefined {
-    const current = this._inForce.get(customer)
+  renewal (organisation: string): ContractRenewal | undefined {
+    const current = this._inForce.get(organisation)
     if (current === undefined) return undefined
-    const state = this._fold.state(customer)
+    const state = this._fold.state(organisation)
     const isFromLog = state?.revisions.at(-1) === current
     return {
       keptAtMs: isFromLog ? state?.keptAtMs : undefined,
       isExact: isFromLog && state?.isExact === true,
-      revisions: this.history(customer)
+      revisions: this.history(organisation)
     }
   }
 
@@ -112,30 +112,30 @@
     this._onGap.fire(this.gapCount)
   }
 
-  private _update (customer: string): void {
-    const folded = this._fold.state(customer)?.revisions.at(-1)
-    const offered = this._offers.get(customer)
+  private _update (organisation: string): void {
+    const folded = this._fold.state(organisation)?.revisions.at(-1)
+    const offered = this._offers.get(organisation)
     const isOfferHigher = offered !== undefined && offered.revision > (folded?.revision ?? 0)
-    if (!isOfferHigher) this._offers.delete(customer)
+    if (!isOfferHigher) this._offers.delete(organisation)
     const next = isOfferHigher ? offered : folded
-    const before = this._inForce.get(customer)
+    const before = this._inForce.get(organisation)
     // The fold wins over an offer of the same revision, because it is what all entries agree on.
     if (next === undefined || next === before) return
-    this._inForce.set(customer, next)
+    this._inForce.set(organisation, next)
     if (next.revision === before?.revision && next.text === before.text) return
     this._indexTokens()
-    this._metrics.gauge('contract_revision', next.revision, { customer })
-    this._logger.info({ customer, revision: next.revision, operator: next.operator }, 'contract_in_force')
+    this._metrics.gauge('contract_revision', next.revision, { organisation })
+    this._logger.info({ organisation, revision: next.revision, operator: next.operator }, 'contract_in_force')
     this._onChange.fire(next)
   }
 
   /** The earlier contract keeps a token that two contracts list, as in the fold. */
   private _indexTokens (): void {
-    const oldestFirst = this.all().sort((a, b) => a.atMs - b.atMs || a.customer.localeCompare(b.customer))
-    this._customersByDigest = new Map()
-    for (const { customer, contract } of oldestFirst) {
+    const oldestFirst = this.all().sort((a, b) => a.atMs - b.atMs || a.organisation.localeCompare(b.organisation))
+    this._organisationsByDigest = new Map()
+    for (const { organisation, contract } of oldestFirst) {
       for (const digest of contract.access.token_sha256) {
-        if (!this._customersByDigest.has(digest)) this._customersByDigest.set(digest, customer)
+        if (!this._organisationsByDigest.has(digest)) this._organisationsByDigest.set(digest, organisation)
       }
     }
   }
--- a/src/common/contract/IContractLedger.ts
+++ b/src/common/contract/IContractLedger.ts
@@ -17,9 +17,9 @@
    */
   isVerified (): boolean
   /** False while the revision in force may differ from what a complete reading of the log gives. */
-  isExact (customer: string): boolean
+  isExact (organisation: string): boolean
   /** Decision about a recent `publish` record of any entry, by record id. */
   decision (recordId: string): ContractDecision | undefined
   /** Data for a snapshot of the revision in force. */
-  renewal (customer: string): ContractRenewal | undefined
+  renewal (organisation: string): ContractRenewal | undefined
 }
--- a/src/common/contract/IContractPublisher.ts
+++ b/src/common/contract/IContractPublisher.ts
@@ -5,5 +5,5 @@
 /** Publishes contracts through the log. */
 export interface IContractPublisher {
   /** Resolves when the revision is in force on this entry, or with a conflict when another was first. */
-  publish (customer: string, baseRevision: number, operator: string, text: string): ResultAsync<ContractRevision, ContractError>
+  publish (organisation: string, baseRevision: number, operator: string, text: string): ResultAsync<ContractRevision, ContractError>
 }
--- a/src/common/contract/IContractStore.ts
+++ b/src/common/contract/IContractStore.ts
@@ -5,12 +5,12 @@
 export interface IContractStore {
   /** Fires when a revision comes into force on this entry. */
   readonly onChange: IEvent<ContractRevision>
-  current (customer: string): ContractRevision | undefined
+  current (organisation: string): ContractRevision | undefined
   /** Contract whose callers hold the token with this SHA-256 digest (hex). */
   findByTokenDigest (digest: string): ContractRevision | undefined
   all (): ContractRevision[]
-  /** Known revisions of a customer in ascending order. */
-  history (customer: string): ContractRevision[]
+  /** Known revisions of an organisation in ascending order. */
+  history (organisation: string): ContractRevision[]
   /** Takes over a peer's revision if it is higher than the one in force. */
   offer (revision: Omit<ContractRevision, 'contract'>): void
 }
--- a/src/common/contract/SnapshotRenewer.ts
+++ b/src/common/contract/SnapshotRenewer.ts
@@ -24,7 +24,7 @@
 
 /** Appends snapshots of contracts before the log drops their newest record. */
 export class SnapshotRenewer extends Disposable {
-  /** Planned renewal by customer, for the record that it renews. */
+  /** Planned renewal by organisation, for the record that it renews. */
   private readonly _plans = new Map<string, { keptAtMs: number | undefined, dueAtMs: number }>()
   private readonly _inFlight = new Set<string>()
 
@@ -46,38 +46,38 @@
   private _check (): void {
     const { isCaughtUp, isFailing } = this._hub.status('contracts')
     if (!isCaughtUp || isFailing) return
-    for (const { customer } of this._contracts.all()) {
-      const renewal = this._contracts.renewal(customer)
-      if (renewal !== undefined && this._isDue(customer, renewal)) this._renew(customer, renewal)
+    for (const { organisation } of this._contracts.all()) {
+      const renewal = this._contracts.renewal(organisation)
+      if (renewal !== undefined && this._isDue(organisation, renewal)) this._renew(organisation, renewal)
     }
   }
 
-  private _isDue (customer: string, renewal: ContractRenewal): boolean {
-    const plan = this._plans.get(customer)
+  private _isDue (organisation: string, renewal: ContractRenewal): boolean {
+    const plan = this._plans.get(organisation)
     if (plan !== undefined && plan.keptAtMs === renewal.keptAtMs) return Date.now() >= plan.dueAtMs
     const { retentionMs } = this._settings
     // Log times may be older than this host's clock by hours after an outage: then only the jitter remains.
     const earliestMs = (renewal.keptAtMs ?? 0) + retentionMs * (renewal.isExact ? RENEW_AFTER : RENEW_INEXACT_AFTER)
     const dueAtMs = Math.max(earliestMs, Date.now()) + Math.random() * retentionMs * JITTER
-    this._plans.set(customer, { keptAtMs: renewal.keptAtMs, dueAtMs })
+    this._plans.set(organisation, { keptAtMs: renewal.keptAtMs, dueAtMs })
     return false
   }
 
-  private _renew (customer: string, renewal: ContractRenewal): void {
-    if (this._inFlight.has(customer)) return
-    this._inFlight.add(customer)
+  private _renew (organisation: string, renewal: ContractRenewal): void {
+    if (this._inFlight.has(organisation)) return
+    this._inFlight.add(organisation)
     const record = {
       type: 'snapshot',
       id: crypto.randomUUID(),
-      customer,
+      organisation,
       // Taken in the same turn as the renewal's revisions, so that both describe one position.
       read_offset: this._hub.status('contracts').nextOffset,
       revisions: newest(renewal.revisions).map(({ revision, operator, atMs, text }) => ({ revision, operator, at_ms: atMs, text }))
     }
     const done = (result: string): void => {
-      this._inFlight.delete(customer)
-      this._plans.delete(customer)
-      this._logger.info({ customer, revision: renewal.revisions.at(-1)?.revision, result }, 'contract_snapshot_renewed')
+      this._inFlight.delete(organisation)
+      this._plans.delete(organisation)
+      this._logger.info({ organisation, revision: renewal.revisions.at(-1)?.revision, result }, 'contract_snapshot_renewed')
     }
     this._hub.append('contracts', record, APPEND_TIMEOUT_MS).match(() => done('ok'), error => done(error.kind))
       .catch((error: unknown) => done(String(error)))
--- a/src/common/contract/auditEntries.ts
+++ b/src/common/contract/auditEntries.ts
@@ -9,7 +9,7 @@
     const preceding = previous?.revision === item.revision - 1 ? previous : undefined
     const isPrecedingKnown = preceding !== undefined || item.revision === 1
     return {
-      customer: item.customer,
+      organisation: item.organisation,
       revision: item.revision,
       operator: item.operator,
       atMs: item.atMs,
--- a/src/common/contract/checkContract.test.ts
+++ b/src/common/contract/checkContract.test.ts
@@ -69,7 +69,7 @@
   it('lists changed fields before and after, and gives none when the preceding revision is unknown', () => {
     const [one, two] = [1, 2].map(share => parseContract('a', contractText('a', share))._unsafeUnwrap())
     expect(diffContracts(one, two)).toEqual([{ field: 'limits.share', before: '1', after: '2' }])
-    const entry = { customer: 'a', operator: 'mei', atMs: 5, text: '' }
+    const entry = { organisation: 'a', operator: 'mei', atMs: 5, text: '' }
     const history = [one, two, two].map((contract, index) => ({ ...entry, contract: contract as NonNullable<typeof one>, revision: [4, 5, 7][index] ?? 0 }))
     expect(auditEntries(history).map(item => [item.revision, item.isPrecedingKnown, item.changes.length]))
       .toEqual([[4, false, 0], [5, true, 1], [7, false, 0]])
--- a/src/common/contract/mergeRevisions.ts
+++ b/src/common/contract/mergeRevisions.ts
@@ -2,7 +2,7 @@
 
 const MAX_HISTORY = 20
 
-/** Merges two histories of a customer, ascending and bounded; `preferred` wins for equal revisions. */
+/** Merges two histories of an organisation, ascending and bounded; `preferred` wins for equal revisions. */
 export function mergeRevisions (preferred: ContractRevision[], others: ContractRevision[]): ContractRevision[] {
   const byRevision = new Map<number, ContractRevision>()
   for (const item of [...others, ...preferred]) byRevision.set(item.revision, item)
--- a/src/common/contract/parseContract.ts
+++ b/src/common/contract/parseContract.ts
@@ -8,14 +8,14 @@
 // A snapshot of the newest revisions must fit one append.
 const MAX_TEXT_LENGTH = 65_536
 
-/** Reads the text of a customer's contract by the rules that all entries apply to records alike. */
-export function parseContract (customer: string, text: string): Result<Contract, IniError[]> {
+/** Reads the text of an organisation's contract by the rules that all entries apply to records alike. */
+export function parseContract (organisation: string, text: string): Result<Contract, IniError[]> {
   if (text.length > MAX_TEXT_LENGTH) {
     return err([{ line: 1, field: 'contract', rule: `must have at most ${MAX_TEXT_LENGTH} characters` }])
   }
   return readIni(text, contractSchema).andThen(contract => {
-    if (contract.contract.customer === customer) return ok(contract)
-    const line = new IniLines(text).find(['contract', 'customer'])
-    return err([{ line, field: 'contract.customer', rule: `must be ${customer}, the customer it is published for` }])
+    if (contract.contract.organisation === organisation) return ok(contract)
+    const line = new IniLines(text).find(['contract', 'organisation'])
+    return err([{ line, field: 'contract.organisation', rule: `must be ${organisation}, the organisation it is published for` }])
   })
 }
--- a/src/common/contract/test/contractText.ts
+++ b/src/common/contract/test/contractText.ts
@@ -1,7 +1,7 @@
-/** Minimal valid contract; the digest is derived from the customer unless it is given. */
-export function contractText (customer: string, share: number, digest = customer.charCodeAt(0).toString(16).padStart(64, '0')): string {
+/** Minimal valid contract; the digest is derived from the organisation unless it is given. */
+export function contractText (organisation: string, share: number, digest = organisation.charCodeAt(0).toString(16).padStart(64, '0')): string {
   return `[contract]
-customer = ${customer}
+organisation = ${organisation}
 operator = mei
 
 [access]
--- a/src/common/forward/AttemptRunner.ts
+++ b/src/common/forward/AttemptRunner.ts
@@ -26,7 +26,7 @@
   async run (request: CallRequest, options: AttemptOptions): Promise<Result<UpstreamAnswer, AttemptFailure>> {
     const { service, size } = request.workClass
     const admitted = await this._admission.acquire({
-      customer: request.customer,
+      organisation: request.organisation,
       service,
       workClass: request.workClassName,
       size,
--- a/src/common/forward/CallRequest.ts
+++ b/src/common/forward/CallRequest.ts
@@ -3,7 +3,7 @@
 /** A lookup or ticket of a caller, checked against its contract. */
 export interface CallRequest {
   requestId: string
-  customer: string
+  organisation: string
   revision: number
   workClassName: string
   workClass: WorkClass
--- a/src/common/forward/Forwarder.ts
+++ b/src/common/forward/Forwarder.ts
@@ -46,7 +46,7 @@
   private readonly _budget = new HedgeBudget(HEDGE_PART)
   private readonly _noHedging = new NoHedging()
   private readonly _unhedged: Set<string>
-  /** By customer and work class. */
+  /** By organisation and work class. */
   private readonly _latencies = new Map<string, LatencyWindow>()
   private _callsOnce = 0
 
@@ -87,7 +87,7 @@
       // A suspect must not be put on a second upstream.
       const mayHedge = !this._suspects.isSuspect(fingerprint) && hedging.take()
       if (mayHedge) {
-        this._metrics.count('hedges_total', { customer: request.customer, class: request.workClassName })
+        this._metrics.count('hedges_total', { organisation: request.organisation, class: request.workClassName })
       }
       return mayHedge
     }).run()
@@ -103,13 +103,13 @@
   }
 
   private async _forwardOnce (request: CallRequest): Promise<Result<UpstreamAnswer, CallError>> {
-    const { customer, idempotencyKey, body, deadlineAtMs } = request
+    const { organisation, idempotencyKey, body, deadlineAtMs } = request
     if (idempotencyKey === undefined) {
       const message = 'this work class requires an Idempotency-Key'
       return err({ kind: 'idempotency_key_required', message, outcome: 'not_run', status: 400 })
     }
     const claimed = await this._claims.claim({
-      customer,
+      organisation,
       service: request.workClass.service,
       key: idempotencyKey,
       bodySha256: this._digest.sha256Hex(body),
@@ -126,11 +126,11 @@
   }
 
   private _fingerprint (request: CallRequest): string {
-    return `${request.customer}:${this._digest.sha256Hex(`${request.method} ${request.path}\n`, request.body)}`
+    return `${request.organisation}:${this._digest.sha256Hex(`${request.method} ${request.path}\n`, request.body)}`
   }
 
   private _latency (request: CallRequest): LatencyWindow {
-    const key = `${request.customer}/${request.workClassName}`
+    const key = `${request.organisation}/${request.workClassName}`
     let latency = this._latencies.get(key)
     if (latency === undefined) {
       latency = new LatencyWindow()
@@ -140,12 +140,12 @@
   }
 
   private _report (request: CallRequest, result: Result<UpstreamAnswer, CallError>, durationMs: number): void {
-    const { customer, workClassName, requestId, revision } = request
-    this._metrics.duration('call', durationMs, { customer, class: workClassName })
+    const { organisation, workClassName, requestId, revision } = request
+    this._metrics.duration('call', durationMs, { organisation, class: workClassName })
     if (result.isErr()) {
       const { kind, outcome } = result.error
-      this._metrics.count('calls_failed_total', { customer, class: workClassName, kind, outcome })
-      this._logger.info({ request: requestId, customer, revision, class: workClassName, kind, outcome }, 'call_failed')
+      this._metrics.count('calls_failed_total', { organisation, class: workClassName, kind, outcome })
+      this._logger.info({ request: requestId, organisation, revision, class: workClassName, kind, outcome }, 'call_failed')
     }
   }
 }
--- a/src/common/forward/RepeatableCall.test.ts
+++ b/src/common/forward/RepeatableCall.test.ts
@@ -149,12 +149,12 @@
     expect(h.sent.length).toEqual(1)
   })
 
-  it('gives equal requests of a customer one fingerprint, and others another', async () => {
+  it('gives equal requests of an organisation one fingerprint, and others another', async () => {
     await h.start()
     await h.start({ requestId: 'other' })
     await h.start({ path: '/y' })
     await h.start({ body: new Uint8Array([2]) })
-    await h.start({ customer: 'd' })
+    await h.start({ organisation: 'd' })
     const seen = h.admitted.map((item) => item.fingerprint)
     expect(seen[0]).toEqual(seen[1]!)
     expect(new Set(seen).size).toEqual(4)
--- a/src/common/forward/testing/ForwarderHarness.ts
+++ b/src/common/forward/testing/ForwarderHarness.ts
@@ -61,7 +61,7 @@
   async start (patch: Partial<CallRequest> = {}, repeat: 'allowed' | 'never' = 'allowed'): Promise<() => Promise<string>> {
     const result = this.forwarder.forward({
       requestId: 'r',
-      customer: 'c',
+      organisation: 'c',
       revision: 1,
       workClassName: 'w',
       workClass: { service: 's', kind: 'call', methods: [], path: '/', deadline_ms: 1000, repeat, size: 'short', max_tokens: 1 },
--- a/src/common/generation/GenerationRequest.ts
+++ b/src/common/generation/GenerationRequest.ts
@@ -1,9 +1,9 @@
 /** A generation for a caller or a sample. */
 export interface GenerationRequest {
   requestId: string
-  customer: string
+  organisation: string
   service: string
-  /** Model name at the engine: `{customer}/{trainer}`, or the service name for the base model. */
+  /** Model name at the engine: `{organisation}/{trainer}`, or the service name for the base model. */
   model: string
   workClass: string
   size: 'short' | 'long'
--- a/src/common/generation/Generator.test.ts
+++ b/src/common/generation/Generator.test.ts
@@ -11,7 +11,7 @@
 function request (change: Partial<GenerationRequest> = {}): GenerationRequest {
   return {
     requestId: 'q',
-    customer: 'felt',
+    organisation: 'felt',
     service: 'llm',
     model: 'felt/brim',
     workClass: 'trainer/brim',
--- a/src/common/generation/Generator.ts
+++ b/src/common/generation/Generator.ts
@@ -103,11 +103,11 @@
     const outcome = progress.wasSent ? 'unknown' : 'not_run'
     if (request.signal.aborted) return err({ kind: 'caller_gone', message: 'the caller went away', outcome, status: 499 })
     if (performance.now() >= request.deadlineAtMs) return err({ kind: 'deadline_exceeded', message: 'the deadline passed', outcome, status: 504 })
-    const { customer, service, workClass, size, model, prompt, maxTokens, parameters, deadlineAtMs, signal } = request
+    const { organisation, service, workClass, size, model, prompt, maxTokens, parameters, deadlineAtMs, signal } = request
     // The samples of a group differ in the seed only and crash an engine alike.
-    const fingerprint = [customer, service, model, prompt, maxTokens, { ...parameters, seed: undefined }]
+    const fingerprint = [organisation, service, model, prompt, maxTokens, { ...parameters, seed: undefined }]
     const acquired = await this._admission.acquire({
-      customer,
+      organisation,
       service,
       workClass,
       size,
@@ -160,7 +160,7 @@
     this._metrics.count('generation_attempts_broken', { service: request.service })
     this._logger.warn({
       request: request.requestId,
-      customer: request.customer,
+      organisation: request.organisation,
       tokens: progress.tokens.length,
       failures: progress.failures,
       reason: message
--- a/src/common/peer/ContractSync.test.ts
+++ b/src/common/peer/ContractSync.test.ts
@@ -5,7 +5,7 @@
 import { ContractSync } from './ContractSync.js'
 
 const logger = { info () {}, warn () {}, error () {}, debug () {} }
-const revision = { customer: 'lin-shun', revision: 3, operator: 'mei', atMs: 1, text: '' }
+const revision = { organisation: 'lin-shun', revision: 3, operator: 'mei', atMs: 1, text: '' }
 
 describe('ContractSync', () => {
   let isCaughtUp: boolean
--- a/src/common/peer/Gossip.test.ts
+++ b/src/common/peer/Gossip.test.ts
@@ -21,7 +21,7 @@
 
   constructor (id: string, revision: number, suspects: string[] = []) {
     const settings = settingsOf(id)
-    const contracts = [{ customer: 'lin-shun', revision }]
+    const contracts = [{ organisation: 'lin-shun', revision }]
     this.table = new PeerTable(settings, logger)
     this.gossip = new Gossip(settings, this.table,
       { onGossip: this.events.event, send: (address, payload) => this.sent.push({ address, payload }) },
@@ -78,7 +78,7 @@
     expect(receiver.peerOutstanding.get('engine-1')).toEqual(4)
     mock.timers.tick(3600)
     expect(receiver.peerOutstanding.get('engine-1')).toEqual(0)
-    receiver.events.fire({ message: { ...fromBinary(GossipSchema, new Uint8Array()), sender: 'entry-2', incarnation: 'zzz', contractHeads: [{ customer: 'lin-shun', revision: 1n }] as any }, address: 'x' })
+    receiver.events.fire({ message: { ...fromBinary(GossipSchema, new Uint8Array()), sender: 'entry-2', incarnation: 'zzz', contractHeads: [{ organisation: 'lin-shun', revision: 1n }] as any }, address: 'x' })
     expect(receiver.fetched.length).toEqual(1)
   })
 })
--- a/src/common/peer/Gossip.ts
+++ b/src/common/peer/Gossip.ts
@@ -73,7 +73,7 @@
       failureDomain: this._settings.failureDomain,
       isDraining: this._peers.isDraining,
       heartbeats: this._peers.freshHeartbeats(),
-      contractHeads: this._contracts.all().map(revision => ({ customer: revision.customer, revision: revision.revision })),
+      contractHeads: this._contracts.all().map(revision => ({ organisation: revision.organisation, revision: revision.revision })),
       upstreams: this._upstreams.all().map(upstream => ({
         id: upstream.id, incarnation: upstream.incarnation, outstanding: upstream.outstanding, isLeaving: upstream.isLeaving
       })),
@@ -94,7 +94,7 @@
       if (hint.leaving) this._upstreams.markLeaving(hint.id, hint.incarnation)
     }
     this._suspects.noteSuspects(message.suspects)
-    const isBehind = message.contractHeads.some(head => Number(head.revision) > (this._contracts.current(head.customer)?.revision ?? 0))
+    const isBehind = message.contractHeads.some(head => Number(head.revision) > (this._contracts.current(head.organisation)?.revision ?? 0))
     if (isBehind) this._sync.fetchFrom(message.sender)
   }
 }
--- a/src/common/peer/GossipContent.ts
+++ b/src/common/peer/GossipContent.ts
@@ -7,7 +7,7 @@
   failureDomain: string
   isDraining: boolean
   heartbeats: PeerHeartbeat[]
-  contractHeads: Array<{ customer: string, revision: number }>
+  contractHeads: Array<{ organisation: string, revision: number }>
   upstreams: Array<{ id: string, incarnation: string, outstanding: number, isLeaving: boolean }>
   suspects: string[]
 }
--- a/src/common/peer/GossipWriter.test.ts
+++ b/src/common/peer/GossipWriter.test.ts
@@ -15,7 +15,7 @@
       failureDomain: 'steam-hall',
       isDraining: true,
       heartbeats: range(30, index => ({ id: `entry-${index}`, incarnation: 'mabcdefghijk', sequence: 1e6, isDraining: false })),
-      contractHeads: range(20, index => ({ customer: `customer-${index}`, revision: 300 })),
+      contractHeads: range(20, index => ({ organisation: `organisation-${index}`, revision: 300 })),
       upstreams: range(40, index => ({ id: `engine-${index}`, incarnation: 'x'.repeat(12), outstanding: 7, isLeaving: index === 39 })),
       suspects: range(12, index => `${index}`.padStart(32, 'f'))
     }
@@ -28,7 +28,7 @@
       expect(message.sequence).toEqual(BigInt(count + 1))
       expect(message.upstreams[0]?.leaving).toEqual(true)
       for (const item of [...message.heartbeats, ...message.upstreams]) seen.add(item.id)
-      for (const head of message.contractHeads) seen.add(head.customer)
+      for (const head of message.contractHeads) seen.add(head.organisation)
       for (const suspect of message.suspects) seen.add(suspect)
     }
     expect(seen.size).toEqual(30 + 20 + 40 + 12)
--- a/src/common/peer/GossipWriter.ts
+++ b/src/common/peer/GossipWriter.ts
@@ -37,7 +37,7 @@
 
   private _fill (message: Gossip, content: GossipContent, share: number): { used: number } {
     const heads = fill(this._heads, content.contractHeads, share, ContractHeadSchema,
-      head => ({ customer: head.customer, revision: BigInt(head.revision) }), item => message.contractHeads.push(item))
+      head => ({ organisation: head.organisation, revision: BigInt(head.revision) }), item => message.contractHeads.push(item))
     const heartbeats = fill(this._heartbeats, content.heartbeats, share, HeartbeatSchema,
       beat => ({ id: beat.id, incarnation: beat.incarnation, sequence: BigInt(beat.sequence), draining: beat.isDraining }),
       item => message.heartbeats.push(item))
--- a/src/common/schema/Contract.ts
+++ b/src/common/schema/Contract.ts
@@ -1,5 +1,5 @@
 import type { z } from 'zod'
 import type { contractSchema } from './contractSchema.js'
 
-/** A customer's contract. */
+/** An organisation's contract. */
 export type Contract = z.infer<typeof contractSchema>
--- a/src/common/schema/claimRecordSchema.ts
+++ b/src/common/schema/claimRecordSchema.ts
@@ -1,17 +1,18 @@
 import { z } from 'zod'
+import { acceptFormerNames } from './acceptFormerNames.js'
 import { identifierSchema } from './identifierSchema.js'
 import { storedAnswerSchema } from './storedAnswerSchema.js'
 
 const claimKeyFields = {
   id: z.string(),
-  customer: identifierSchema,
+  organisation: identifierSchema,
   service: identifierSchema,
   /** The caller's Idempotency-Key. */
   key: z.string().min(1).max(255)
 }
 
 /** Records of the `claims` stream. */
-export const claimRecordSchema = z.discriminatedUnion('type', [
+export const claimRecordSchema = z.preprocess(acceptFormerNames, z.discriminatedUnion('type', [
   z.object({
     type: z.literal('claim'),
     ...claimKeyFields,
@@ -29,4 +30,4 @@
     /** Requests in flight on the upstream when it died. */
     fingerprints: z.array(z.string())
   })
-])
+]))
--- a/src/common/schema/contractRecordSchema.ts
+++ b/src/common/schema/contractRecordSchema.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod'
+import { acceptFormerNames } from './acceptFormerNames.js'
 import { identifierSchema } from './identifierSchema.js'
 
 const revisionEntrySchema = z.object({
@@ -9,11 +10,11 @@
 })
 
 /** Records of the `contracts` stream. */
-export const contractRecordSchema = z.discriminatedUnion('type', [
+export const contractRecordSchema = z.preprocess(acceptFormerNames, z.discriminatedUnion('type', [
   z.object({
     type: z.literal('publish'),
     id: z.string(),
-    customer: identifierSchema,
+    organisation: identifierSchema,
     /** Revision that the operator edited; 0 for a first contract. */
     base_revision: z.int().min(0),
     operator: z.string(),
@@ -24,7 +25,7 @@
   z.object({
     type: z.literal('snapshot'),
     id: z.string(),
-    customer: identifierSchema,
+    organisation: identifierSchema,
     /**
      * Read position of the writer when it built the snapshot: the last revision was in force there.
      * Absent when the writer itself did not know the complete state.
@@ -33,4 +34,4 @@
     /** Newest revisions in ascending order; the last one is in force. */
     revisions: z.array(revisionEntrySchema).min(1)
   })
-])
+]))
--- a/src/common/schema/stepRecordSchema.ts
+++ b/src/common/schema/stepRecordSchema.ts
@@ -1,13 +1,14 @@
 import { z } from 'zod'
+import { acceptFormerNames } from './acceptFormerNames.js'
 import { groupSpecSchema } from './groupSpecSchema.js'
 import { identifierSchema } from './identifierSchema.js'
 import { sampleSchema } from './sampleSchema.js'
 
-const trainerFields = { id: z.string(), customer: identifierSchema, trainer: identifierSchema }
+const trainerFields = { id: z.string(), organisation: identifierSchema, trainer: identifierSchema }
 const sampleFields = { step: z.int().min(0), group: identifierSchema }
 
 /** Records of the `steps` stream. */
-export const stepRecordSchema = z.discriminatedUnion('type', [
+export const stepRecordSchema = z.preprocess(acceptFormerNames, z.discriminatedUnion('type', [
   z.object({
     type: z.literal('submit'),
     ...trainerFields,
@@ -70,4 +71,4 @@
   }),
   /** An entry whose read position fell out of retention asks for `carry` records of all trainers. */
   z.object({ type: z.literal('want'), id: z.string(), entry: z.string() })
-])
+]))
--- a/src/common/settings/readIni.test.ts
+++ b/src/common/settings/readIni.test.ts
@@ -5,7 +5,7 @@
 
 const DIGEST = 'a'.repeat(64)
 const CONTRACT = `[contract]
-customer = lin-shun
+organisation = lin-shun
 operator = mei
 
 [access]
@@ -61,7 +61,7 @@
   })
 
   it('refuses a line that is neither section, key nor comment', () => {
-    const errors = readIni('[contract]\ncustomer lin-shun\n', contractSchema)._unsafeUnwrapErr()
+    const errors = readIni('[contract]\norganisation lin-shun\n', contractSchema)._unsafeUnwrapErr()
     expect(errors[0]?.line).toEqual(2)
   })
 })
--- a/src/common/training/CarryRenewer.ts
+++ b/src/common/training/CarryRenewer.ts
@@ -57,7 +57,7 @@
 
   private _check (): void {
     for (const { state, neededSinceMs } of this._table.all()) {
-      if (Date.now() >= this._dueAtMs(`${state.customer}/${state.trainer}`, neededSinceMs)) {
+      if (Date.now() >= this._dueAtMs(`${state.organisation}/${state.trainer}`, neededSinceMs)) {
         this._carry(state)
       }
     }
@@ -72,17 +72,17 @@
   }
 
   private _carry (state: TrainerState): void {
-    const { customer, trainer } = state
+    const { organisation, trainer } = state
     for (const record of carryRecords(state, this._table.nextOffset)) {
       this._hub.appendEventually('steps', record)
     }
-    const jitter = this._jitter.get(`${customer}/${trainer}`)
+    const jitter = this._jitter.get(`${organisation}/${trainer}`)
     if (jitter !== undefined) {
       // The carry may wait in the hub during an outage; it is not queued a second time meanwhile.
       jitter.dueAtMs = Date.now() + this._settings.retentionMs / 12
     }
     this._metrics.count('training_carries')
-    this._logger.info({ customer, trainer, groups: state.groups.size }, 'trainer_state_carried')
+    this._logger.info({ organisation, trainer, groups: state.groups.size }, 'trainer_state_carried')
   }
 
   private _answerWant (offset: number): void {
--- a/src/common/training/GroupRead.ts
+++ b/src/common/training/GroupRead.ts
@@ -1,6 +1,6 @@
 /** A trainer's read. `cursor` states that the trainer has every group up to it. */
 export interface GroupRead {
-  customer: string
+  organisation: string
   trainer: string
   cursor: number
   /** Newest weight version the trainer knows. */
--- a/src/common/training/IStepTable.ts
+++ b/src/common/training/IStepTable.ts
@@ -5,8 +5,8 @@
 
 /** State of all trainers, folded from the `steps` stream. */
 export interface IStepTable extends ILogFold {
-  /** Fires with the customer and trainer whose state may have changed. */
-  readonly onChange: IEvent<{ customer: string, trainer: string }>
+  /** Fires with the organisation and trainer whose state may have changed. */
+  readonly onChange: IEvent<{ organisation: string, trainer: string }>
   /** Fires when an entry asks for `carry` records, with the offset of its record. */
   readonly onWant: IEvent<number>
   /** Offset after the last applied record. */
@@ -14,9 +14,9 @@
   /** True after a retention gap until `declareComplete`. */
   readonly isGapped: boolean
   /** False while records of the trainer may be missing. */
-  isComplete (customer: string, trainer: string): boolean
+  isComplete (organisation: string, trainer: string): boolean
   /** State of a trainer; undefined when it is unknown or incomplete. */
-  get (customer: string, trainer: string): TrainerState | undefined
+  get (organisation: string, trainer: string): TrainerState | undefined
   /** All trainers with complete state, and the log time since which their records are needed. */
   all (): { state: TrainerState, neededSinceMs: number, carriedAsOf: number }[]
   digest (groups: GroupSpec[]): string
--- a/src/common/training/ITrainerDesk.ts
+++ b/src/common/training/ITrainerDesk.ts
@@ -7,9 +7,9 @@
 /** What trainers ask for: submit steps, read whole groups, acknowledge, announce weights. */
 export interface ITrainerDesk {
   /** Accepts a step once; the same step with the same groups is accepted again without effect. */
-  submit (customer: string, trainer: string, step: number, groups: GroupSpec[]): ResultAsync<void, TrainingError>
+  submit (organisation: string, trainer: string, step: number, groups: GroupSpec[]): ResultAsync<void, TrainingError>
   /** Returns whole groups above the cursor that meet the staleness bound, and the next cursor. */
   read (read: GroupRead): ResultAsync<{ groups: DeliveredGroup[], cursor: number }, TrainingError>
-  acknowledge (customer: string, trainer: string, cursor: number): ResultAsync<void, TrainingError>
-  announceWeights (customer: string, trainer: string, version: number): ResultAsync<void, TrainingError>
+  acknowledge (organisation: string, trainer: string, cursor: number): ResultAsync<void, TrainingError>
+  announceWeights (organisation: string, trainer: string, version: number): ResultAsync<void, TrainingError>
 }
--- a/src/common/training/SampleOwners.ts
+++ b/src/common/training/SampleOwners.ts
@@ -26,7 +26,7 @@
   }
 
   isOwned (task: SampleTask): boolean {
-    const key = `${task.customer}/${task.trainer}/${task.step}/${task.spec.group}/${task.index}`
+    const key = `${task.organisation}/${task.trainer}/${task.step}/${task.spec.group}/${task.index}`
     const known = this._owned.get(key)
     if (known !== undefined) return known
     const isOwned = rendezvousOwner(this._hash, this._peers.liveIds(), key) === this._peers.selfId
--- a/src/common/training/SampleRun.ts
+++ b/src/common/training/SampleRun.ts
@@ -68,14 +68,14 @@
   }
 
   private _generate (): ReturnType<IGenerator['generate']> {
-    const { customer, trainer, terms, spec, submittedAtMs } = this.task
+    const { organisation, trainer, terms, spec, submittedAtMs } = this.task
     const stepMs = terms.step_deadline_s * 1000
     const remainingMs = submittedAtMs + stepMs - Date.now()
     return this._generator.generate({
       requestId: crypto.randomUUID(),
-      customer,
+      organisation,
       service: terms.service,
-      model: `${customer}/${trainer}`,
+      model: `${organisation}/${trainer}`,
       workClass: `trainer/${trainer}`,
       size: 'long',
       prompt: spec.prompt,
--- a/src/common/training/SampleScorer.ts
+++ b/src/common/training/SampleScorer.ts
@@ -37,12 +37,12 @@
   private async _try (task: SampleTask, scorer: string, body: string, signal: AbortSignal): Promise<number | undefined> {
     const deadlineAtMs = performance.now() + SCORE_TIMEOUT_MS
     const acquired = await this._admission.acquire({
-      customer: task.customer,
+      organisation: task.organisation,
       service: scorer,
       workClass: `trainer/${task.trainer}`,
       size: 'short',
       units: 1,
-      fingerprint: this._hash.hash64(`${task.customer}/${scorer}/${body}`).toString(16),
+      fingerprint: this._hash.hash64(`${task.organisation}/${scorer}/${body}`).toString(16),
       deadlineAtMs,
       signal
     })
--- a/src/common/training/SampleTask.ts
+++ b/src/common/training/SampleTask.ts
@@ -3,7 +3,7 @@
 
 /** One attempt of one sample index. */
 export interface SampleTask {
-  customer: string
+  organisation: string
   trainer: string
   terms: TrainerTerms
   step: number
--- a/src/common/training/StepRunner.test.ts
+++ b/src/common/training/StepRunner.test.ts
@@ -14,7 +14,7 @@
 import { MemoryLog } from './test/MemoryLog.js'
 import { fakes } from './test/fakes.js'
 
-const base = { customer: 'felt', trainer: 'brim' }
+const base = { organisation: 'felt', trainer: 'brim' }
 type Item = Result<GenerationChunk, GenerationError>
 
 /** Generations that the test feeds chunk by chunk. */
--- a/src/common/training/StepRunner.ts
+++ b/src/common/training/StepRunner.ts
@@ -98,12 +98,12 @@
   }
 
   private _startOpen (contract: Contract, trainer: string): void {
-    const { customer } = contract.contract
-    const state = this._table.get(customer, trainer)
+    const { organisation } = contract.contract
+    const state = this._table.get(organisation, trainer)
     const terms = contract.trainer[trainer]
     if (state === undefined || terms === undefined) return
     const bound = Math.max(1, Math.floor(contract.limits.max_in_flight / Object.keys(contract.trainer).length))
-    let running = [...this._runs.values()].filter(({ task }) => task.customer === customer && task.trainer === trainer).length
+    let running = [...this._runs.values()].filter(({ task }) => task.organisation === organisation && task.trainer === trainer).length
     for (const task of openTasks(state, terms)) {
       if (running >= bound) return
       const key = keyOf(task)
@@ -115,7 +115,7 @@
   }
 
   private _start (key: string, task: SampleTask): void {
-    const newest = (): number => this._table.get(task.customer, task.trainer)?.version ?? 0
+    const newest = (): number => this._table.get(task.organisation, task.trainer)?.version ?? 0
     const run = new SampleRun(task, this._generator, this._scorer, newest)
     this._runs.set(key, run)
     run.run().catch((fault: unknown): SampleRunEnd => ({ kind: 'failed', reason: String(fault) })).then((end) => {
@@ -129,17 +129,17 @@
   private _finish (key: string, task: SampleTask, end: SampleRunEnd): void {
     this._metrics.count('training_sample_runs', { end: end.kind })
     if (end.kind === 'aborted' || !this._isOpen(task)) return
-    const { customer, trainer, step, spec: { group }, index } = task
+    const { organisation, trainer, step, spec: { group }, index } = task
     if (end.kind === 'done' && this._mayBeUnblocked(key, end)) {
       this._retries.set(key, { task, failures: 0, dueAtMs: performance.now() + BLOCK_CONFIRM_MS })
       return
     }
     if (end.kind === 'done') {
       const { failure } = end.sample
-      if (failure !== undefined) this._logger.warn({ customer, trainer, step, group, index, failure }, 'sample_without_tokens')
+      if (failure !== undefined) this._logger.warn({ organisation, trainer, step, group, index, failure }, 'sample_without_tokens')
       this._recorded.set(key, task)
       // The hub keeps the record while the log is out.
-      const record = { type: 'sample', id: crypto.randomUUID(), customer, trainer, step, group, sample: end.sample }
+      const record = { type: 'sample', id: crypto.randomUUID(), organisation, trainer, step, group, sample: end.sample }
       this._hub.appendEventually('steps', record)
       return
     }
@@ -148,7 +148,7 @@
     const pauseMs = Math.min(maxMs, RETRY_BASE_MS * 2 ** (failures - 1)) * (0.5 + Math.random() / 2)
     this._retries.set(key, { task, failures, dueAtMs: performance.now() + pauseMs })
     const reason = end.kind === 'stale' ? 'stale' : end.reason
-    this._logger.warn({ customer, trainer, step, group, index, failures, reason }, 'sample_run_failed')
+    this._logger.warn({ organisation, trainer, step, group, index, failures, reason }, 'sample_run_failed')
   }
 
   /** True at the first refusal: the records of other entries or a further run may still clear the request. */
@@ -161,8 +161,8 @@
 
   /** False when the sample was recorded or reopened as a new attempt, or the group was acknowledged. */
   private _isOpen (task: SampleTask): boolean {
-    if (!this._table.isComplete(task.customer, task.trainer)) return true
-    const group = this._table.get(task.customer, task.trainer)?.group(task.step, task.spec.group)
+    if (!this._table.isComplete(task.organisation, task.trainer)) return true
+    const group = this._table.get(task.organisation, task.trainer)?.group(task.step, task.spec.group)
     return group !== undefined && group.attempts[task.index] === task.attempt && group.samples[task.index] === undefined
   }
 
@@ -179,5 +179,5 @@
 }
 
 function keyOf (task: SampleTask): string {
-  return `${task.customer}/${task.trainer}/${task.step}/${task.spec.group}/${task.index}/${task.attempt}`
+  return `${task.organisation}/${task.trainer}/${task.step}/${task.spec.group}/${task.index}/${task.attempt}`
 }
--- a/src/common/training/StepTable.test.ts
+++ b/src/common/training/StepTable.test.ts
@@ -7,7 +7,7 @@
 import { MemoryLog } from './test/MemoryLog.js'
 import { fakes } from './test/fakes.js'
 
-const base = { customer: 'felt', trainer: 'brim' }
+const base = { organisation: 'felt', trainer: 'brim' }
 let nextId = 0
 const submit = (step: number, groups: GroupSpec[]) => ({ type: 'submit', id: `r${nextId++}`, ...base, step, groups, at_ms: 0 })
 const sample = (group: string, index = 0, attempt = 0, text = '', step = 1) => ({
--- a/src/common/training/StepTable.ts
+++ b/src/common/training/StepTable.ts
@@ -28,7 +28,7 @@
 
 /** Fold of the `steps` stream. */
 export class StepTable extends Disposable implements IStepTable {
-  private readonly _change = this._register(new Emitter<{ customer: string, trainer: string }>())
+  private readonly _change = this._register(new Emitter<{ organisation: string, trainer: string }>())
   private readonly _want = this._register(new Emitter<number>())
   private readonly _trainers = new Map<string, TrainerSlot>()
   private _knownFrom = 0
@@ -50,12 +50,12 @@
     return this._isGapped
   }
 
-  isComplete (customer: string, trainer: string): boolean {
-    return this._trainers.get(`${customer}/${trainer}`)?.isComplete ?? !this._isGapped
+  isComplete (organisation: string, trainer: string): boolean {
+    return this._trainers.get(`${organisation}/${trainer}`)?.isComplete ?? !this._isGapped
   }
 
-  get (customer: string, trainer: string): TrainerState | undefined {
-    const slot = this._trainers.get(`${customer}/${trainer}`)
+  get (organisation: string, trainer: string): TrainerState | undefined {
+    const slot = this._trainers.get(`${organisation}/${trainer}`)
     return slot?.isComplete === true ? slot.state : undefined
   }
 
@@ -85,7 +85,7 @@
     } else {
       slot.buffer.push({ offset: entry.offset, record })
     }
-    this._change.fire({ customer: record.customer, trainer: record.trainer })
+    this._change.fire({ organisation: record.organisation, trainer: record.trainer })
   }
 
   onGap (earliestOffset: number): void {
@@ -105,10 +105,10 @@
   }
 
   private _slot (record: TrainerRecord, timeMs: number): TrainerSlot {
-    const key = `${record.customer}/${record.trainer}`
+    const key = `${record.organisation}/${record.trainer}`
     const known = this._trainers.get(key)
     if (known !== undefined) return known
-    const state = new TrainerState(record.customer, record.trainer, (groups) => this.digest(groups))
+    const state = new TrainerState(record.organisation, record.trainer, (groups) => this.digest(groups))
     const slot = { state, isComplete: !this._isGapped, buffer: [], sets: new Map(), neededSinceMs: timeMs, carriedAsOf: -1 }
     this._trainers.set(key, slot)
     return slot
@@ -142,6 +142,6 @@
     }
     slot.buffer = []
     slot.isComplete = true
-    this._change.fire({ customer: slot.state.customer, trainer: slot.state.trainer })
+    this._change.fire({ organisation: slot.state.organisation, trainer: slot.state.trainer })
   }
 }
--- a/src/common/training/TrainerDesk.test.ts
+++ b/src/common/training/TrainerDesk.test.ts
@@ -8,7 +8,7 @@
 import { MemoryLog } from './test/MemoryLog.js'
 import { fakes } from './test/fakes.js'
 
-const base = { customer: 'felt', trainer: 'brim' }
+const base = { organisation: 'felt', trainer: 'brim' }
 const BOUND = 1
 
 function entry (log: MemoryLog) {
--- a/src/common/training/TrainerDesk.ts
+++ b/src/common/training/TrainerDesk.ts
@@ -29,7 +29,7 @@
 // Time for an entry that lags behind the trainer's last entry to read up to the stated cursor.
 const CATCH_UP_MS = 5000
 
-type RecordBody = StepRecord extends infer R ? R extends StepRecord ? Omit<R, 'id' | 'customer' | 'trainer'> : never : never
+type RecordBody = StepRecord extends infer R ? R extends StepRecord ? Omit<R, 'id' | 'organisation' | 'trainer'> : never : never
 type Delivery = { groups: DeliveredGroup[], cursor: number }
 
 /** The trainers' requests, decided on the fold of the `steps` stream. */
@@ -41,38 +41,38 @@
     @metricsId private readonly _metrics: IMetrics
   ) {}
 
-  submit (customer: string, trainer: string, step: number, groups: GroupSpec[]): ResultAsync<void, TrainingError> {
-    return new ResultAsync(this._submit(customer, trainer, step, groups))
+  submit (organisation: string, trainer: string, step: number, groups: GroupSpec[]): ResultAsync<void, TrainingError> {
+    return new ResultAsync(this._submit(organisation, trainer, step, groups))
   }
 
   read (read: GroupRead): ResultAsync<Delivery, TrainingError> {
     return new ResultAsync(this._read(read))
   }
 
-  acknowledge (customer: string, trainer: string, cursor: number): ResultAsync<void, TrainingError> {
-    return new ResultAsync(this._acknowledge(customer, trainer, cursor))
+  acknowledge (organisation: string, trainer: string, cursor: number): ResultAsync<void, TrainingError> {
+    return new ResultAsync(this._acknowledge(organisation, trainer, cursor))
   }
 
-  announceWeights (customer: string, trainer: string, version: number): ResultAsync<void, TrainingError> {
-    const terms = this._terms(customer, trainer)
+  announceWeights (organisation: string, trainer: string, version: number): ResultAsync<void, TrainingError> {
+    const terms = this._terms(organisation, trainer)
     if (terms.isErr()) return new ResultAsync(Promise.resolve(err(terms.error)))
-    return new ResultAsync(this._append(customer, trainer, { type: 'weights', version }))
+    return new ResultAsync(this._append(organisation, trainer, { type: 'weights', version }))
   }
 
-  private async _submit (customer: string, trainer: string, step: number, groups: GroupSpec[]): Promise<Result<void, TrainingError>> {
-    const checked = this._terms(customer, trainer).andThen((terms) => checkStep(step, groups, terms))
+  private async _submit (organisation: string, trainer: string, step: number, groups: GroupSpec[]): Promise<Result<void, TrainingError>> {
+    const checked = this._terms(organisation, trainer).andThen((terms) => checkStep(step, groups, terms))
     if (checked.isErr()) return checked
-    if (!this._isAvailable(customer, trainer)) return err(unavailable('the state of the trainer is being restored'))
-    const known = this._knownStep(customer, trainer, step, groups)
+    if (!this._isAvailable(organisation, trainer)) return err(unavailable('the state of the trainer is being restored'))
+    const known = this._knownStep(organisation, trainer, step, groups)
     if (known !== undefined) return known
-    const appended = await this._append(customer, trainer, { type: 'submit', step, groups, at_ms: Date.now() })
+    const appended = await this._append(organisation, trainer, { type: 'submit', step, groups, at_ms: Date.now() })
     if (appended.isErr()) return appended
     // Another submission of the same step may have been first.
-    return this._knownStep(customer, trainer, step, groups) ?? err(unavailable('the submission was not applied', true))
+    return this._knownStep(organisation, trainer, step, groups) ?? err(unavailable('the submission was not applied', true))
   }
 
-  private _knownStep (customer: string, trainer: string, step: number, groups: GroupSpec[]): Result<void, TrainingError> | undefined {
-    const state = this._table.get(customer, trainer)
+  private _knownStep (organisation: string, trainer: string, step: number, groups: GroupSpec[]): Result<void, TrainingError> | undefined {
+    const state = this._table.get(organisation, trainer)
     if (state === undefined) return undefined
     const digest = state.steps.get(step)
     if (digest === this._table.digest(groups)) return ok(undefined)
@@ -82,7 +82,7 @@
   }
 
   private async _read (read: GroupRead): Promise<Result<Delivery, TrainingError>> {
-    const terms = this._terms(read.customer, read.trainer)
+    const terms = this._terms(read.organisation, read.trainer)
     if (terms.isErr()) return err(terms.error)
     const startedAtMs = performance.now()
     const endAtMs = startedAtMs + Math.min(Math.max(0, read.waitMs), MAX_WAIT_MS)
@@ -90,7 +90,7 @@
     if (reachable.isErr()) return err(reachable.error)
     this._recordCursor(read)
     for (;;) {
-      const isAvailable = this._isAvailable(read.customer, read.trainer)
+      const isAvailable = this._isAvailable(read.organisation, read.trainer)
       const plan = isAvailable ? this._plan(read, terms.value) : { kind: 'wait' as const }
       if (plan.kind === 'deliver') return ok(this._deliver(read, plan))
       const done = plan.kind === 'wait' ? ok(undefined) : await this._carryOut(read, plan)
@@ -101,40 +101,40 @@
         return done.isErr() ? err(done.error) : ok({ groups: [], cursor: read.cursor })
       }
       const pauseMs = done.isErr() ? Math.min(RETRY_PAUSE_MS, remainingMs) : remainingMs
-      await waitForTrainer(this._table, read.customer, read.trainer, pauseMs, read.signal)
+      await waitForTrainer(this._table, read.organisation, read.trainer, pauseMs, read.signal)
     }
   }
 
   /** Waits until this entry has read up to the cursor, which another entry may have issued. */
-  private async _checkCursor ({ customer, trainer, cursor, signal }: Omit<GroupRead, 'version' | 'max' | 'waitMs'>, startedAtMs: number): Promise<Result<void, TrainingError>> {
+  private async _checkCursor ({ organisation, trainer, cursor, signal }: Omit<GroupRead, 'version' | 'max' | 'waitMs'>, startedAtMs: number): Promise<Result<void, TrainingError>> {
     const beyond: TrainingError = { kind: 'cursor_invalid', message: `cursor ${cursor} is above every record of the log` }
     for (;;) {
       const status = this._hub.status('steps')
       if (cursor <= 0 || cursor < status.nextOffset) return ok(undefined)
-      if (status.isCaughtUp && status.lastAtEndMs > startedAtMs && this._isAvailable(customer, trainer)) return err(beyond)
+      if (status.isCaughtUp && status.lastAtEndMs > startedAtMs && this._isAvailable(organisation, trainer)) return err(beyond)
       const remainingMs = startedAtMs + CATCH_UP_MS - performance.now()
       if (remainingMs <= 0 || signal.aborted) return err(unavailable('this entry has not read the log up to the cursor'))
-      await waitForTrainer(this._table, customer, trainer, Math.min(RETRY_PAUSE_MS, remainingMs), signal)
+      await waitForTrainer(this._table, organisation, trainer, Math.min(RETRY_PAUSE_MS, remainingMs), signal)
     }
   }
 
   private _plan (read: GroupRead, terms: TrainerTerms): DeliveryPlan {
-    const state = this._table.get(read.customer, read.trainer)
+    const state = this._table.get(read.organisation, read.trainer)
     if (state === undefined) return { kind: 'wait' }
     return planDelivery(state, read.cursor, read.max, Math.max(read.version, state.version), terms.staleness_versions)
   }
 
   private async _carryOut (read: GroupRead, plan: Exclude<DeliveryPlan, { kind: 'wait' | 'deliver' }>): Promise<Result<void, TrainingError>> {
-    const results = await Promise.all(recordsOf(read, plan).map((record) => this._append(read.customer, read.trainer, record)))
+    const results = await Promise.all(recordsOf(read, plan).map((record) => this._append(read.organisation, read.trainer, record)))
     return results.find((result) => result.isErr()) ?? ok(undefined)
   }
 
   private _deliver (read: GroupRead, plan: Extract<DeliveryPlan, { kind: 'deliver' }>): Delivery {
     // Reopened now, so that the trainer does not wait for them at a later read.
     for (const stale of plan.stale) {
-      this._hub.appendEventually('steps', this._record(read.customer, read.trainer, expireRecord(stale)))
+      this._hub.appendEventually('steps', this._record(read.organisation, read.trainer, expireRecord(stale)))
     }
-    this._metrics.count('training_groups_delivered', { customer: read.customer }, plan.groups.length)
+    this._metrics.count('training_groups_delivered', { organisation: read.organisation }, plan.groups.length)
     const groups = plan.groups.map((group): DeliveredGroup => ({
       step: group.step,
       group: group.spec.group,
@@ -145,41 +145,41 @@
   }
 
   /** The trainer has everything up to the cursor of its read, so that these groups can be removed. */
-  private _recordCursor ({ customer, trainer, cursor }: GroupRead): void {
-    const state = this._table.get(customer, trainer)
+  private _recordCursor ({ organisation, trainer, cursor }: GroupRead): void {
+    const state = this._table.get(organisation, trainer)
     if (state !== undefined && cursor > state.cursor) {
-      this._hub.appendEventually('steps', this._record(customer, trainer, { type: 'ack', cursor }))
+      this._hub.appendEventually('steps', this._record(organisation, trainer, { type: 'ack', cursor }))
     }
   }
 
-  private async _acknowledge (customer: string, trainer: string, cursor: number): Promise<Result<void, TrainingError>> {
-    const terms = this._terms(customer, trainer)
+  private async _acknowledge (organisation: string, trainer: string, cursor: number): Promise<Result<void, TrainingError>> {
+    const terms = this._terms(organisation, trainer)
     if (terms.isErr()) return err(terms.error)
     const signal = new AbortController().signal
-    const reachable = await this._checkCursor({ customer, trainer, cursor, signal }, performance.now())
+    const reachable = await this._checkCursor({ organisation, trainer, cursor, signal }, performance.now())
     if (reachable.isErr()) return reachable
-    return await this._append(customer, trainer, { type: 'ack', cursor })
+    return await this._append(organisation, trainer, { type: 'ack', cursor })
   }
 
-  private _isAvailable (customer: string, trainer: string): boolean {
-    return this._hub.status('steps').isCaughtUp && this._table.isComplete(customer, trainer)
+  private _isAvailable (organisation: string, trainer: string): boolean {
+    return this._hub.status('steps').isCaughtUp && this._table.isComplete(organisation, trainer)
   }
 
-  private _terms (customer: string, trainer: string): Result<TrainerTerms, TrainingError> {
-    const trainers = this._contracts.current(customer)?.contract.trainer
+  private _terms (organisation: string, trainer: string): Result<TrainerTerms, TrainingError> {
+    const trainers = this._contracts.current(organisation)?.contract.trainer
     if (trainers === undefined || !Object.hasOwn(trainers, trainer)) {
-      return err({ kind: 'trainer_unknown', message: `the contract of ${customer} has no trainer ${trainer}` })
+      return err({ kind: 'trainer_unknown', message: `the contract of ${organisation} has no trainer ${trainer}` })
     }
     return ok(trainers[trainer]!)
   }
 
-  private async _append (customer: string, trainer: string, body: RecordBody): Promise<Result<void, TrainingError>> {
-    const appended = await this._hub.append('steps', this._record(customer, trainer, body), APPEND_TIMEOUT_MS)
+  private async _append (organisation: string, trainer: string, body: RecordBody): Promise<Result<void, TrainingError>> {
+    const appended = await this._hub.append('steps', this._record(organisation, trainer, body), APPEND_TIMEOUT_MS)
     return appended.map(() => undefined).mapErr((error: LogError) => unavailable(error.message, error.mayLand))
   }
 
-  private _record (customer: string, trainer: string, body: RecordBody): { id: string } & RecordBody {
-    const fields = { id: crypto.randomUUID(), customer, trainer }
+  private _record (organisation: string, trainer: string, body: RecordBody): { id: string } & RecordBody {
+    const fields = { id: crypto.randomUUID(), organisation, trainer }
     return { ...fields, ...body }
   }
 }
--- a/src/common/training/TrainerState.ts
+++ b/src/common/training/TrainerState.ts
@@ -19,7 +19,7 @@
   readonly steps = new Map<number, string>()
   readonly groups = new Map<string, GroupState>()
 
-  constructor (readonly customer: string, readonly trainer: string, private readonly _digest: (groups: GroupSpec[]) => string) {}
+  constructor (readonly organisation: string, readonly trainer: string, private readonly _digest: (groups: GroupSpec[]) => string) {}
 
   group (step: number, group: string): GroupState | undefined {
     return this.groups.get(`${step}/${group}`)
--- a/src/common/training/carryRecords.ts
+++ b/src/common/training/carryRecords.ts
@@ -3,12 +3,12 @@
 
 /** Records that carry a trainer's state: the head, then one record per group. */
 export function carryRecords (state: TrainerState, asOf: number): StepRecord[] {
-  const { customer, trainer, version, cursor } = state
+  const { organisation, trainer, version, cursor } = state
   const set = crypto.randomUUID()
   const head: StepRecord = {
     type: 'carry',
     id: set,
-    customer,
+    organisation,
     trainer,
     set,
     as_of: asOf,
@@ -21,7 +21,7 @@
   const groups = [...state.groups.values()].map((group): StepRecord => ({
     type: 'carry_group',
     id: crypto.randomUUID(),
-    customer,
+    organisation,
     trainer,
     set,
     step: group.step,
--- a/src/common/training/openTasks.ts
+++ b/src/common/training/openTasks.ts
@@ -4,10 +4,10 @@
 
 /** Open indexes of a trainer, older steps first and group by group, so that groups complete early. */
 export function openTasks (state: TrainerState, terms: TrainerTerms): SampleTask[] {
-  const { customer, trainer } = state
+  const { organisation, trainer } = state
   const groups = [...state.groups.values()].sort((a, b) => a.step - b.step)
   return groups.flatMap(({ step, spec, submittedAtMs, attempts, samples }) => {
-    const open = attempts.map((attempt, index) => ({ customer, trainer, terms, step, spec, index, attempt, submittedAtMs }))
+    const open = attempts.map((attempt, index) => ({ organisation, trainer, terms, step, spec, index, attempt, submittedAtMs }))
     return open.filter(({ index }) => samples[index] === undefined)
   })
 }
--- a/src/common/training/registration.test.ts
+++ b/src/common/training/registration.test.ts
@@ -61,7 +61,7 @@
     registry.registerClass(weightRolloutId, WeightRollout).start()
     await desk.submit('felt', 'brim', 1, [fakes.group('g')])
     const signal = new AbortController().signal
-    const read = await desk.read({ customer: 'felt', trainer: 'brim', cursor: 0, version: 0, max: 1, waitMs: 5000, signal })
+    const read = await desk.read({ organisation: 'felt', trainer: 'brim', cursor: 0, version: 0, max: 1, waitMs: 5000, signal })
     expect(read._unsafeUnwrap().groups[0]?.samples[0]?.token_ids).toEqual([1, 2])
     registry.dispose()
   })
--- a/src/common/training/test/fakes.ts
+++ b/src/common/training/test/fakes.ts
@@ -35,15 +35,15 @@
   },
   contracts (terms: Record<string, unknown> = {}): IContractStore {
     const contract = contractSchema.parse({
-      contract: { customer: 'felt', operator: 'lin' },
+      contract: { organisation: 'felt', operator: 'lin' },
       access: { token_sha256: ['0'.repeat(64)] },
       limits: {},
       trainer: { brim: { service: 'llm', staleness_versions: 1, step_deadline_s: 60, weights_every_s: 60, ...terms } }
     })
-    const revision: ContractRevision = { customer: 'felt', revision: 1, operator: 'lin', atMs: 0, text: '', contract }
+    const revision: ContractRevision = { organisation: 'felt', revision: 1, operator: 'lin', atMs: 0, text: '', contract }
     const store: Partial<IContractStore> = {
       onChange: new Emitter<ContractRevision>().event,
-      current: (customer) => customer === 'felt' ? revision : undefined,
+      current: (organisation) => organisation === 'felt' ? revision : undefined,
       all: () => [revision]
     }
     return store as IContractStore
--- a/src/common/training/waitForTrainer.ts
+++ b/src/common/training/waitForTrainer.ts
@@ -1,7 +1,7 @@
 import type { IStepTable } from './IStepTable.js'
 
 /** Waits for a change of the trainer's state, at most `timeoutMs` and until the signal aborts. */
-export async function waitForTrainer (table: IStepTable, customer: string, trainer: string, timeoutMs: number, signal: AbortSignal): Promise<void> {
+export async function waitForTrainer (table: IStepTable, organisation: string, trainer: string, timeoutMs: number, signal: AbortSignal): Promise<void> {
   if (signal.aborted) return
   await new Promise<void>((resolve) => {
     const finish = (): void => {
@@ -12,7 +12,7 @@
     }
     const timer = setTimeout(finish, timeoutMs)
     const subscription = table.onChange((change) => {
-      if (change.customer === customer && change.trainer === trainer) finish()
+      if (change.organisation === organisation && change.trainer === trainer) finish()
     })
     signal.addEventListener('abort', finish, { once: true })
   })
--- a/src/common/weights/WeightRollout.test.ts
+++ b/src/common/weights/WeightRollout.test.ts
@@ -69,7 +69,7 @@
   const settings = { ...fakes.settings, services } as EntrySettings
   const rollout = new WeightRollout(leases, table, fakes.contracts(), engines.table, engines.client, settings, fakes.logger)
   rollout.start()
-  const announce = (version: number) => log.push({ type: 'weights', id: `w${version}`, customer: 'felt', trainer: 'brim', version })
+  const announce = (version: number) => log.push({ type: 'weights', id: `w${version}`, organisation: 'felt', trainer: 'brim', version })
   return { engines, states, orders, leases, rollout, announce, mostLoading: () => mostLoading }
 }
 
--- a/src/common/weights/WeightRollout.ts
+++ b/src/common/weights/WeightRollout.ts
@@ -46,9 +46,9 @@
     this._register(this._leases.onGained((lease) => this._begin(lease)))
     this._register(this._leases.onLost((lease) => this._end(lease.name)))
     this._register(this._contracts.onChange(() => this._seekAll()))
-    this._register(this._table.onChange(({ customer, trainer }) => {
-      const key = `${customer}/${trainer}`
-      const version = this._table.get(customer, trainer)?.version ?? 0
+    this._register(this._table.onChange(({ organisation, trainer }) => {
+      const key = `${organisation}/${trainer}`
+      const version = this._table.get(organisation, trainer)?.version ?? 0
       // Most records are samples, which need no look at the engines.
       if (this._versions.get(key) === version) return
       this._versions.set(key, version)
@@ -108,12 +108,12 @@
 
   private _targets (service: string): WeightTarget[] {
     return this._contracts.all().flatMap(({ contract }) => {
-      const { customer } = contract.contract
+      const { organisation } = contract.contract
       return Object.entries(contract.trainer)
         .filter(([, terms]) => terms.service === service)
         .map(([trainer, terms]) => ({
-          model: `${customer}/${trainer}`,
-          version: this._table.get(customer, trainer)?.version ?? 0,
+          model: `${organisation}/${trainer}`,
+          version: this._table.get(organisation, trainer)?.version ?? 0,
           bound: terms.staleness_versions
         }))
     })
--- a/src/common/weights/WeightTarget.ts
+++ b/src/common/weights/WeightTarget.ts
@@ -1,6 +1,6 @@
 /** Newest weights of one trainer, as the engines should hold them. */
 export interface WeightTarget {
-  /** `{customer}/{trainer}` */
+  /** `{organisation}/{trainer}` */
   model: string
   version: number
   /** How many versions behind the newest one a sample may be. */
--- a/src/node/cli/checkContract.ts
+++ b/src/node/cli/checkContract.ts
@@ -6,11 +6,11 @@
 import { readInputFile } from './readInputFile.js'
 
 /** Reads and checks a contract file; throws a CliFault with all faults. */
-export function checkContract (file: string): { customer: string, text: string } {
+export function checkContract (file: string): { organisation: string, text: string } {
   const text = readInputFile(file)
   const result = readIni(text, contractSchema)
   if (result.isErr()) throw new CliFault(2, formatIniErrors(file, result.error))
   const errors = checkRules(result.value, text)
   if (errors.length > 0) throw new CliFault(2, formatIniErrors(file, errors))
-  return { customer: result.value.contract.customer, text }
+  return { organisation: result.value.contract.organisation, text }
 }
--- a/src/node/cli/runCli.test.ts
+++ b/src/node/cli/runCli.test.ts
@@ -81,7 +81,7 @@
     bed.publish = (...given) => { args = given; return okAsync({ ...bed.contracts[0], revision: 4, atMs: 0 }) }
     expect(await run('contract', 'publish', contractFile, '--base-revision', '3')).toEqual(0)
     expect(args.slice(0, 3)).toEqual(['lin-shun', 3, 'mei'])
-    expect(lines).toEqual(['published customer=lin-shun revision=4 operator=mei time=1970-01-01T00:00:00.000Z'])
+    expect(lines).toEqual(['published organisation=lin-shun revision=4 operator=mei time=1970-01-01T00:00:00.000Z'])
     bed.publish = () => errAsync({ kind: 'contract_conflict', message: 'another revision was first', currentRevision: 5 })
     expect(await run('contract', 'publish', contractFile, '--base-revision', '3')).toEqual(1)
     expect(errors).toEqual(['contract_conflict: another revision was first (current revision 5), outcome not_run'])
@@ -91,7 +91,7 @@
 
   it('shows contract, history, differences, status and audit trail', async () => {
     expect(await run('contract', 'show', 'lin-shun')).toEqual(0)
-    expect(lines[0]).toInclude('customer = lin-shun')
+    expect(lines[0]).toInclude('organisation = lin-shun')
     expect(await run('contract', 'history', 'lin-shun')).toEqual(0)
     expect(lines[1]).toInclude('revision=3')
     expect(await run('contract', 'diff', 'lin-shun')).toEqual(0)
--- a/src/node/cli/runCli.ts
+++ b/src/node/cli/runCli.ts
@@ -61,7 +61,7 @@
 function addAdminCommands (cli: CAC, io: CliIo): void {
   cli.option('--admin <ip:port>', 'Address of an entry, or HYSSOPVALVE_ADMIN')
   cli.option('--token <token>', 'Operator token, better by HYSSOPVALVE_TOKEN')
-  cli.command('contract <action> <target>', 'check FILE, publish FILE, show CUSTOMER, diff CUSTOMER or history CUSTOMER')
+  cli.command('contract <action> <target>', 'check FILE, publish FILE, show ORGANISATION, diff ORGANISATION or history ORGANISATION')
     .option('--base-revision <number>', 'Revision that was edited; 0 for a first contract')
     .option('--revision <number>', 'Revision to compare with the one before it')
     .example('  hyssopvalve contract check lin-shun.ini')
--- a/src/node/cli/runContractCommand.ts
+++ b/src/node/cli/runContractCommand.ts
@@ -9,7 +9,7 @@
 export async function runContractCommand (action: string, target: string, options: ContractOptions, connect: () => AdminClient, io: CliIo): Promise<void> {
   switch (action) {
     case 'check':
-      io.out(`valid contract of ${checkContract(target).customer}`)
+      io.out(`valid contract of ${checkContract(target).organisation}`)
       return
     case 'publish':
       return await publish(target, options, connect, io)
@@ -27,30 +27,30 @@
 }
 
 async function publish (file: string, options: ContractOptions, connect: () => AdminClient, io: CliIo): Promise<void> {
-  const { customer, text } = checkContract(file)
+  const { organisation, text } = checkContract(file)
   const baseRevision = options.baseRevision
   if (typeof baseRevision !== 'number' || !Number.isSafeInteger(baseRevision) || baseRevision < 0) {
     throw new CliFault(2, ['--base-revision: must be the revision that was edited, 0 for a first contract'])
   }
-  const published = await connect().call('POST', pathOf(customer), { base_revision: baseRevision, text }, file)
+  const published = await connect().call('POST', pathOf(organisation), { base_revision: baseRevision, text }, file)
   io.out(`published ${formatRevision(published)}`)
 }
 
-async function diff (customer: string, options: ContractOptions, connect: () => AdminClient, io: CliIo): Promise<void> {
-  const { revisions } = await connect().call('GET', `${pathOf(customer)}/history`)
+async function diff (organisation: string, options: ContractOptions, connect: () => AdminClient, io: CliIo): Promise<void> {
+  const { revisions } = await connect().call('GET', `${pathOf(organisation)}/history`)
   const wanted = options.revision ?? revisions.at(-1).revision
   const item = revisions.find((candidate: any) => candidate.revision === wanted)
-  if (item === undefined) throw new CliFault(1, [`revision ${String(wanted)} of ${customer} is not known any more`])
+  if (item === undefined) throw new CliFault(1, [`revision ${String(wanted)} of ${organisation} is not known any more`])
   io.out(formatRevision(item))
   for (const change of item.changes) io.out(formatChange(change))
 }
 
-function pathOf (customer: string): string {
-  return `/contracts/${encodeURIComponent(customer)}`
+function pathOf (organisation: string): string {
+  return `/contracts/${encodeURIComponent(organisation)}`
 }
 
 function formatRevision (item: any): string {
-  return `customer=${item.customer} revision=${item.revision} operator=${item.operator} time=${new Date(item.at_ms).toISOString()}`
+  return `organisation=${item.organisation} revision=${item.revision} operator=${item.operator} time=${new Date(item.at_ms).toISOString()}`
 }
 
 function formatChange (change: any): string {
--- a/src/node/entry/testing/registerFakes.ts
+++ b/src/node/entry/testing/registerFakes.ts
@@ -23,7 +23,7 @@
 /** Registers stand-ins for the other modules: one contract whose token is `token`, and calls of a given length. */
 export function registerFakes (registry: IServiceRegistry, options: FakeOptions): RegisteredServices {
   const work = { lookup: { service: 'order-app', kind: 'call', methods: [], path: '/', deadline_ms: options.deadlineMs, repeat: 'allowed' } }
-  const revision: any = { customer: 'lin-shun', revision: 1, contract: { access: { token_sha256: [TOKEN_DIGEST] }, work, trainer: {} } }
+  const revision: any = { organisation: 'lin-shun', revision: 1, contract: { access: { token_sha256: [TOKEN_DIGEST] }, work, trainer: {} } }
   const register = (id: any, fake: object): unknown => registry.register(id, fake)
   const contracts = { all: () => [revision], current: () => revision, findByTokenDigest: () => revision, offer () {} }
   register(contractStoreId, contracts)
--- a/src/node/http/Authenticator.ts
+++ b/src/node/http/Authenticator.ts
@@ -11,15 +11,15 @@
 
 const BEARER_PATTERN = /^Bearer +([\x21-\x7e]{1,1024}) *$/i
 
-/** Tells customers and operators by their bearer tokens, whose SHA-256 digests are compared in constant time. */
+/** Tells organisations and operators by their bearer tokens, whose SHA-256 digests are compared in constant time. */
 export class Authenticator {
   constructor (
     @contractStoreId private readonly _contracts: IContractStore,
     @entrySettingsId private readonly _settings: EntrySettings
   ) {}
 
-  /** Contract of the caller; notes customer and revision for the access log. */
-  customer (context: Context<AppEnv>): Result<ContractRevision, ApiError> {
+  /** Contract of the caller; notes organisation and revision for the access log. */
+  organisation (context: Context<AppEnv>): Result<ContractRevision, ApiError> {
     if (this._contracts.all().length === 0) {
       return err({ status: 503, kind: 'not_ready', message: 'no contract is in force on this entry yet', outcome: 'not_run', retryAfterMs: 1000 })
     }
@@ -28,7 +28,7 @@
     // The store finds contracts by an index; the comparison makes sure that the digest is listed in full.
     if (digest === undefined || found === undefined || !found.contract.access.token_sha256.some(known => isEqual(known, digest))) return err(UNAUTHENTICATED)
     const record = context.get('record')
-    record.customer = found.customer
+    record.organisation = found.organisation
     record.revision = found.revision
     return ok(found)
   }
--- a/src/node/http/GenerationRoutes.test.ts
+++ b/src/node/http/GenerationRoutes.test.ts
@@ -21,7 +21,7 @@
     const { status, json } = await bed.send('POST', '/v1/completions', { model: 'shaping-llm', prompt: 'brim', max_tokens: 50, temperature: 0.5 })
     expect([status, json.object, json.choices[0].text, json.choices[0].finish_reason]).toEqual([200, 'text_completion', 'warm felt', 'stop'])
     expect(json.usage).toEqual({ prompt_tokens: null, completion_tokens: 4, total_tokens: null })
-    expect([seen.customer, seen.workClass, seen.model, seen.maxTokens, seen.size]).toEqual(['lin-shun', 'advice', 'shaping-llm', 50, 'short'])
+    expect([seen.organisation, seen.workClass, seen.model, seen.maxTokens, seen.size]).toEqual(['lin-shun', 'advice', 'shaping-llm', 50, 'short'])
     expect(seen.parameters).toEqual({ temperature: 0.5 })
   })
 
--- a/src/node/http/GenerationRoutes.ts
+++ b/src/node/http/GenerationRoutes.ts
@@ -41,12 +41,12 @@
   }
 
   private async _handle<T extends z.ZodType> (context: Context<AppEnv>, schema: T, map: (body: z.output<T>) => GenerationInput, style: CompletionStyle): Promise<Response> {
-    const customer = this._authenticator.customer(context)
-    if (customer.isErr()) return sendError(context, customer.error)
+    const organisation = this._authenticator.organisation(context)
+    if (organisation.isErr()) return sendError(context, organisation.error)
     const body = await readJson(context, schema)
     if (body.isErr()) return sendError(context, body.error)
     const input = map(body.value)
-    const selected = selectGenerationClass(customer.value.contract, input.service, input.maxTokens)
+    const selected = selectGenerationClass(organisation.value.contract, input.service, input.maxTokens)
     if (selected.isErr()) return sendError(context, selected.error)
     const { name, workClass } = selected.value
     const deadline = readDeadline(context, Math.min(workClass.deadline_ms, this._settings.maxStreamMs))
@@ -55,9 +55,9 @@
     record.workClass = name
     const request: GenerationRequest = {
       requestId: record.requestId,
-      customer: customer.value.customer,
+      organisation: organisation.value.organisation,
       service: input.service,
-      model: workClass.trainer === undefined ? input.service : `${customer.value.customer}/${workClass.trainer}`,
+      model: workClass.trainer === undefined ? input.service : `${organisation.value.organisation}/${workClass.trainer}`,
       workClass: name,
       size: workClass.size,
       prompt: input.prompt,
--- a/src/node/http/HttpServer.test.ts
+++ b/src/node/http/HttpServer.test.ts
@@ -44,7 +44,7 @@
     await bed.send('GET', '/v1/services/order-app/orders?q=1', undefined, { 'x-request-id': 'logged' })
     await sleep(20)
     const lines = bed.logLines.filter(line => line['request'] === 'logged')
-    expect(lines.map(({ customer, revision, work_class: work, outcome, path }) => [customer, revision, work, outcome, path])).toEqual([
+    expect(lines.map(({ organisation, revision, work_class: work, outcome, path }) => [organisation, revision, work, outcome, path])).toEqual([
       ['lin-shun', 3, 'lookup', 'ok', '/v1/services/order-app/orders']
     ])
   })
--- a/src/node/http/HttpServer.ts
+++ b/src/node/http/HttpServer.ts
@@ -115,15 +115,15 @@
   }
 
   private _logAccess (context: Context<AppEnv>, record: RequestRecord, outgoing: ServerResponse): void {
-    const { requestId, customer, revision, operator, workClass } = record
+    const { requestId, organisation, revision, operator, workClass } = record
     const outcome = outgoing.writableFinished ? record.outcome : 'caller_gone'
     const durationMs = performance.now() - record.startedAtMs
     this._metrics.gauge('http_in_flight', this._inFlight)
-    this._metrics.count('http_requests', { customer: customer ?? '', work_class: workClass ?? '', outcome })
-    this._metrics.duration('http_request', durationMs, { customer: customer ?? '', work_class: workClass ?? '' })
+    this._metrics.count('http_requests', { organisation: organisation ?? '', work_class: workClass ?? '', outcome })
+    this._metrics.duration('http_request', durationMs, { organisation: organisation ?? '', work_class: workClass ?? '' })
     this._logger.info({
       request: requestId,
-      customer,
+      organisation,
       revision,
       operator,
       work_class: workClass,
--- a/src/node/http/OperatorRoutes.test.ts
+++ b/src/node/http/OperatorRoutes.test.ts
@@ -10,7 +10,7 @@
   before(async () => { bed = await new HttpTestBed().start() })
   after(() => bed.server.dispose())
 
-  it('refuses callers and customers on every path', async () => {
+  it('refuses callers and organisations on every path', async () => {
     for (const path of ['contracts', 'contracts/lin-shun', 'contracts/lin-shun/history', 'status', 'audit']) {
       expect([path, (await bed.send('GET', `/admin/v1/${path}`)).status]).toEqual([path, 401])
     }
@@ -18,10 +18,10 @@
   })
 
   it('lists, shows and gives the history with changes', async () => {
-    expect((await bed.send('GET', '/admin/v1/contracts', undefined, OPERATOR)).json.contracts[0]).toEqual({ customer: 'lin-shun', revision: 3, operator: 'mei', at_ms: 1 })
-    expect((await bed.send('GET', '/admin/v1/contracts/lin-shun', undefined, OPERATOR)).json.text).toInclude('customer = lin-shun')
+    expect((await bed.send('GET', '/admin/v1/contracts', undefined, OPERATOR)).json.contracts[0]).toEqual({ organisation: 'lin-shun', revision: 3, operator: 'mei', at_ms: 1 })
+    expect((await bed.send('GET', '/admin/v1/contracts/lin-shun', undefined, OPERATOR)).json.text).toInclude('organisation = lin-shun')
     expect((await bed.send('GET', '/admin/v1/contracts/nobody', undefined, OPERATOR)).status).toEqual(404)
-    expect((await bed.send('GET', '/admin/v1/contracts/No%20one', undefined, OPERATOR)).json.error.field).toEqual('customer')
+    expect((await bed.send('GET', '/admin/v1/contracts/No%20one', undefined, OPERATOR)).json.error.field).toEqual('organisation')
     const first = bed.contracts[0]
     if (first !== undefined) bed.contracts.push({ ...first, revision: 4, atMs: 2 })
     const history = (await bed.send('GET', '/admin/v1/contracts/lin-shun/history', undefined, OPERATOR)).json.revisions
--- a/src/node/http/OperatorRoutes.ts
+++ b/src/node/http/OperatorRoutes.ts
@@ -27,7 +27,7 @@
 const PREFIX = '/admin/v1'
 const MAX_CONTRACT_CHARACTERS = 262_144
 
-const customerSchema = z.object({ customer: identifierSchema })
+const organisationSchema = z.object({ organisation: identifierSchema })
 const publishSchema = z.strictObject({
   base_revision: z.int().min(0),
   text: z.string().min(1).max(MAX_CONTRACT_CHARACTERS)
@@ -46,11 +46,11 @@
 
   mount (app: Hono<AppEnv>): void {
     addRoute(app, `${PREFIX}/contracts`, { GET: this._guard(context => context.json({ contracts: this._contracts.all().map(toHead) })) })
-    addRoute(app, `${PREFIX}/contracts/:customer`, {
+    addRoute(app, `${PREFIX}/contracts/:organisation`, {
       GET: this._guard(context => this._show(context)),
       POST: this._guard(async (context, operator) => await this._publish(context, operator))
     })
-    addRoute(app, `${PREFIX}/contracts/:customer/history`, { GET: this._guard(context => this._history(context)) })
+    addRoute(app, `${PREFIX}/contracts/:organisation/history`, { GET: this._guard(context => this._history(context)) })
     addRoute(app, `${PREFIX}/status`, { GET: this._guard(context => context.json(this._status.read())) })
     addRoute(app, `${PREFIX}/audit`, { GET: this._guard(context => context.json({ events: this._audit() })) })
   }
@@ -59,36 +59,36 @@
     return async context => {
       const operator = this._authenticator.operator(context)
       if (operator.isErr()) return sendError(context, operator.error)
-      const params = customerSchema.partial().safeParse(context.req.param())
+      const params = organisationSchema.partial().safeParse(context.req.param())
       if (!params.success) return sendError(context, toInvalid(params.error))
       return await handler(context, operator.value)
     }
   }
 
   private _show (context: Context<AppEnv>): Response {
-    const revision = this._contracts.current(customerOf(context))
+    const revision = this._contracts.current(organisationOf(context))
     return revision === undefined ? sendUnknown(context) : context.json({ ...toHead(revision), text: revision.text })
   }
 
   private _history (context: Context<AppEnv>): Response {
-    const revisions = this._contracts.history(customerOf(context))
+    const revisions = this._contracts.history(organisationOf(context))
     return revisions.length === 0 ? sendUnknown(context) : context.json({ revisions: this._withChanges(revisions) })
   }
 
   private async _publish (context: Context<AppEnv>, operator: string): Promise<Response> {
     const body = await readJson(context, publishSchema)
     if (body.isErr()) return sendError(context, body.error)
-    const customer = customerOf(context)
-    const result = await this._publisher.publish(customer, body.value.base_revision, operator, body.value.text)
+    const organisation = organisationOf(context)
+    const result = await this._publisher.publish(organisation, body.value.base_revision, operator, body.value.text)
     if (result.isErr()) return sendError(context, toContractApiError(result.error))
     const { requestId } = context.get('record')
-    this._logger.info({ request: requestId, customer, revision: result.value.revision, operator }, 'contract_published')
+    this._logger.info({ request: requestId, organisation, revision: result.value.revision, operator }, 'contract_published')
     return context.json(toHead(result.value))
   }
 
   private _audit (): object[] {
     return this._contracts.all()
-      .flatMap(current => this._withChanges(this._contracts.history(current.customer)))
+      .flatMap(current => this._withChanges(this._contracts.history(current.organisation)))
       .sort((a, b) => a.at_ms - b.at_ms)
   }
 
@@ -102,14 +102,14 @@
   }
 }
 
-function customerOf (context: Context<AppEnv>): string {
-  return context.req.param('customer') ?? ''
+function organisationOf (context: Context<AppEnv>): string {
+  return context.req.param('organisation') ?? ''
 }
 
 function sendUnknown (context: Context<AppEnv>): Response {
-  return sendError(context, { status: 404, kind: 'contract_unknown', message: `no contract of ${customerOf(context)} is in force`, outcome: 'not_run' })
+  return sendError(context, { status: 404, kind: 'contract_unknown', message: `no contract of ${organisationOf(context)} is in force`, outcome: 'not_run' })
 }
 
-function toHead ({ customer, revision, operator, atMs }: ContractRevision): { customer: string, revision: number, operator: string, at_ms: number } {
-  return { customer, revision, operator, at_ms: atMs }
+function toHead ({ organisation, revision, operator, atMs }: ContractRevision): { organisation: string, revision: number, operator: string, at_ms: number } {
+  return { organisation, revision, operator, at_ms: atMs }
 }
--- a/src/node/http/RequestRecord.ts
+++ b/src/node/http/RequestRecord.ts
@@ -2,7 +2,7 @@
 export interface RequestRecord {
   requestId: string
   startedAtMs: number
-  customer?: string
+  organisation?: string
   revision?: number
   operator?: string
   workClass?: string
--- a/src/node/http/ServiceRoutes.ts
+++ b/src/node/http/ServiceRoutes.ts
@@ -35,9 +35,9 @@
   }
 
   private async _handle (context: Context<AppEnv>): Promise<Response> {
-    const customer = this._authenticator.customer(context)
-    if (customer.isErr()) return sendError(context, customer.error)
-    const call = this._findCall(context, customer.value)
+    const organisation = this._authenticator.organisation(context)
+    if (organisation.isErr()) return sendError(context, organisation.error)
+    const call = this._findCall(context, organisation.value)
     if (call.isErr()) return sendError(context, call.error)
     const { name, workClass, path, idempotencyKey } = call.value
     const deadline = readDeadline(context, workClass.deadline_ms)
@@ -48,8 +48,8 @@
     record.workClass = name
     const result = await this._forwarder.forward({
       requestId: record.requestId,
-      customer: customer.value.customer,
-      revision: customer.value.revision,
+      organisation: organisation.value.organisation,
+      revision: organisation.value.revision,
       workClassName: name,
       workClass,
       method: context.req.method,
@@ -67,7 +67,7 @@
     return new Response(BODILESS_STATUSES.has(status) ? null : content as Uint8Array<ArrayBuffer>, { status, headers: responseHeaders })
   }
 
-  private _findCall (context: Context<AppEnv>, customer: ContractRevision): Result<Call, ApiError> {
+  private _findCall (context: Context<AppEnv>, organisation: ContractRevision): Result<Call, ApiError> {
     const method = context.req.method
     if (!METHODS.includes(method)) {
       context.header('allow', METHODS.join(', '))
@@ -78,7 +78,7 @@
     if (hasHiddenDotSegment(path)) {
       return err({ status: 400, kind: 'invalid_request', message: 'must not contain encoded dot segments', field: 'path', outcome: 'not_run' })
     }
-    const selected = selectCallClass(customer.contract, service, method, path)
+    const selected = selectCallClass(organisation.contract, service, method, path)
     if (selected === undefined) {
       return err({ status: 403, kind: 'not_covered', message: 'no work class of the contract covers this call', outcome: 'not_run' })
     }
--- a/src/node/http/StatusReport.ts
+++ b/src/node/http/StatusReport.ts
@@ -36,7 +36,7 @@
       incarnation: this._peers.incarnation,
       ready: obstacle === undefined,
       ...(obstacle === undefined ? {} : { obstacle }),
-      contracts: this._contracts.all().map(({ customer, revision }) => ({ customer, revision })),
+      contracts: this._contracts.all().map(({ organisation, revision }) => ({ organisation, revision })),
       entries: this._peers.all().map(peer => ({ id: peer.id, failure_domain: peer.failureDomain, alive: peer.isAlive, draining: peer.isDraining })),
       upstreams: this._upstreams.all().map(upstream => ({
         id: upstream.id,
--- a/src/node/http/TrainerRoutes.test.ts
+++ b/src/node/http/TrainerRoutes.test.ts
@@ -15,24 +15,24 @@
   })
   after(() => bed.server.dispose())
 
-  it('passes steps, reads, acknowledgements and versions with the customer of the token', async () => {
+  it('passes steps, reads, acknowledgements and versions with the organisation of the token', async () => {
     calls = []
     await bed.send('POST', '/v1/trainers/brim/steps', { step: 4, groups: GROUPS })
     expect((await bed.send('GET', '/v1/trainers/brim/groups?cursor=3&version=2&max=5&wait_ms=10')).json).toEqual({ groups: [], cursor: 7 })
     await bed.send('POST', '/v1/trainers/brim/ack', { cursor: 7 })
     await bed.send('POST', '/v1/trainers/brim/weights', { version: 9 }, { authorization: 'Bearer almaskert-token' })
     const { signal, ...read } = calls[1][1]
-    expect(read).toEqual({ customer: 'lin-shun', trainer: 'brim', cursor: 3, version: 2, max: 5, waitMs: 10 })
+    expect(read).toEqual({ organisation: 'lin-shun', trainer: 'brim', cursor: 3, version: 2, max: 5, waitMs: 10 })
     calls[1][1] = 'read'
     expect(calls).toEqual([['submit', 'lin-shun', 'brim', 4, GROUPS], ['read', 'read'], ['ack', 'lin-shun', 'brim', 7], ['weights', 'almaskert', 'brim', 9]])
   })
 
-  it('does not let a customer name another one', async () => {
+  it('does not let an organisation name another one', async () => {
     calls = []
     for (const path of ['/v1/trainers/almaskert%2Fbrim/groups', '/v1/trainers/other/groups', '/v1/trainers/__proto__/groups']) {
       expect((await bed.send('GET', path)).status).toBeGreaterThanOrEqual(400)
     }
-    expect((await bed.send('GET', '/v1/trainers/brim/groups?customer=almaskert')).json.error.field).toEqual('customer')
+    expect((await bed.send('GET', '/v1/trainers/brim/groups?organisation=almaskert')).json.error.field).toEqual('organisation')
     expect(calls).toEqual([])
   })
 
--- a/src/node/http/TrainerRoutes.ts
+++ b/src/node/http/TrainerRoutes.ts
@@ -17,11 +17,11 @@
 import { toTrainingApiError } from './toTrainingApiError.js'
 import { trainerSchemas } from './trainerSchemas.js'
 
-interface TrainerCall { customer: string, trainer: string }
+interface TrainerCall { organisation: string, trainer: string }
 
 const PREFIX = '/v1/trainers/:trainer'
 
-/** Endpoints of the trainers. The customer always comes from the token, never from the request. */
+/** Endpoints of the trainers. The organisation always comes from the token, never from the request. */
 export class TrainerRoutes implements IRoutes {
   constructor (
     @authenticatorId private readonly _authenticator: Authenticator,
@@ -41,8 +41,8 @@
     if (call.isErr()) return sendError(context, call.error)
     const body = await readJson(context, trainerSchemas.step)
     if (body.isErr()) return sendError(context, body.error)
-    const { customer, trainer } = call.value
-    return await respond(context, this._desk.submit(customer, trainer, body.value.step, body.value.groups), () => ({ step: body.value.step }))
+    const { organisation, trainer } = call.value
+    return await respond(context, this._desk.submit(organisation, trainer, body.value.step, body.value.groups), () => ({ step: body.value.step }))
   }
 
   private async _read (context: Context<AppEnv>): Promise<Response> {
@@ -68,8 +68,8 @@
     if (call.isErr()) return sendError(context, call.error)
     const body = await readJson(context, trainerSchemas.ack)
     if (body.isErr()) return sendError(context, body.error)
-    const { customer, trainer } = call.value
-    return await respond(context, this._desk.acknowledge(customer, trainer, body.value.cursor), () => ({ cursor: body.value.cursor }))
+    const { organisation, trainer } = call.value
+    return await respond(context, this._desk.acknowledge(organisation, trainer, body.value.cursor), () => ({ cursor: body.value.cursor }))
   }
 
   private async _announce (context: Context<AppEnv>): Promise<Response> {
@@ -77,19 +77,19 @@
     if (call.isErr()) return sendError(context, call.error)
     const body = await readJson(context, trainerSchemas.weights)
     if (body.isErr()) return sendError(context, body.error)
-    const { customer, trainer } = call.value
-    return await respond(context, this._desk.announceWeights(customer, trainer, body.value.version), () => ({ version: body.value.version }))
+    const { organisation, trainer } = call.value
+    return await respond(context, this._desk.announceWeights(organisation, trainer, body.value.version), () => ({ version: body.value.version }))
   }
 
   private _authorize (context: Context<AppEnv>): Result<TrainerCall, ApiError> {
-    return this._authenticator.customer(context).andThen(revision => {
+    return this._authenticator.organisation(context).andThen(revision => {
       const parsed = trainerSchemas.trainer.safeParse(context.req.param())
       if (!parsed.success) return err(toInvalid(parsed.error))
       const { trainer } = parsed.data
       if (!Object.hasOwn(revision.contract.trainer, trainer)) {
         return err<TrainerCall, ApiError>({ status: 404, kind: 'trainer_unknown', message: `the contract names no trainer ${trainer}`, field: 'trainer', outcome: 'not_run' })
       }
-      return ok({ customer: revision.customer, trainer })
+      return ok({ organisation: revision.organisation, trainer })
     })
   }
 }
--- a/src/node/http/createApp.ts
+++ b/src/node/http/createApp.ts
@@ -37,8 +37,8 @@
   for (const routes of options.routes) routes.mount(app)
   app.notFound(context => sendError(context, { status: 404, kind: 'not_found', message: 'no such path', outcome: 'not_run' }))
   app.onError((error, context) => {
-    const { requestId, customer } = context.get('record')
-    options.logger.error({ request: requestId, customer, reason: error.message, stack: error.stack }, 'request_fault')
+    const { requestId, organisation } = context.get('record')
+    options.logger.error({ request: requestId, organisation, reason: error.message, stack: error.stack }, 'request_fault')
     return sendError(context, { status: 500, kind: 'internal_error', message: 'unexpected fault', outcome: 'unknown' })
   })
   return app
--- a/src/node/http/testing/HttpTestBed.ts
+++ b/src/node/http/testing/HttpTestBed.ts
@@ -18,11 +18,11 @@
 
 const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex')
 
-const contractText = (customer: string): string => `[contract]
-customer = ${customer}
+const contractText = (organisation: string): string => `[contract]
+organisation = ${organisation}
 operator = mei
 [access]
-token_sha256 = ${sha256(`${customer}-token`)}
+token_sha256 = ${sha256(`${organisation}-token`)}
 [limits]
 [work.lookup]
 service = order-app
@@ -60,8 +60,8 @@
 export class HttpTestBed {
   readonly logLines: Array<Record<string, unknown>> = []
   readonly metrics = new Metrics()
-  readonly contracts: ContractRevision[] = ['lin-shun', 'almaskert'].map(customer => ({
-    customer, revision: 3, operator: 'mei', atMs: 1, text: contractText(customer), contract: readIni(contractText(customer), contractSchema)._unsafeUnwrap()
+  readonly contracts: ContractRevision[] = ['lin-shun', 'almaskert'].map(organisation => ({
+    organisation, revision: 3, operator: 'mei', atMs: 1, text: contractText(organisation), contract: readIni(contractText(organisation), contractSchema)._unsafeUnwrap()
   }))
 
   isDraining = false
@@ -90,8 +90,8 @@
     const logger: any = { info: (fields: object, event: string) => this.logLines.push({ ...fields, event }), warn () {}, error: (fields: object, event: string) => this.logLines.push({ ...fields, event }), debug () {} }
     const store: any = {
       all: () => this.contracts,
-      current: (customer: string) => this.contracts.find(item => item.customer === customer),
-      history: (customer: string) => this.contracts.filter(item => item.customer === customer),
+      current: (organisation: string) => this.contracts.find(item => item.organisation === organisation),
+      history: (organisation: string) => this.contracts.filter(item => item.organisation === organisation),
       findByTokenDigest: (digest: string) => this.contracts.find(item => item.contract.access.token_sha256.includes(digest))
     }
     const isDraining = (): boolean => this.isDraining
--- a/src/node/peer/PeerClient.ts
+++ b/src/node/peer/PeerClient.ts
@@ -29,8 +29,8 @@
         baseUrl, httpVersion: '2', sessionManager, interceptors: [this._authenticate()], readMaxBytes: MAX_RESPONSE_BYTES
       })
       const response = await createClient(PeerService, transport).getContracts({}, { timeoutMs })
-      return response.revisions.map(({ customer, revision, operator, atMs, text }) => (
-        { customer, revision: Number(revision), operator, atMs: Number(atMs), text }
+      return response.revisions.map(({ organisation, revision, operator, atMs, text }) => (
+        { organisation, revision: Number(revision), operator, atMs: Number(atMs), text }
       ))
     } finally {
       sessionManager.abort()
--- a/src/node/peer/PeerServer.ts
+++ b/src/node/peer/PeerServer.ts
@@ -59,8 +59,8 @@
   private _route (router: ConnectRouter): void {
     router.service(PeerService, {
       getContracts: () => ({
-        revisions: this._contracts.all().map(({ customer, revision, operator, atMs, text }) => (
-          { customer, revision: BigInt(revision), operator, atMs: BigInt(Math.round(atMs)), text }
+        revisions: this._contracts.all().map(({ organisation, revision, operator, atMs, text }) => (
+          { organisation, revision: BigInt(revision), operator, atMs: BigInt(Math.round(atMs)), text }
         ))
       })
     })
--- a/src/node/peer/exchange.test.ts
+++ b/src/node/peer/exchange.test.ts
@@ -20,8 +20,8 @@
     onGap: () => ({ dispose () {} }),
     markPeersAsked () {},
     all: () => [...this.revisions.values()],
-    current: (customer: string) => this.revisions.get(customer),
-    offer: (revision: any) => this.revisions.set(revision.customer, revision)
+    current: (organisation: string) => this.revisions.get(organisation),
+    offer: (revision: any) => this.revisions.set(revision.organisation, revision)
   }
 
   readonly socket: UdpPeerSocket
@@ -64,11 +64,11 @@
     const nodes = ['entry-1', 'entry-2', 'entry-3'].map(id => new Node(id))
     for (const node of nodes) await node.start()
     const [first, second, third] = nodes as [Node, Node, Node]
-    first.revisions.set('lin-shun', { customer: 'lin-shun', revision: 1, operator: 'mei', atMs: 1, text: 't1' })
+    first.revisions.set('lin-shun', { organisation: 'lin-shun', revision: 1, operator: 'mei', atMs: 1, text: 't1' })
     for (const node of nodes) node.table.updateMembers(nodes.map(other => other.member))
     await until(() => nodes.every(node => node.table.liveIds().length === 3 && node.revisions.get('lin-shun')?.text === 't1'))
     expect(second.sync.isSettled).toEqual(true)
-    third.revisions.set('lin-shun', { customer: 'lin-shun', revision: 2, operator: 'mei', atMs: 2, text: 't2' })
+    third.revisions.set('lin-shun', { organisation: 'lin-shun', revision: 2, operator: 'mei', atMs: 2, text: 't2' })
     await until(() => nodes.every(node => node.revisions.get('lin-shun')?.revision === 2))
     third.table.startDraining()
     third.gossip.announce()
--- a/src/node/peer/peer.test.ts
+++ b/src/node/peer/peer.test.ts
@@ -79,7 +79,7 @@
 })
 
 describe('PeerService', () => {
-  const revision = { customer: 'lin-shun', revision: 3, operator: 'mei', atMs: 1000, text: '[contract]' }
+  const revision = { organisation: 'lin-shun', revision: 3, operator: 'mei', atMs: 1000, text: '[contract]' }
   const server = new PeerServer(settings, { all: () => [revision] } as any, logger)
   let address = ''
   before(async () => { address = await server.start() })
--- a/standin/trainer/TrainerLoop.test.ts
+++ b/standin/trainer/TrainerLoop.test.ts
@@ -13,7 +13,7 @@
 
 const closers: Array<() => void> = []
 const OPTIONS: TrainerOptions = {
-  customer: 'lin-shun',
+  organisation: 'lin-shun',
   trainer: 'brim',
   token: 'secret',
   addresses: [],
--- a/standin/trainer/TrainerOptions.ts
+++ b/standin/trainer/TrainerOptions.ts
@@ -1,6 +1,6 @@
 /** Settings of a trainer. */
 export interface TrainerOptions {
-  customer: string
+  organisation: string
   trainer: string
   token: string
   /** Addresses of the rollout service, used in turn after errors. */
--- a/standin/trainer/WeightPublisher.ts
+++ b/standin/trainer/WeightPublisher.ts
@@ -54,10 +54,10 @@
   }
 
   private async _store (version: number): Promise<boolean> {
-    const { weights, customer, trainer } = this._options
+    const { weights, organisation, trainer } = this._options
     if (weights === '') return true
     try {
-      return (await fetch(`http://${weights}/v1/weights/${customer}/${trainer}/${version}`, { method: 'PUT' })).ok
+      return (await fetch(`http://${weights}/v1/weights/${organisation}/${trainer}/${version}`, { method: 'PUT' })).ok
     } catch {
       return false
     }
--- a/standin/trainer/main.ts
+++ b/standin/trainer/main.ts
@@ -9,7 +9,7 @@
 const count = z.coerce.number().int().min(0)
 const options = readOptions('trainer', {
   listen: listenAddress,
-  customer: z.coerce.string(),
+  organisation: z.coerce.string(),
   trainer: z.coerce.string(),
   token: z.coerce.string(),
   addresses: addressList,
--- a/standin/weights/WeightServer.ts
+++ b/standin/weights/WeightServer.ts
@@ -8,7 +8,7 @@
 import { takeOne } from '../common/takeOne.js'
 import { weightFaultsSchema } from './weightFaultsSchema.js'
 
-const PATH = '/v1/weights/:customer/:trainer/:version{[0-9]+}'
+const PATH = '/v1/weights/:organisation/:trainer/:version{[0-9]+}'
 const CONTENT_BYTES = 4096
 
 /** Weight store: keeps which versions were published and serves loads slowly. */
@@ -43,8 +43,8 @@
     if (!this._published.has(key)) return c.json({ error: { kind: 'not_found', message: `no weights ${key}` } }, 404)
     await sleep(this._loadMs + this.faults.current.slow_ms)
     this._loads++
-    const { customer, trainer, version } = c.req.param() as Record<string, string>
-    const body = JSON.stringify({ customer, trainer, version: Number(version), content: 'w'.repeat(CONTENT_BYTES) })
+    const { organisation, trainer, version } = c.req.param() as Record<string, string>
+    const body = JSON.stringify({ organisation, trainer, version: Number(version), content: 'w'.repeat(CONTENT_BYTES) })
     if (takeOne(this.faults.current, 'fail_loads')) return this._sendHalf(c, body)
     return c.body(body, 200, { 'content-type': 'application/json' })
   }
@@ -57,7 +57,7 @@
   }
 
   private _key (c: Context<StandInEnv>): string {
-    return `${c.req.param('customer')}/${c.req.param('trainer')}/${c.req.param('version')}`
+    return `${c.req.param('organisation')}/${c.req.param('trainer')}/${c.req.param('version')}`
   }
 
   private _unavailable (c: Context<StandInEnv>): Response {
--- a/test/tenants.test.ts
+++ b/test/tenants.test.ts
@@ -21,7 +21,7 @@
 const LIN_SHUN = callContract() + TRAINER
 const ALMASKERT = `
 [contract]
-customer = almaskert
+organisation = almaskert
 operator = ilona
 [access]
 token_sha256 = ${sha256Hex(tokens.almaskert)}
@@ -36,7 +36,7 @@
 repeat = never
 ${TRAINER}`
 
-describe('customers and input', { timeout: TIMEOUT_MS }, () => {
+describe('organisations and input', { timeout: TIMEOUT_MS }, () => {
   const book = new CallBook('order-app')
   let cluster: Cluster
   const services = () => [...cluster.upstreams.values()].filter(upstream => upstream.name.startsWith('order-app'))
@@ -46,7 +46,7 @@
     const json: any = await response.json().catch(() => undefined)
     return { status: response.status, json, error: json?.error }
   }
-  const as = (customer: 'lin-shun' | 'almaskert') => ({ authorization: `Bearer ${tokens[customer]}`, 'content-type': 'application/json' })
+  const as = (organisation: 'lin-shun' | 'almaskert') => ({ authorization: `Bearer ${tokens[organisation]}`, 'content-type': 'application/json' })
 
   /** Writes bytes to an entry and resolves with the status line of the answer. */
   const sendRaw = async (bytes: string): Promise<string> => {
@@ -73,7 +73,7 @@
   })
   after(async () => await cluster.dispose())
 
-  it('keeps keys, tickets and services of customers apart', async () => {
+  it('keeps keys, tickets and services of organisations apart', async () => {
     const mine = await book.call(cluster.entries[0]!, { key: 'same', body: 'felt' })
     const theirs = await book.call(cluster.entries[1]!, { key: 'same', body: 'grapes', token: tokens.almaskert })
     expect([mine.status, theirs.status]).toEqual([200, 200])
@@ -85,13 +85,13 @@
   it('keeps trainers of the same name apart', async () => {
     const step = JSON.stringify({ step: 1, groups: [{ group: 'g', prompt: 'secret brim curve', samples: 2, max_tokens: 16 }] })
     expect((await send('POST', '/v1/trainers/brim/steps', as('lin-shun'), step)).status).toEqual(200)
-    const read = async (customer: 'lin-shun' | 'almaskert') => (await send('GET', '/v1/trainers/brim/groups?wait_ms=500', as(customer))).json
+    const read = async (organisation: 'lin-shun' | 'almaskert') => (await send('GET', '/v1/trainers/brim/groups?wait_ms=500', as(organisation))).json
     const { cursor } = await waitUntil('the group is delivered', async () => {
       const page = await read('lin-shun')
       return page.groups.length === 1 ? page : undefined
     })
     expect((await read('almaskert')).groups).toEqual([])
-    // An acknowledgement or a version of another customer changes nothing.
+    // An acknowledgement or a version of another organisation changes nothing.
     await send('POST', '/v1/trainers/brim/ack', as('almaskert'), JSON.stringify({ cursor }))
     await send('POST', '/v1/trainers/brim/weights', as('almaskert'), JSON.stringify({ version: 50 }))
     expect((await read('lin-shun')).groups.length).toEqual(1)
--- a/tools/harness/Cluster.ts
+++ b/tools/harness/Cluster.ts
@@ -113,11 +113,11 @@
   }
 
   /** Starts a trainer; without the flag `addresses` it goes to the entries directly. */
-  async startTrainer (customer: 'lin-shun' | 'almaskert', trainer: string, flags: Flags = {}): Promise<StandIn> {
+  async startTrainer (organisation: 'lin-shun' | 'almaskert', trainer: string, flags: Flags = {}): Promise<StandIn> {
     return await this._start(new StandIn(`trainer-${trainer}`, 'trainer', {
-      customer,
+      organisation,
       trainer,
-      token: tokens[customer],
+      token: tokens[organisation],
       addresses: this.entries.map(entry => entry.listen).join(','),
       weights: this.weights.address,
       ...flags
--- a/tools/harness/callContract.ts
+++ b/tools/harness/callContract.ts
@@ -6,7 +6,7 @@
 export function callContract (limits: Record<string, number> = {}, lookupMs = 2000, ticketMs = 10_000): string {
   return `
 [contract]
-customer = lin-shun
+organisation = lin-shun
 operator = mei
 [access]
 token_sha256 = ${sha256Hex(tokens['lin-shun'])}
--- a/tools/harness/exampleContract.ts
+++ b/tools/harness/exampleContract.ts
@@ -2,7 +2,7 @@
 
 const FOLDER = new URL('../../../demo/contracts/', import.meta.url)
 
-/** Text of an example contract of the demo, by customer. */
-export async function exampleContract (customer: 'lin-shun' | 'almaskert'): Promise<string> {
-  return await readFile(new URL(`${customer}.ini`, FOLDER), 'utf8')
+/** Text of an example contract of the demo, by organisation. */
+export async function exampleContract (organisation: 'lin-shun' | 'almaskert'): Promise<string> {
+  return await readFile(new URL(`${organisation}.ini`, FOLDER), 'utf8')
 }
--- a/tools/harness/harness.test.ts
+++ b/tools/harness/harness.test.ts
@@ -107,11 +107,11 @@
     }
   })
 
-  for (const customer of ['lin-shun', 'almaskert'] as const) {
-    it(`has a valid example contract for ${customer} with the harness's token`, async () => {
-      const contract = readIni(await exampleContract(customer), contractSchema)._unsafeUnwrap()
-      expect(contract.contract.customer).toEqual(customer)
-      expect(contract.access.token_sha256).toEqual([sha256Hex(tokens[customer])])
+  for (const organisation of ['lin-shun', 'almaskert'] as const) {
+    it(`has a valid example contract for ${organisation} with the harness's token`, async () => {
+      const contract = readIni(await exampleContract(organisation), contractSchema)._unsafeUnwrap()
+      expect(contract.contract.organisation).toEqual(organisation)
+      expect(contract.access.token_sha256).toEqual([sha256Hex(tokens[organisation])])
     })
   }
 })
--- a/tools/harness/publishContract.ts
+++ b/tools/harness/publishContract.ts
@@ -8,7 +8,7 @@
 export async function publishContract (address: string, text: string, token = tokens.operators.mei): Promise<any> {
   const contract = readIni(text, contractSchema)
   if (contract.isErr()) throw new Error(`invalid contract: ${JSON.stringify(contract.error)}`)
-  const path = `/admin/v1/contracts/${contract.value.contract.customer}`
+  const path = `/admin/v1/contracts/${contract.value.contract.organisation}`
   return await waitUntil(`publish ${path}`, async () => {
     const current = await httpJson('GET', address, path, undefined, token).catch(() => undefined)
     const baseRevision: number = current?.revision ?? 0
--- a/tools/harness/trainingContract.ts
+++ b/tools/harness/trainingContract.ts
@@ -6,7 +6,7 @@
   const lines = Object.entries({ max_in_flight: 64, key_window_s: 3, ...keys }).map(([key, value]) => `${key} = ${value}`)
   return `
 [contract]
-customer = lin-shun
+organisation = lin-shun
 operator = mei
 
 [access]
