Sort wide folders of http, batch, training and upstream by their jobs

Cause: 44, 39, 37 and 28 files a folder.

Change: files moved, imports rewritten by a script; no text of a function changed. http: routes, completion, error, request; batch: run, policy, record; training: step, sample, carry; upstream: balance, client. Files beside tests in the folders themselves: 12, 9, 9 and 13.

--- a/src/common/admission/AdmissionRequest.ts
+++ b/src/common/admission/AdmissionRequest.ts
@@ -1,4 +1,4 @@
-import type { BalancerQuery } from '../upstream/BalancerQuery.js'
+import type { BalancerQuery } from '../upstream/balance/BalancerQuery.js'
 
 /** A request that waits for a place on an upstream. */
 export interface AdmissionRequest extends BalancerQuery {
--- a/src/common/admission/ServiceQueue.ts
+++ b/src/common/admission/ServiceQueue.ts
@@ -1,4 +1,4 @@
-import type { IBalancer } from '../upstream/IBalancer.js'
+import type { IBalancer } from '../upstream/balance/IBalancer.js'
 import { ClassQueue } from './ClassQueue.js'
 import type { IRoomPolicy } from './IRoomPolicy.js'
 import type { Waiter } from './Waiter.js'
--- a/src/common/admission/hasRoom.ts
+++ b/src/common/admission/hasRoom.ts
@@ -1,4 +1,4 @@
-import { estimateOutstanding } from '../upstream/estimateOutstanding.js'
+import { estimateOutstanding } from '../upstream/balance/estimateOutstanding.js'
 import type { Upstream } from '../upstream/Upstream.js'
 
 /** Part of an upstream that long work may use while short work is about. */
--- a/src/common/batch/Batch.ts
+++ b/src/common/batch/Batch.ts
@@ -1,7 +1,7 @@
-import type { BatchItem } from './BatchItem.js'
-import type { BatchResult } from './BatchResult.js'
-import type { BatchSpec } from './BatchSpec.js'
-import { ItemState } from './ItemState.js'
+import type { BatchItem } from './record/BatchItem.js'
+import type { BatchResult } from './record/BatchResult.js'
+import type { BatchSpec } from './record/BatchSpec.js'
+import { ItemState } from './record/ItemState.js'
 
 /** One accepted batch: its items, its durable results in their positions, and its end. */
 export class Batch {
--- a/src/common/batch/BatchReadOutcome.ts
+++ b/src/common/batch/BatchReadOutcome.ts
@@ -1,4 +1,4 @@
-import type { BatchResult } from './BatchResult.js'
+import type { BatchResult } from './record/BatchResult.js'
 
 /** Outcome of reading a batch: `absent` only when that is certain. */
 export type BatchReadOutcome =
--- a/src/common/batch/BatchStatusLog.ts
+++ b/src/common/batch/BatchStatusLog.ts
@@ -1,7 +1,7 @@
 import type { IFleet } from '../fleet/IFleet.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IMetrics } from '../metrics/IMetrics.js'
-import type { EngineBoard } from './EngineBoard.js'
+import type { EngineBoard } from './run/EngineBoard.js'
 import type { IBatchStore } from './IBatchStore.js'
 
 const INTERVAL_MS = 1000
--- a/src/common/batch/IBatchStore.ts
+++ b/src/common/batch/IBatchStore.ts
@@ -2,10 +2,10 @@
 import type { IEvent } from '../kernel/IEvent.js'
 import type { StoreError } from '../store/StoreError.js'
 import type { Batch } from './Batch.js'
-import type { BatchItem } from './BatchItem.js'
-import type { BatchResult } from './BatchResult.js'
-import type { BatchSpec } from './BatchSpec.js'
-import type { ItemState } from './ItemState.js'
+import type { BatchItem } from './record/BatchItem.js'
+import type { BatchResult } from './record/BatchResult.js'
+import type { BatchSpec } from './record/BatchSpec.js'
+import type { ItemState } from './record/ItemState.js'
 
 /** All batches of the leader; every change is durable before it is visible. */
 export interface IBatchStore {
--- a/src/common/batch/ProgressCache.ts
+++ b/src/common/batch/ProgressCache.ts
@@ -1,4 +1,4 @@
-import type { ItemProgress } from './ItemProgress.js'
+import type { ItemProgress } from './record/ItemProgress.js'
 
 /** Items that are remembered after their batch has ended. */
 const MAX_ITEMS = 300
--- a/src/common/batch/collectLeftProgress.ts
+++ b/src/common/batch/collectLeftProgress.ts
@@ -1,5 +1,5 @@
 import type { Batch } from './Batch.js'
-import type { LeftProgress } from './LeftProgress.js'
+import type { LeftProgress } from './record/LeftProgress.js'
 
 /** What has been generated of items whose results are not listed yet. */
 export function collectLeftProgress (batches: Iterable<Batch>): LeftProgress {
--- a/src/common/batch/LengthEstimator.ts
+++ b/src/common/batch/policy/LengthEstimator.ts
@@ -1,4 +1,4 @@
-import type { ItemState } from './ItemState.js'
+import type { ItemState } from '../record/ItemState.js'
 
 /** Events per hinted token before the first item has completed. */
 const DEFAULT_EVENTS_PER_TOKEN = 1 / 60
--- a/src/common/batch/chooseEngine.test.ts
+++ b/src/common/batch/policy/chooseEngine.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { chooseEngine } from './chooseEngine.js'
-import type { EngineView } from './EngineView.js'
+import type { EngineView } from '../run/EngineView.js'
 import { shouldMove } from './shouldMove.js'
 
 const engine = (id: string, overrides: Partial<EngineView> = {}): EngineView =>
--- a/src/common/batch/chooseEngine.ts
+++ b/src/common/batch/policy/chooseEngine.ts
@@ -1,4 +1,4 @@
-import type { EngineView } from './EngineView.js'
+import type { EngineView } from '../run/EngineView.js'
 
 /** Advantage of an engine that keeps the shared part of the prompt. */
 const AFFINITY_FACTOR = 0.92
--- a/src/common/batch/countWaiting.ts
+++ b/src/common/batch/policy/countWaiting.ts
@@ -1,4 +1,4 @@
-import type { Batch } from './Batch.js'
+import type { Batch } from '../Batch.js'
 
 /** Items of a model that wait for an engine, and the oldest version that its newest open batch accepts. */
 export function countWaiting (batches: Iterable<Batch>, model: string): { count: number, minVersion: number | undefined } {
--- a/src/common/batch/isStranded.ts
+++ b/src/common/batch/policy/isStranded.ts
@@ -1,5 +1,5 @@
-import type { EngineView } from './EngineView.js'
-import type { ItemState } from './ItemState.js'
+import type { EngineView } from '../run/EngineView.js'
+import type { ItemState } from '../record/ItemState.js'
 
 /** Whether no engine has the version any more under which the text of an item began. */
 export function isStranded (state: ItemState, engines: readonly EngineView[]): boolean {
--- a/src/common/batch/rankItems.test.ts
+++ b/src/common/batch/policy/rankItems.test.ts
@@ -1,10 +1,10 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { Batch } from './Batch.js'
+import { Batch } from '../Batch.js'
 import { LengthEstimator } from './LengthEstimator.js'
 import { rankItems } from './rankItems.js'
-import { createItem } from './test/createItem.js'
-import { createSpec } from './test/createSpec.js'
+import { createItem } from '../test/createItem.js'
+import { createSpec } from '../test/createSpec.js'
 
 const TOKENS_PER_EVENT = 60
 const estimator = new LengthEstimator()
--- a/src/common/batch/rankItems.ts
+++ b/src/common/batch/policy/rankItems.ts
@@ -1,5 +1,5 @@
-import type { Batch } from './Batch.js'
-import type { ItemState } from './ItemState.js'
+import type { Batch } from '../Batch.js'
+import type { ItemState } from '../record/ItemState.js'
 import type { LengthEstimator } from './LengthEstimator.js'
 
 /** An item in the order in which it should be sent. */
--- a/src/common/batch/EngineBoard.ts
+++ b/src/common/batch/run/EngineBoard.ts
@@ -1,11 +1,11 @@
-import type { FleetUpstream } from '../fleet/FleetUpstream.js'
-import type { IFleet } from '../fleet/IFleet.js'
-import type { EngineInfo } from '../routing/EngineInfo.js'
-import type { IRouteTable } from '../routing/IRouteTable.js'
+import type { FleetUpstream } from '../../fleet/FleetUpstream.js'
+import type { IFleet } from '../../fleet/IFleet.js'
+import type { EngineInfo } from '../../routing/EngineInfo.js'
+import type { IRouteTable } from '../../routing/IRouteTable.js'
 import type { EngineView } from './EngineView.js'
 import type { ItemRun } from './ItemRun.js'
-import type { ItemState } from './ItemState.js'
-import type { LengthEstimator } from './LengthEstimator.js'
+import type { ItemState } from '../record/ItemState.js'
+import type { LengthEstimator } from '../policy/LengthEstimator.js'
 
 /** Expected time between two events before any engine has shown its pace. */
 const DEFAULT_PACE_MS = 45
--- a/src/common/batch/IEngineTransport.ts
+++ b/src/common/batch/run/IEngineTransport.ts
@@ -1,6 +1,6 @@
-import type { FleetUpstream } from '../fleet/FleetUpstream.js'
-import type { LoadReading } from '../fleet/LoadReading.js'
-import type { BatchItem } from './BatchItem.js'
+import type { FleetUpstream } from '../../fleet/FleetUpstream.js'
+import type { LoadReading } from '../../fleet/LoadReading.js'
+import type { BatchItem } from '../record/BatchItem.js'
 import type { EngineRunEnd } from './EngineRunEnd.js'
 
 /** What an engine tells while it runs an item. */
--- a/src/common/batch/ItemRun.test.ts
+++ b/src/common/batch/run/ItemRun.test.ts
@@ -1,13 +1,13 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
-import { FleetUpstream } from '../fleet/FleetUpstream.js'
-import { VirtualTime } from '../log/test/VirtualTime.test.js'
-import { Batch } from './Batch.js'
+import { FleetUpstream } from '../../fleet/FleetUpstream.js'
+import { VirtualTime } from '../../log/test/VirtualTime.test.js'
+import { Batch } from '../Batch.js'
 import type { EngineRunEnd } from './EngineRunEnd.js'
 import type { IEngineTransport } from './IEngineTransport.js'
 import { ItemRun } from './ItemRun.js'
-import { createItem } from './test/createItem.js'
-import { createSpec } from './test/createSpec.js'
+import { createItem } from '../test/createItem.js'
+import { createSpec } from '../test/createSpec.js'
 
 type Listener = Parameters<IEngineTransport['run']>[2]
 
--- a/src/common/batch/ItemRun.ts
+++ b/src/common/batch/run/ItemRun.ts
@@ -1,8 +1,8 @@
-import type { FleetUpstream } from '../fleet/FleetUpstream.js'
-import type { Batch } from './Batch.js'
+import type { FleetUpstream } from '../../fleet/FleetUpstream.js'
+import type { Batch } from '../Batch.js'
 import type { EngineRunEnd } from './EngineRunEnd.js'
 import type { IEngineTransport } from './IEngineTransport.js'
-import type { ItemState } from './ItemState.js'
+import type { ItemState } from '../record/ItemState.js'
 
 const PACE_WINDOW_MS = 200
 /** Events of a run before its pace counts. */
--- a/src/common/batch/ProgressSaver.ts
+++ b/src/common/batch/run/ProgressSaver.ts
@@ -1,8 +1,8 @@
-import type { ILogger } from '../metrics/ILogger.js'
-import type { Batch } from './Batch.js'
-import type { IBatchStore } from './IBatchStore.js'
+import type { ILogger } from '../../metrics/ILogger.js'
+import type { Batch } from '../Batch.js'
+import type { IBatchStore } from '../IBatchStore.js'
 import type { ItemRun } from './ItemRun.js'
-import type { ItemState } from './ItemState.js'
+import type { ItemState } from '../record/ItemState.js'
 
 /** What is generated in this time is lost with a leader at most. */
 const SAVE_INTERVAL_MS = 250
--- a/src/common/batch/RunGuard.ts
+++ b/src/common/batch/run/RunGuard.ts
@@ -1,10 +1,10 @@
-import type { ILogger } from '../metrics/ILogger.js'
-import { chooseEngine } from './chooseEngine.js'
+import type { ILogger } from '../../metrics/ILogger.js'
+import { chooseEngine } from '../policy/chooseEngine.js'
 import type { EngineBoard } from './EngineBoard.js'
 import type { ItemRun } from './ItemRun.js'
-import type { ItemState } from './ItemState.js'
-import type { LengthEstimator } from './LengthEstimator.js'
-import { shouldMove } from './shouldMove.js'
+import type { ItemState } from '../record/ItemState.js'
+import type { LengthEstimator } from '../policy/LengthEstimator.js'
+import { shouldMove } from '../policy/shouldMove.js'
 
 /** A silent stream is given up after this many usual pauses between events. */
 const STALL_PACES = 14
--- a/src/common/batch/test/FakeEngines.ts
+++ b/src/common/batch/test/FakeEngines.ts
@@ -1,6 +1,6 @@
 import type { FleetUpstream } from '../../fleet/FleetUpstream.js'
-import type { EngineRunEnd } from '../EngineRunEnd.js'
-import type { IEngineTransport } from '../IEngineTransport.js'
+import type { EngineRunEnd } from '../run/EngineRunEnd.js'
+import type { IEngineTransport } from '../run/IEngineTransport.js'
 
 type Run = Parameters<IEngineTransport['run']>
 
--- a/src/common/batch/test/createItem.ts
+++ b/src/common/batch/test/createItem.ts
@@ -1,4 +1,4 @@
-import type { BatchItem } from '../BatchItem.js'
+import type { BatchItem } from '../record/BatchItem.js'
 
 /** An item of a group with a hint for its length. */
 export function createItem (id: string, group: string, lengthHintTokens?: number): BatchItem {
--- a/src/common/batch/test/createSpec.ts
+++ b/src/common/batch/test/createSpec.ts
@@ -1,4 +1,4 @@
-import type { BatchSpec } from '../BatchSpec.js'
+import type { BatchSpec } from '../record/BatchSpec.js'
 
 /** The head of a batch on the route `/batches/` of `host.example`. */
 export function createSpec (overrides: Partial<BatchSpec> = {}): BatchSpec {
--- a/src/common/call/CallAttemptEnd.ts
+++ b/src/common/call/CallAttemptEnd.ts
@@ -1,5 +1,5 @@
 import type { LoadReading } from '../fleet/LoadReading.js'
-import type { UpstreamAnswer } from '../upstream/UpstreamAnswer.js'
+import type { UpstreamAnswer } from '../upstream/client/UpstreamAnswer.js'
 
 /** How one attempt at one upstream ended. */
 export type CallAttemptEnd = { load?: LoadReading } & (
--- a/src/common/call/CallOutcome.ts
+++ b/src/common/call/CallOutcome.ts
@@ -1,4 +1,4 @@
-import type { UpstreamAnswer } from '../upstream/UpstreamAnswer.js'
+import type { UpstreamAnswer } from '../upstream/client/UpstreamAnswer.js'
 
 /**
  * How a call ended. `not_run` states that no upstream has run it or ever will; `unknown` and
--- a/src/common/forward/AttemptFailure.ts
+++ b/src/common/forward/AttemptFailure.ts
@@ -1,5 +1,5 @@
 import type { AdmissionError } from '../admission/AdmissionError.js'
-import type { UpstreamError } from '../upstream/UpstreamError.js'
+import type { UpstreamError } from '../upstream/client/UpstreamError.js'
 
 /** Why one attempt of a call brought no answer. */
 export type AttemptFailure =
--- a/src/common/forward/IForwarder.ts
+++ b/src/common/forward/IForwarder.ts
@@ -1,5 +1,5 @@
 import type { ResultAsync } from 'neverthrow'
-import type { UpstreamAnswer } from '../upstream/UpstreamAnswer.js'
+import type { UpstreamAnswer } from '../upstream/client/UpstreamAnswer.js'
 import type { CallError } from './CallError.js'
 import type { CallRequest } from './CallRequest.js'
 
--- a/src/common/forward/OnceCall.test.ts
+++ b/src/common/forward/OnceCall.test.ts
@@ -1,7 +1,7 @@
 import { beforeEach, describe, it, mock } from 'node:test'
 import { expect } from 'earl'
 import { err, ok } from 'neverthrow'
-import type { UpstreamError } from '../upstream/UpstreamError.js'
+import type { UpstreamError } from '../upstream/client/UpstreamError.js'
 import type { ForwarderHarness } from './testing/ForwarderHarness.js'
 import { usePausedForwarder } from './testing/usePausedForwarder.test.js'
 
--- a/src/common/forward/OnceCall.ts
+++ b/src/common/forward/OnceCall.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { ClaimTicket } from '../claim/ClaimTicket.js'
 import type { StoredAnswer } from '../schema/StoredAnswer.js'
-import type { UpstreamAnswer } from '../upstream/UpstreamAnswer.js'
+import type { UpstreamAnswer } from '../upstream/client/UpstreamAnswer.js'
 import type { AttemptFailure } from './AttemptFailure.js'
 import type { AttemptRunner } from './AttemptRunner.js'
 import type { CallError } from './CallError.js'
--- a/src/common/forward/RepeatableCall.test.ts
+++ b/src/common/forward/RepeatableCall.test.ts
@@ -1,7 +1,7 @@
 import { beforeEach, describe, it, mock } from 'node:test'
 import { expect } from 'earl'
 import { err, ok } from 'neverthrow'
-import type { UpstreamError } from '../upstream/UpstreamError.js'
+import type { UpstreamError } from '../upstream/client/UpstreamError.js'
 import type { AttemptOptions } from './AttemptOptions.js'
 import type { AttemptRunner } from './AttemptRunner.js'
 import type { CallRequest } from './CallRequest.js'
--- a/src/common/forward/RepeatableCall.ts
+++ b/src/common/forward/RepeatableCall.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from 'neverthrow'
-import type { UpstreamAnswer } from '../upstream/UpstreamAnswer.js'
+import type { UpstreamAnswer } from '../upstream/client/UpstreamAnswer.js'
 import type { AttemptFailure } from './AttemptFailure.js'
 import type { AttemptRunner } from './AttemptRunner.js'
 import type { CallError } from './CallError.js'
--- a/src/common/forward/toCallError.ts
+++ b/src/common/forward/toCallError.ts
@@ -1,5 +1,5 @@
 import type { AdmissionError } from '../admission/AdmissionError.js'
-import type { UpstreamError } from '../upstream/UpstreamError.js'
+import type { UpstreamError } from '../upstream/client/UpstreamError.js'
 import type { AttemptFailure } from './AttemptFailure.js'
 import type { CallError } from './CallError.js'
 
--- a/src/common/training/DeliveryPlan.ts
+++ b/src/common/training/DeliveryPlan.ts
@@ -1,5 +1,5 @@
-import type { GroupState } from './GroupState.js'
-import type { StaleSample } from './StaleSample.js'
+import type { GroupState } from './step/GroupState.js'
+import type { StaleSample } from './step/StaleSample.js'
 
 /**
  * Next action of a read. `settle` records the cursor, which shows that reopened groups were received;
--- a/src/common/training/carryRecords.ts
+++ b/src/common/training/carry/carryRecords.ts
@@ -1,5 +1,5 @@
-import type { StepRecord } from '../schema/StepRecord.js'
-import type { TrainerState } from './TrainerState.js'
+import type { StepRecord } from '../../schema/StepRecord.js'
+import type { TrainerState } from '../step/TrainerState.js'
 
 /** Records that carry a trainer's state: the head, then one record per group. */
 export function carryRecords (state: TrainerState, asOf: number): StepRecord[] {
--- a/src/common/training/carryRenewerId.ts
+++ b/src/common/training/carry/carryRenewerId.ts
@@ -1,4 +1,4 @@
-import { createServiceId } from '../kernel/createServiceId.js'
+import { createServiceId } from '../../kernel/createServiceId.js'
 import type { ICarryRenewer } from './ICarryRenewer.js'
 
 /** Identifier of the carry renewer service. */
--- a/src/common/training/planDelivery.ts
+++ b/src/common/training/planDelivery.ts
@@ -1,10 +1,10 @@
 import type { DeliveryPlan } from './DeliveryPlan.js'
-import type { GroupState } from './GroupState.js'
-import type { StaleSample } from './StaleSample.js'
-import type { TrainerState } from './TrainerState.js'
-import { isInPast } from './isInPast.js'
-import { isStale } from './isStale.js'
-import { isWhole } from './isWhole.js'
+import type { GroupState } from './step/GroupState.js'
+import type { StaleSample } from './step/StaleSample.js'
+import type { TrainerState } from './step/TrainerState.js'
+import { isInPast } from './step/isInPast.js'
+import { isStale } from './step/isStale.js'
+import { isWhole } from './step/isWhole.js'
 
 /** Decides what a read with this cursor does next; `newest` and `bound` define staleness. */
 export function planDelivery (state: TrainerState, cursor: number, max: number, newest: number, bound: number): DeliveryPlan {
--- a/src/common/training/ISampleOwners.ts
+++ b/src/common/training/sample/ISampleOwners.ts
@@ -1,4 +1,4 @@
-import type { IEvent } from '../kernel/IEvent.js'
+import type { IEvent } from '../../kernel/IEvent.js'
 import type { SampleTask } from './SampleTask.js'
 
 /** Tells which samples belong to this entry. */
--- a/src/common/training/SampleOwners.ts
+++ b/src/common/training/sample/SampleOwners.ts
@@ -1,12 +1,12 @@
-import { hashId } from '../hash/hashId.js'
-import type { IHash } from '../hash/IHash.js'
-import { Disposable } from '../kernel/Disposable.js'
-import { Emitter } from '../kernel/Emitter.js'
-import type { IPeerTable } from '../peer/IPeerTable.js'
-import { peerTableId } from '../peer/peerTableId.js'
+import { hashId } from '../../hash/hashId.js'
+import type { IHash } from '../../hash/IHash.js'
+import { Disposable } from '../../kernel/Disposable.js'
+import { Emitter } from '../../kernel/Emitter.js'
+import type { IPeerTable } from '../../peer/IPeerTable.js'
+import { peerTableId } from '../../peer/peerTableId.js'
 import type { ISampleOwners } from './ISampleOwners.js'
 import type { SampleTask } from './SampleTask.js'
-import { rendezvousOwner } from '../hash/rendezvousOwner.js'
+import { rendezvousOwner } from '../../hash/rendezvousOwner.js'
 
 // About 14 steps of 3584 samples; the cache is emptied rather than tracked by group.
 const CACHE_LIMIT = 50_000
--- a/src/common/training/SampleRun.ts
+++ b/src/common/training/sample/SampleRun.ts
@@ -1,10 +1,10 @@
-import type { IGenerator } from '../generation/IGenerator.js'
-import { OriginRanges } from '../generation/OriginRanges.js'
-import type { SampleFailure } from '../schema/SampleFailure.js'
+import type { IGenerator } from '../../generation/IGenerator.js'
+import { OriginRanges } from '../../generation/OriginRanges.js'
+import type { SampleFailure } from '../../schema/SampleFailure.js'
 import type { ISampleScorer } from './ISampleScorer.js'
 import type { SampleRunEnd } from './SampleRunEnd.js'
 import type { SampleTask } from './SampleTask.js'
-import { isStale } from './isStale.js'
+import { isStale } from '../step/isStale.js'
 
 // A step past its deadline still needs its samples; each attempt then gets this share of the deadline.
 const LATE_SHARE = 0.25
--- a/src/common/training/SampleRunEnd.ts
+++ b/src/common/training/sample/SampleRunEnd.ts
@@ -1,4 +1,4 @@
-import type { Sample } from '../schema/Sample.js'
+import type { Sample } from '../../schema/Sample.js'
 
 /** How the run of a sample ended. `stale` means that newer weights are needed first. */
 export type SampleRunEnd =
--- a/src/common/training/SampleTask.ts
+++ b/src/common/training/sample/SampleTask.ts
@@ -1,5 +1,5 @@
-import type { GroupSpec } from '../schema/GroupSpec.js'
-import type { TrainerTerms } from '../schema/TrainerTerms.js'
+import type { GroupSpec } from '../../schema/GroupSpec.js'
+import type { TrainerTerms } from '../../schema/TrainerTerms.js'
 
 /** One attempt of one sample index. */
 export interface SampleTask {
--- a/src/common/training/sampleOwnersId.ts
+++ b/src/common/training/sample/sampleOwnersId.ts
@@ -1,4 +1,4 @@
-import { createServiceId } from '../kernel/createServiceId.js'
+import { createServiceId } from '../../kernel/createServiceId.js'
 import type { ISampleOwners } from './ISampleOwners.js'
 
 /** Identifier of the sample ownership service. */
--- a/src/common/training/sampleScorerId.ts
+++ b/src/common/training/sample/sampleScorerId.ts
@@ -1,4 +1,4 @@
-import { createServiceId } from '../kernel/createServiceId.js'
+import { createServiceId } from '../../kernel/createServiceId.js'
 import type { ISampleScorer } from './ISampleScorer.js'
 
 /** Identifier of the sample scorer service. */
--- a/src/common/training/GroupState.ts
+++ b/src/common/training/step/GroupState.ts
@@ -1,5 +1,5 @@
-import type { GroupSpec } from '../schema/GroupSpec.js'
-import type { Sample } from '../schema/Sample.js'
+import type { GroupSpec } from '../../schema/GroupSpec.js'
+import type { Sample } from '../../schema/Sample.js'
 
 /** A submitted group that its trainer has not acknowledged. */
 export interface GroupState {
--- a/src/common/training/IStepRunner.ts
+++ b/src/common/training/step/IStepRunner.ts
@@ -1,4 +1,4 @@
-import type { IDisposable } from '../kernel/IDisposable.js'
+import type { IDisposable } from '../../kernel/IDisposable.js'
 
 /** Runs the samples that this entry owns and records them in the log. */
 export interface IStepRunner extends IDisposable {
--- a/src/common/training/IStepTable.ts
+++ b/src/common/training/step/IStepTable.ts
@@ -1,6 +1,6 @@
-import type { IEvent } from '../kernel/IEvent.js'
-import type { ILogFold } from '../log/ILogFold.js'
-import type { GroupSpec } from '../schema/GroupSpec.js'
+import type { IEvent } from '../../kernel/IEvent.js'
+import type { ILogFold } from '../../log/ILogFold.js'
+import type { GroupSpec } from '../../schema/GroupSpec.js'
 import type { TrainerState } from './TrainerState.js'
 
 /** State of all trainers, folded from the `steps` stream. */
--- a/src/common/training/StepTable.test.ts
+++ b/src/common/training/step/StepTable.test.ts
@@ -1,11 +1,11 @@
 import { describe, it, mock, beforeEach, afterEach } from 'node:test'
 import { expect } from 'earl'
 import fc from 'fast-check'
-import type { GroupSpec } from '../schema/GroupSpec.js'
-import { CarryRenewer } from './CarryRenewer.js'
+import type { GroupSpec } from '../../schema/GroupSpec.js'
+import { CarryRenewer } from '../carry/CarryRenewer.js'
 import { StepTable } from './StepTable.js'
-import { MemoryLog } from './test/MemoryLog.js'
-import { fakes } from './test/fakes.js'
+import { MemoryLog } from '../test/MemoryLog.js'
+import { fakes } from '../test/fakes.js'
 
 const base = { organisation: 'felt', trainer: 'brim' }
 let nextId = 0
--- a/src/common/training/TrainerState.ts
+++ b/src/common/training/step/TrainerState.ts
@@ -1,5 +1,5 @@
-import type { GroupSpec } from '../schema/GroupSpec.js'
-import type { StepRecord } from '../schema/StepRecord.js'
+import type { GroupSpec } from '../../schema/GroupSpec.js'
+import type { StepRecord } from '../../schema/StepRecord.js'
 import type { GroupState } from './GroupState.js'
 import { isInPast } from './isInPast.js'
 import { isWhole } from './isWhole.js'
--- a/src/common/training/checkStep.ts
+++ b/src/common/training/step/checkStep.ts
@@ -1,8 +1,8 @@
 import { err, ok } from 'neverthrow'
 import type { Result } from 'neverthrow'
-import type { GroupSpec } from '../schema/GroupSpec.js'
-import type { TrainerTerms } from '../schema/TrainerTerms.js'
-import type { TrainingError } from './TrainingError.js'
+import type { GroupSpec } from '../../schema/GroupSpec.js'
+import type { TrainerTerms } from '../../schema/TrainerTerms.js'
+import type { TrainingError } from '../TrainingError.js'
 
 // Eight times the samples of a step at the sizes of docs/design.md 1.7.
 const MAX_SAMPLES_PER_STEP = 4096
--- a/src/common/training/isStale.ts
+++ b/src/common/training/step/isStale.ts
@@ -1,4 +1,4 @@
-import type { OriginRange } from '../schema/OriginRange.js'
+import type { OriginRange } from '../../schema/OriginRange.js'
 import { oldestVersion } from './oldestVersion.js'
 
 /** True when the ranges are more than `bound` versions behind `newest`. */
--- a/src/common/training/oldestVersion.ts
+++ b/src/common/training/step/oldestVersion.ts
@@ -1,4 +1,4 @@
-import type { OriginRange } from '../schema/OriginRange.js'
+import type { OriginRange } from '../../schema/OriginRange.js'
 
 /** Oldest weights or KV cache that took part in the ranges; undefined without ranges. */
 export function oldestVersion (origin: readonly OriginRange[]): number | undefined {
--- a/src/common/training/openTasks.ts
+++ b/src/common/training/step/openTasks.ts
@@ -1,5 +1,5 @@
-import type { TrainerTerms } from '../schema/TrainerTerms.js'
-import type { SampleTask } from './SampleTask.js'
+import type { TrainerTerms } from '../../schema/TrainerTerms.js'
+import type { SampleTask } from '../sample/SampleTask.js'
 import type { TrainerState } from './TrainerState.js'
 
 /** Open indexes of a trainer, older steps first and group by group, so that groups complete early. */
--- a/src/common/training/stepRunnerId.ts
+++ b/src/common/training/step/stepRunnerId.ts
@@ -1,4 +1,4 @@
-import { createServiceId } from '../kernel/createServiceId.js'
+import { createServiceId } from '../../kernel/createServiceId.js'
 import type { IStepRunner } from './IStepRunner.js'
 
 /** Identifier of the step runner service. */
--- a/src/common/training/stepTableId.ts
+++ b/src/common/training/step/stepTableId.ts
@@ -1,4 +1,4 @@
-import { createServiceId } from '../kernel/createServiceId.js'
+import { createServiceId } from '../../kernel/createServiceId.js'
 import type { IStepTable } from './IStepTable.js'
 
 /** Identifier of the step table service. */
--- a/src/common/training/waitForTrainer.ts
+++ b/src/common/training/waitForTrainer.ts
@@ -1,4 +1,4 @@
-import type { IStepTable } from './IStepTable.js'
+import type { IStepTable } from './step/IStepTable.js'
 
 /** Waits for a change of the trainer's state, at most `timeoutMs` and until the signal aborts. */
 export async function waitForTrainer (table: IStepTable, organisation: string, trainer: string, timeoutMs: number, signal: AbortSignal): Promise<void> {
--- a/src/common/upstream/ExpectedWaitBalancer.ts
+++ b/src/common/upstream/balance/ExpectedWaitBalancer.ts
@@ -1,9 +1,9 @@
 import type { BalancerQuery } from './BalancerQuery.js'
 import { estimateOutstanding } from './estimateOutstanding.js'
 import type { IBalancer } from './IBalancer.js'
-import type { IHash } from '../hash/IHash.js'
+import type { IHash } from '../../hash/IHash.js'
 import { pickByHash } from './pickByHash.js'
-import type { Upstream } from './Upstream.js'
+import type { Upstream } from '../Upstream.js'
 
 /** Candidates up to this number are all compared; above it two random ones. */
 const MAX_COMPARED = 16
--- a/src/common/upstream/IBalancer.ts
+++ b/src/common/upstream/balance/IBalancer.ts
@@ -1,5 +1,5 @@
 import type { BalancerQuery } from './BalancerQuery.js'
-import type { Upstream } from './Upstream.js'
+import type { Upstream } from '../Upstream.js'
 
 /** Balancing policy: picks one of the candidates, which are all able to take the request. */
 export interface IBalancer {
--- a/src/common/upstream/LeastOutstandingBalancer.ts
+++ b/src/common/upstream/balance/LeastOutstandingBalancer.ts
@@ -1,5 +1,5 @@
 import type { IBalancer } from './IBalancer.js'
-import type { Upstream } from './Upstream.js'
+import type { Upstream } from '../Upstream.js'
 
 /** Picks a candidate with the fewest requests of this entry in flight; ties are broken at random. */
 export class LeastOutstandingBalancer implements IBalancer {
--- a/src/common/upstream/RandomBalancer.ts
+++ b/src/common/upstream/balance/RandomBalancer.ts
@@ -1,5 +1,5 @@
 import type { IBalancer } from './IBalancer.js'
-import type { Upstream } from './Upstream.js'
+import type { Upstream } from '../Upstream.js'
 
 /** Picks any candidate with equal probability. */
 export class RandomBalancer implements IBalancer {
--- a/src/common/upstream/RoundRobinBalancer.ts
+++ b/src/common/upstream/balance/RoundRobinBalancer.ts
@@ -1,5 +1,5 @@
 import type { IBalancer } from './IBalancer.js'
-import type { Upstream } from './Upstream.js'
+import type { Upstream } from '../Upstream.js'
 
 /** Picks the candidate that follows the last pick in order of id. */
 export class RoundRobinBalancer implements IBalancer {
--- a/src/common/upstream/balancers.test.ts
+++ b/src/common/upstream/balance/balancers.test.ts
@@ -3,9 +3,9 @@
 import { createBalancer } from './createBalancer.js'
 import { estimateOutstanding } from './estimateOutstanding.js'
 import type { IBalancer } from './IBalancer.js'
-import { ServiceTimes } from './ServiceTimes.js'
-import type { Upstream } from './Upstream.js'
-import { UpstreamRecord } from './UpstreamRecord.js'
+import { ServiceTimes } from '../ServiceTimes.js'
+import type { Upstream } from '../Upstream.js'
+import { UpstreamRecord } from '../UpstreamRecord.js'
 
 const hasher = { hash64: (text: string) => BigInt([...text].reduce((sum, char) => Math.imul(sum, 31) + char.charCodeAt(0) | 0, 7) >>> 0) }
 const query = { size: 'short' as const, units: 1 }
--- a/src/common/upstream/createBalancer.ts
+++ b/src/common/upstream/balance/createBalancer.ts
@@ -1,6 +1,6 @@
 import { ExpectedWaitBalancer } from './ExpectedWaitBalancer.js'
 import type { IBalancer } from './IBalancer.js'
-import type { IHash } from '../hash/IHash.js'
+import type { IHash } from '../../hash/IHash.js'
 import { LeastOutstandingBalancer } from './LeastOutstandingBalancer.js'
 import { RandomBalancer } from './RandomBalancer.js'
 import { RoundRobinBalancer } from './RoundRobinBalancer.js'
--- a/src/common/upstream/estimateOutstanding.ts
+++ b/src/common/upstream/balance/estimateOutstanding.ts
@@ -1,4 +1,4 @@
-import type { Upstream } from './Upstream.js'
+import type { Upstream } from '../Upstream.js'
 
 /** Time constant with which a load report loses weight. */
 const REPORT_DECAY_MS = 1_000
--- a/src/common/upstream/upstreamClientId.ts
+++ b/src/common/upstream/client/upstreamClientId.ts
@@ -1,4 +1,4 @@
-import { createServiceId } from '../kernel/createServiceId.js'
+import { createServiceId } from '../../kernel/createServiceId.js'
 import type { IUpstreamClient } from './IUpstreamClient.js'
 
 /** Identifier of the upstream client service. */
--- a/src/common/version/VersionDuty.ts
+++ b/src/common/version/VersionDuty.ts
@@ -1,4 +1,4 @@
-import type { IEngineLoads } from '../batch/IEngineLoads.js'
+import type { IEngineLoads } from '../batch/run/IEngineLoads.js'
 import type { FleetUpstream } from '../fleet/FleetUpstream.js'
 import type { IFleet } from '../fleet/IFleet.js'
 import { Disposable } from '../kernel/Disposable.js'
--- a/src/node/front/LeaderGateway.ts
+++ b/src/node/front/LeaderGateway.ts
@@ -1,6 +1,6 @@
 import type { ILogger } from '../../common/metrics/ILogger.js'
 import type { ILeadership } from '../../common/store/ILeadership.js'
-import type { IUpstreamClient } from '../../common/upstream/IUpstreamClient.js'
+import type { IUpstreamClient } from '../../common/upstream/client/IUpstreamClient.js'
 import type { PeerViews } from './PeerViews.js'
 import type { FrontAnswer } from './FrontAnswer.js'
 import type { FrontRequest } from './FrontRequest.js'
--- a/src/node/front/PeerViews.ts
+++ b/src/node/front/PeerViews.ts
@@ -1,5 +1,5 @@
 import type { ILogger } from '../../common/metrics/ILogger.js'
-import type { IUpstreamClient } from '../../common/upstream/IUpstreamClient.js'
+import type { IUpstreamClient } from '../../common/upstream/client/IUpstreamClient.js'
 import type { LeaderView } from './LeaderView.js'
 import { leaderViewSchema } from './leaderViewSchema.js'
 
--- a/src/node/front/ProgressRelay.ts
+++ b/src/node/front/ProgressRelay.ts
@@ -1,7 +1,7 @@
-import type { LeftProgress } from '../../common/batch/LeftProgress.js'
+import type { LeftProgress } from '../../common/batch/record/LeftProgress.js'
 import type { ILogger } from '../../common/metrics/ILogger.js'
 import type { ILeadership } from '../../common/store/ILeadership.js'
-import type { IUpstreamClient } from '../../common/upstream/IUpstreamClient.js'
+import type { IUpstreamClient } from '../../common/upstream/client/IUpstreamClient.js'
 
 const PROGRESS_PATH = '/progress'
 const SEND_TIMEOUT_MS = 800
--- a/src/node/http/Authenticator.ts
+++ b/src/node/http/Authenticator.ts
@@ -6,8 +6,8 @@
 import { contractStoreId } from '../../common/contract/contractStoreId.js'
 import type { EntrySettings } from '../../common/settings/EntrySettings.js'
 import { entrySettingsId } from '../../common/settings/entrySettingsId.js'
-import type { ApiError } from './ApiError.js'
-import type { AppEnv } from './AppEnv.js'
+import type { ApiError } from './error/ApiError.js'
+import type { AppEnv } from './request/AppEnv.js'
 
 const BEARER_PATTERN = /^Bearer +([\x21-\x7e]{1,1024}) *$/i
 
--- a/src/node/http/HttpServer.ts
+++ b/src/node/http/HttpServer.ts
@@ -16,13 +16,13 @@
 import { entrySettingsId } from '../../common/settings/entrySettingsId.js'
 import { formatAddress } from '../peer/formatAddress.js'
 import { parseAddress } from '../peer/parseAddress.js'
-import type { AppEnv } from './AppEnv.js'
+import type { AppEnv } from './request/AppEnv.js'
 import { createApp } from './createApp.js'
 import type { IHttpServer } from './IHttpServer.js'
-import type { IRoutes } from './IRoutes.js'
-import type { RequestRecord } from './RequestRecord.js'
-import { toErrorBody } from './toErrorBody.js'
-import { writeClientError } from './writeClientError.js'
+import type { IRoutes } from './routes/IRoutes.js'
+import type { RequestRecord } from './request/RequestRecord.js'
+import { toErrorBody } from './error/toErrorBody.js'
+import { writeClientError } from './error/writeClientError.js'
 
 // A generation that ends at its deadline still needs time to reach a slow reader.
 const STREAM_GRACE_MS = 5000
--- a/src/node/http/GenerationResponder.ts
+++ b/src/node/http/completion/GenerationResponder.ts
@@ -1,13 +1,13 @@
 import type { Context } from 'hono'
 import { streamSSE, type SSEStreamingApi } from 'hono/streaming'
 import type { Result } from 'neverthrow'
-import type { GenerationChunk } from '../../common/generation/GenerationChunk.js'
-import type { GenerationError } from '../../common/generation/GenerationError.js'
-import type { AppEnv } from './AppEnv.js'
+import type { GenerationChunk } from '../../../common/generation/GenerationChunk.js'
+import type { GenerationError } from '../../../common/generation/GenerationError.js'
+import type { AppEnv } from '../request/AppEnv.js'
 import type { CompletionStyle } from './CompletionStyle.js'
 import type { GenerationInput } from './GenerationInput.js'
-import { sendError } from './sendError.js'
-import { toErrorBody } from './toErrorBody.js'
+import { sendError } from '../error/sendError.js'
+import { toErrorBody } from '../error/toErrorBody.js'
 
 type Item = Result<GenerationChunk, GenerationError>
 
--- a/src/node/http/commonFieldsSchema.ts
+++ b/src/node/http/completion/commonFieldsSchema.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod'
-import { identifierSchema } from '../../common/schema/identifierSchema.js'
+import { identifierSchema } from '../../../common/schema/identifierSchema.js'
 
 const MAX_TOKENS = 1_000_000
 
--- a/src/node/http/selectGenerationClass.ts
+++ b/src/node/http/completion/selectGenerationClass.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from 'neverthrow'
-import type { Contract } from '../../common/schema/Contract.js'
-import type { WorkClass } from '../../common/schema/WorkClass.js'
-import type { ApiError } from './ApiError.js'
+import type { Contract } from '../../../common/schema/Contract.js'
+import type { WorkClass } from '../../../common/schema/WorkClass.js'
+import type { ApiError } from '../error/ApiError.js'
 
 interface Selection { name: string, workClass: WorkClass }
 
--- a/src/node/http/createApp.ts
+++ b/src/node/http/createApp.ts
@@ -2,9 +2,9 @@
 import { Hono, type MiddlewareHandler } from 'hono'
 import { bodyLimit } from 'hono/body-limit'
 import type { ILogger } from '../../common/metrics/ILogger.js'
-import type { AppEnv } from './AppEnv.js'
-import type { IRoutes } from './IRoutes.js'
-import { sendError } from './sendError.js'
+import type { AppEnv } from './request/AppEnv.js'
+import type { IRoutes } from './routes/IRoutes.js'
+import { sendError } from './error/sendError.js'
 
 const REQUEST_ID_PATTERN = /^[A-Za-z0-9._-]{1,128}$/
 
--- a/src/node/http/sendError.ts
+++ b/src/node/http/error/sendError.ts
@@ -1,7 +1,7 @@
 import type { Context } from 'hono'
 import type { ContentfulStatusCode } from 'hono/utils/http-status'
 import type { ApiError } from './ApiError.js'
-import type { AppEnv } from './AppEnv.js'
+import type { AppEnv } from '../request/AppEnv.js'
 import { toErrorBody } from './toErrorBody.js'
 
 /** Responds with an error body and notes the outcome for the access log. */
--- a/src/node/http/toContractApiError.ts
+++ b/src/node/http/error/toContractApiError.ts
@@ -1,4 +1,4 @@
-import type { ContractError } from '../../common/contract/ContractError.js'
+import type { ContractError } from '../../../common/contract/ContractError.js'
 import type { ApiError } from './ApiError.js'
 
 const STATUSES = { contract_invalid: 400, contract_conflict: 409, contract_unknown: 404, contract_unavailable: 503 }
--- a/src/node/http/toTrainingApiError.ts
+++ b/src/node/http/error/toTrainingApiError.ts
@@ -1,4 +1,4 @@
-import type { TrainingError } from '../../common/training/TrainingError.js'
+import type { TrainingError } from '../../../common/training/TrainingError.js'
 import type { ApiError } from './ApiError.js'
 
 const STATUSES = { trainer_unknown: 404, step_invalid: 400, step_conflict: 409, cursor_invalid: 400, training_unavailable: 503 }
--- a/src/node/http/readBody.ts
+++ b/src/node/http/request/readBody.ts
@@ -1,6 +1,6 @@
 import type { Context } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
-import type { ApiError } from './ApiError.js'
+import type { ApiError } from '../error/ApiError.js'
 import type { AppEnv } from './AppEnv.js'
 
 /** Reads the whole request body; the size limit is applied by a middleware before. */
--- a/src/node/http/readDeadline.ts
+++ b/src/node/http/request/readDeadline.ts
@@ -1,6 +1,6 @@
 import type { Context } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
-import type { ApiError } from './ApiError.js'
+import type { ApiError } from '../error/ApiError.js'
 import type { AppEnv } from './AppEnv.js'
 
 const DEADLINE_PATTERN = /^[1-9]\d{0,8}$/
--- a/src/node/http/readJson.ts
+++ b/src/node/http/request/readJson.ts
@@ -1,10 +1,10 @@
 import type { Context } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
 import type { z } from 'zod'
-import type { ApiError } from './ApiError.js'
+import type { ApiError } from '../error/ApiError.js'
 import type { AppEnv } from './AppEnv.js'
 import { readBody } from './readBody.js'
-import { toInvalid } from './toInvalid.js'
+import { toInvalid } from '../error/toInvalid.js'
 
 const JSON_TYPE_PATTERN = /^application\/json\s*(;\s*charset\s*=\s*"?utf-8"?\s*)?$/i
 
--- a/src/node/http/selectCallClass.ts
+++ b/src/node/http/request/selectCallClass.ts
@@ -1,5 +1,5 @@
-import type { Contract } from '../../common/schema/Contract.js'
-import type { WorkClass } from '../../common/schema/WorkClass.js'
+import type { Contract } from '../../../common/schema/Contract.js'
+import type { WorkClass } from '../../../common/schema/WorkClass.js'
 
 /**
  * Finds the work class of a call by service, method and longest path prefix. A prefix ends at a
--- a/src/node/http/GenerationRoutes.test.ts
+++ b/src/node/http/routes/GenerationRoutes.test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
 import { err, ok } from 'neverthrow'
-import { HttpTestBed } from './testing/HttpTestBed.js'
+import { HttpTestBed } from '../testing/HttpTestBed.js'
 
 const chunk = (text: string, finishReason?: string): any => ok({ text, tokenIds: [1, 2], finishReason })
 const failure = err({ kind: 'engine_lost', message: 'no engine left', outcome: 'unknown', status: 502 })
--- a/src/node/http/HealthRoutes.ts
+++ b/src/node/http/routes/HealthRoutes.ts
@@ -1,11 +1,11 @@
 import type { Hono } from 'hono'
-import type { IMetricsSource } from '../../common/metrics/IMetricsSource.js'
-import { metricsSourceId } from '../../common/metrics/metricsSourceId.js'
+import type { IMetricsSource } from '../../../common/metrics/IMetricsSource.js'
+import { metricsSourceId } from '../../../common/metrics/metricsSourceId.js'
 import { addRoute } from './addRoute.js'
-import type { AppEnv } from './AppEnv.js'
+import type { AppEnv } from '../request/AppEnv.js'
 import type { IRoutes } from './IRoutes.js'
-import type { Readiness } from './Readiness.js'
-import { readinessId } from './readinessId.js'
+import type { Readiness } from '../Readiness.js'
+import { readinessId } from '../readinessId.js'
 
 /** Health and metrics endpoints, without authentication. */
 export class HealthRoutes implements IRoutes {
--- a/src/node/http/IRoutes.ts
+++ b/src/node/http/routes/IRoutes.ts
@@ -1,5 +1,5 @@
 import type { Hono } from 'hono'
-import type { AppEnv } from './AppEnv.js'
+import type { AppEnv } from '../request/AppEnv.js'
 
 /** A part of the HTTP interface. */
 export interface IRoutes {
--- a/src/node/http/ServiceRoutes.test.ts
+++ b/src/node/http/routes/ServiceRoutes.test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
 import { errAsync, okAsync, ResultAsync } from 'neverthrow'
-import { HttpTestBed } from './testing/HttpTestBed.js'
+import { HttpTestBed } from '../testing/HttpTestBed.js'
 
 describe('ServiceRoutes', () => {
   let bed: HttpTestBed
--- a/src/node/http/TrainerRoutes.test.ts
+++ b/src/node/http/routes/TrainerRoutes.test.ts
@@ -1,7 +1,7 @@
 import { after, before, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { errAsync, okAsync } from 'neverthrow'
-import { HttpTestBed } from './testing/HttpTestBed.js'
+import { HttpTestBed } from '../testing/HttpTestBed.js'
 
 const GROUPS = [{ group: 'g1', prompt: 'p', samples: 2, max_tokens: 10 }]
 
--- a/src/node/http/addRoute.ts
+++ b/src/node/http/routes/addRoute.ts
@@ -1,6 +1,6 @@
 import type { Handler, Hono } from 'hono'
-import type { AppEnv } from './AppEnv.js'
-import { sendError } from './sendError.js'
+import type { AppEnv } from '../request/AppEnv.js'
+import { sendError } from '../error/sendError.js'
 
 type Method = 'GET' | 'POST'
 
--- a/src/node/http/trainerSchemas.ts
+++ b/src/node/http/routes/trainerSchemas.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod'
-import { groupSpecSchema } from '../../common/schema/groupSpecSchema.js'
-import { identifierSchema } from '../../common/schema/identifierSchema.js'
+import { groupSpecSchema } from '../../../common/schema/groupSpecSchema.js'
+import { identifierSchema } from '../../../common/schema/identifierSchema.js'
 
 const integer = (min: number, max: number): z.ZodInt => z.int().min(min).max(max)
 const queryInteger = (min: number, max: number, standard: string): z.ZodType<number> =>
--- a/src/node/upstream/EventStreamSink.ts
+++ b/src/node/upstream/EventStreamSink.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow'
-import type { UpstreamError } from '../../common/upstream/UpstreamError.js'
-import type { UpstreamStream } from '../../common/upstream/UpstreamStream.js'
+import type { UpstreamError } from '../../common/upstream/client/UpstreamError.js'
+import type { UpstreamStream } from '../../common/upstream/client/UpstreamStream.js'
 import type { IExchangeSink } from './IExchangeSink.js'
 import { SseSplitter } from './SseSplitter.js'
 
--- a/src/node/upstream/Exchange.ts
+++ b/src/node/upstream/Exchange.ts
@@ -1,6 +1,6 @@
 import type { Dispatcher } from 'undici'
-import type { UpstreamError } from '../../common/upstream/UpstreamError.js'
-import type { UpstreamRequest } from '../../common/upstream/UpstreamRequest.js'
+import type { UpstreamError } from '../../common/upstream/client/UpstreamError.js'
+import type { UpstreamRequest } from '../../common/upstream/client/UpstreamRequest.js'
 import { hasWholeFraming } from './hasWholeFraming.js'
 import type { IExchangeSink } from './IExchangeSink.js'
 import { toAnswerHeaders } from './toAnswerHeaders.js'
--- a/src/node/upstream/HttpUpstreamClient.test.ts
+++ b/src/node/upstream/HttpUpstreamClient.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import type { EntrySettings } from '../../common/settings/EntrySettings.js'
-import type { UpstreamRequest } from '../../common/upstream/UpstreamRequest.js'
+import type { UpstreamRequest } from '../../common/upstream/client/UpstreamRequest.js'
 import { HttpUpstreamClient } from './HttpUpstreamClient.js'
 
 const settings = { maxBodyBytes: 1000, maxHeaderBytes: 16_384 } as EntrySettings
--- a/src/node/upstream/IExchangeSink.ts
+++ b/src/node/upstream/IExchangeSink.ts
@@ -1,4 +1,4 @@
-import type { UpstreamError } from '../../common/upstream/UpstreamError.js'
+import type { UpstreamError } from '../../common/upstream/client/UpstreamError.js'
 
 /** Receives the parts of one answer. A returned error ends the exchange and its connection. */
 export interface IExchangeSink {
--- a/src/node/upstream/WholeAnswerSink.ts
+++ b/src/node/upstream/WholeAnswerSink.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow'
-import type { UpstreamAnswer } from '../../common/upstream/UpstreamAnswer.js'
-import type { UpstreamError } from '../../common/upstream/UpstreamError.js'
+import type { UpstreamAnswer } from '../../common/upstream/client/UpstreamAnswer.js'
+import type { UpstreamError } from '../../common/upstream/client/UpstreamError.js'
 import type { IExchangeSink } from './IExchangeSink.js'
 
 /** Collects a whole answer of bounded size. */
--- a/src/node/upstream/fetchJson.ts
+++ b/src/node/upstream/fetchJson.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow'
-import type { IUpstreamClient } from '../../common/upstream/IUpstreamClient.js'
-import type { UpstreamError } from '../../common/upstream/UpstreamError.js'
+import type { IUpstreamClient } from '../../common/upstream/client/IUpstreamClient.js'
+import type { UpstreamError } from '../../common/upstream/client/UpstreamError.js'
 import type { JsonAnswer } from './JsonAnswer.js'
 import type { PollError } from './PollError.js'
 
--- a/src/node/upstream/toRequestHeaders.ts
+++ b/src/node/upstream/toRequestHeaders.ts
@@ -1,4 +1,4 @@
-import type { UpstreamRequest } from '../../common/upstream/UpstreamRequest.js'
+import type { UpstreamRequest } from '../../common/upstream/client/UpstreamRequest.js'
 import { hopByHopHeaders } from './hopByHopHeaders.js'
 import type { UpstreamDialect } from './UpstreamDialect.js'
 
--- a/tools/harness/ManagedProcess.ts
+++ b/tools/harness/ManagedProcess.ts
@@ -9,7 +9,7 @@
 const READY_TIMEOUT_MS = 60_000
 const MAX_LOG_LINES = 20_000
 const EXIT_WITH_PARENT = new URL('./exitWithParent.js', import.meta.url).href
-const ROOT = fileURLToPath(new URL('../../', import.meta.url))
+const ROOT = fileURLToPath(new URL('../..', import.meta.url))
 
 const live = new Set<ChildProcess>()
 const killAll = () => { for (const child of live) child.kill('SIGKILL') }
