Give the polls of a test the time that a starved process needs

Cause: 'polls many upstreams at once' failed once at a load average of 50. Its poll interval of 50 ms is the time limit of a poll too, and the process that polls also answers.

Change: 1000 ms; all 40 polls still run at once, as the test reports a failure of each upstream.

--- a/src/node/upstream/pollers.test.ts
+++ b/src/node/upstream/pollers.test.ts
@@ -105,7 +105,8 @@
     const warnings: string[] = []
     const onWarning = (warning: Error): void => { warnings.push(warning.name) }
     process.on('warning', onWarning)
-    settings.loadPollMs = 50
+    // Also the time limit of a poll: 40 answers in 50 ms were too much for a process with a tenth of a core.
+    settings.loadPollMs = 1000
     const { address } = (bodies['/v1/members'] as { members: Array<{ address: string }> }).members[0]!
     const ids = Array.from({ length: 40 }, (_, index) => `u${index}`)
     table.updateMembers(ids.map((id) => member(id, address)) as never[])
