--- a/chaos/LiveCheck.ts
+++ b/chaos/LiveCheck.ts
@@ -27,9 +27,7 @@
   async run (): Promise<void> {
     while (this._isOn) {
       await sleep(INTERVAL_MS)
-      // A trainer that is paused or lost cannot be read now; the next round and the end read it again.
-      const history = await this._read().catch(() => undefined)
-      if (history !== undefined) this._check(history)
+      await this._read().then(history => this._check(history), this._onUnread)
     }
   }
 
@@ -37,6 +35,9 @@
     this._isOn = false
   }
 
+  /** A trainer that is paused or lost cannot be read now; the next round and the end read it again. */
+  private readonly _onUnread = (error: unknown): void => console.log(`live check left out: ${String(error)}`)
+
   private _check (history: History): void {
     for (const violation of RULES.flatMap(rule => rule(history))) {
       const key = `${violation.rule} ${violation.subject}`
