Export one name from each file of the soak's sizes

Cause: chaos/driver/planSize.ts had three exports; the house style asks for one.

Change: MIN_PROCESSES and maxProcesses have files of their own, as the constants of standin/engine do. No value changed.

--- a/chaos/chaos.test.ts
+++ b/chaos/chaos.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { formatResult } from './formatResult.js'
-import { MIN_PROCESSES } from './driver/planSize.js'
+import { MIN_PROCESSES } from './driver/MIN_PROCESSES.js'
 import { runChaos } from './runChaos.js'
 
 // Only ends a run that would wait forever.
--- a/chaos/driver/planSize.test.ts
+++ b/chaos/driver/planSize.test.ts
@@ -1,6 +1,8 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { MIN_PROCESSES, maxProcesses, planSize } from './planSize.js'
+import { maxProcesses } from './maxProcesses.js'
+import { MIN_PROCESSES } from './MIN_PROCESSES.js'
+import { planSize } from './planSize.js'
 
 // Processes that do not grow: log, membership, weights, fault proxy, balancer and three trainers.
 const FIXED = 8
--- a/chaos/main.ts
+++ b/chaos/main.ts
@@ -1,5 +1,6 @@
 import { cac } from 'cac'
-import { MIN_PROCESSES, maxProcesses } from './driver/planSize.js'
+import { maxProcesses } from './driver/maxProcesses.js'
+import { MIN_PROCESSES } from './driver/MIN_PROCESSES.js'
 import { formatResult } from './formatResult.js'
 import { formatViolation } from './formatViolation.js'
 import { regressionSeeds } from './regressionSeeds.js'
