--- a/src/common/batch/BatchDesk.test.ts
+++ b/src/common/batch/BatchDesk.test.ts
@@ -98,6 +98,14 @@
 
   const items = [createItem('a', 'g'), createItem('b', 'g')]
   const spec = (): ReturnType<typeof createSpec> => createSpec({ itemCount: 2 })
+  /** A first leader that has run the accepted batch for this time. */
+  const leadWithBatch = async (runMs: number): ReturnType<typeof lead> => {
+    const first = await lead(1)
+    const submitted = first.desk.submit(spec(), items)
+    await time.advance(runMs)
+    await submitted
+    return first
+  }
   const textsOf = async (desk: BatchDesk, after = 0): Promise<string[] | string> => {
     const reading = desk.read('batch-1', after, 0)
     await time.advance(20)
@@ -131,10 +139,7 @@
   // Load: the leader is lost while long items run.
   it('goes on behind the saved events after a takeover, with all texts whole and in their positions', async () => {
     engines.lengths = { a: 60, b: 5 }
-    const first = await lead(1)
-    const submitted = first.desk.submit(spec(), items)
-    await time.advance(1500)
-    await submitted
+    const first = await leadWithBatch(1500)
     const before = await textsOf(first.desk)
     first.desk.dispose()
     const second = await lead(2)
@@ -146,10 +151,7 @@
   // Load: a leader that is cut off from the store alone goes on generating until it hears of the next one.
   it('goes on behind what the leader before passes on, also when that is whole', async () => {
     engines.lengths = { a: 60, b: 30 }
-    const first = await lead(1)
-    const submitted = first.desk.submit(spec(), items)
-    await time.advance(200)
-    await submitted
+    const first = await leadWithBatch(200)
     store.isDown = true
     const left: LeftProgress[] = []
     first.desk.onProgressLeft(progress => left.push(progress))
@@ -169,10 +171,7 @@
   // Load: a second takeover follows soon after progress was passed on.
   it('never joins saved events of one chain of runs with those of another', async () => {
     engines.lengths = { a: 80, b: 5 }
-    const first = await lead(1)
-    const submitted = first.desk.submit(spec(), items)
-    await time.advance(1200)
-    await submitted
+    const first = await leadWithBatch(1200)
     first.desk.dispose()
     const second = await lead(2)
     await time.advance(600)
@@ -189,10 +188,7 @@
 
   it('runs no item of a batch that an earlier leader has ended, and still lists what it had', async () => {
     engines.lengths = { a: 60, b: 5 }
-    const first = await lead(1)
-    const submitted = first.desk.submit(spec(), items)
-    await time.advance(800)
-    await submitted
+    const first = await leadWithBatch(800)
     const ended = first.desk.end('batch-1')
     await time.advance(20)
     expect(await ended).toEqual('accepted')
