Keep a group delivered once across an entry that lags behind an acknowledgement

Cause: an entry that has read an acknowledgement at a former position of a reopened group removes the group and may return a next cursor beyond that range but below the acknowledgement. An entry that has read the log up to the cursor, and not yet the acknowledgement, then finds the group complete at a new position and delivers it again.

Change: the state keeps the offset of the last such acknowledgement, and a read returns no cursor below it; groups in between get new positions by the existing hold.

--- a/src/common/schema/stepRecordSchema.ts
+++ b/src/common/schema/stepRecordSchema.ts
@@ -49,6 +49,8 @@
     version: z.int().min(0),
     /** Position up to which the trainer has acknowledged groups. */
     cursor: z.int(),
+    /** Lowest cursor that a read may return with groups; see `TrainerState.minNextCursor`. Earlier versions do not write it. */
+    min_next_cursor: z.int().default(0),
     /** Steps up to this one are no longer accepted. */
     floor_step: z.int(),
     /** Accepted steps above `floor_step`, with the digest of their groups. */
--- a/src/common/training/planDelivery.ts
+++ b/src/common/training/planDelivery.ts
@@ -24,7 +24,7 @@
   const chosen = positioned.slice(0, Math.min(Math.max(1, maxGroups), firstStaleIndex === -1 ? positioned.length : firstStaleIndex))
   const lastPosition = chosen.at(-1)?.position
   if (lastPosition === undefined) return staleSamplesToReopen.length > 0 ? { kind: 'expire', stale: staleSamplesToReopen } : { kind: 'wait' }
-  const nextCursor = cursorOutsideFormerPositions(groups, cursor, lastPosition)
+  const nextCursor = cursorOutsideFormerPositions(groups, cursor, Math.max(lastPosition, state.minNextCursor))
   const nextPosition = positioned[chosen.length]?.position ?? Infinity
   // The next cursor would also acknowledge a group that this read does not return.
   if (nextCursor >= nextPosition) return { kind: 'hold' }
@@ -32,12 +32,12 @@
 }
 
 /**
- * Lowest cursor from `lastPosition` on that lies in none of the former position ranges above the cursor of the read.
+ * Lowest cursor from `minCursor` on that lies in none of the former position ranges above the cursor of the read.
  * A cursor within such a range would state that the trainer received the group at its former position.
  */
-function cursorOutsideFormerPositions (groups: GroupState[], cursor: number, lastPosition: number): number {
+function cursorOutsideFormerPositions (groups: GroupState[], cursor: number, minCursor: number): number {
   const ranges = groups.flatMap((group) => group.formerPositions).filter((range) => range.from > cursor)
-  let nextCursor = lastPosition
+  let nextCursor = minCursor
   for (;;) {
     const range = ranges.find(({ from, to }) => from <= nextCursor && nextCursor < to)
     if (range === undefined) return nextCursor
--- a/src/common/training/snapshot/createTrainerSnapshot.ts
+++ b/src/common/training/snapshot/createTrainerSnapshot.ts
@@ -17,6 +17,7 @@
     as_of: asOf,
     version,
     cursor,
+    min_next_cursor: state.minNextCursor,
     floor_step: state.floorStep,
     steps: [...state.steps].map(([step, digest]) => ({ step, digest })),
     groups: state.groups.size
--- a/src/common/training/step/TrainerState.ts
+++ b/src/common/training/step/TrainerState.ts
@@ -15,6 +15,12 @@
   version = 0
   /** Highest acknowledged cursor. */
   cursor = 0
+  /**
+   * Offset of the last acknowledgement that removed a reopened group, which was received at a former position. A new
+   * cursor is not below it: an entry that has read the log up to the cursor must have read the acknowledgement too,
+   * because the cursor alone no longer shows that the group was received.
+   */
+  minNextCursor = 0
   /** Steps up to this one are not accepted, because their digests are no longer kept. */
   floorStep = -1
   /** Digest of the groups by accepted step above `floorStep`. */
@@ -42,7 +48,7 @@
       case 'expire': return this._expire(record, offset)
       case 'hold': return this._hold(record.cursor, offset)
       case 'place': return this._place(record, offset)
-      case 'ack': return this._acknowledge(record.cursor)
+      case 'ack': return this._acknowledge(record.cursor, offset)
       case 'weights':
         this.version = Math.max(this.version, record.version)
     }
@@ -52,6 +58,7 @@
   restore (head: RecordOf<'carry'>, groups: RecordOf<'carry_group'>[]): void {
     this.version = head.version
     this.cursor = head.cursor
+    this.minNextCursor = head.min_next_cursor
     this.floorStep = head.floor_step
     for (const { step, digest } of head.steps) {
       this.steps.set(step, digest)
@@ -124,7 +131,7 @@
     group.position = undefined
   }
 
-  private _acknowledge (cursor: number): void {
+  private _acknowledge (cursor: number, offset: number): void {
     this.cursor = Math.max(this.cursor, cursor)
     for (const [key, group] of this.groups) {
       const isDelivered = group.position !== undefined && group.position <= cursor
@@ -132,6 +139,7 @@
       if (isDelivered || wasDelivered) {
         this.groups.delete(key)
       }
+      if (wasDelivered) this.minNextCursor = offset
     }
   }
 }
