--- a/src/node/entry/Drain.ts
+++ b/src/node/entry/Drain.ts
@@ -80,8 +80,9 @@
     for (;;) {
       const startedAtMs = performance.now()
       await nextLoopTurn()
+      const sinceConnectionMs = this._server.timeSinceConnectionMs()
       const nowMs = performance.now()
-      const isQuiet = nowMs - startedAtMs <= QUIET_TURN_MS && this._server.timeSinceConnectionMs() > nowMs - startedAtMs
+      const isQuiet = nowMs - startedAtMs <= QUIET_TURN_MS && nowMs - sinceConnectionMs < startedAtMs
       if (isQuiet || nowMs >= giveUpAtMs) return
     }
   }
