Score the texts of a batch by reward calls

Change: a reward call is part of the item and checked at the submission. When the text is complete, the item waits in the state 'scoring' and the leader posts the call through the route of its host and path, by the service that sends the calls of callers. Tries have one deadline and a growing back-off; an item is aborted after as many failed responses as its routes allow, not for a missing route, a refusal or silence. At most half of the slots of the reward service are used, first for groups that are nearly complete. Complete texts that wait longer than a save interval are saved as complete, so that the next leader only calls again; a score is never kept without its result. Ends of batches, stops and lost leadership cancel the calls. Records of earlier builds restore as before.

--- a/src/common/batch/BatchRecordCodec.test.ts
+++ b/src/common/batch/BatchRecordCodec.test.ts
@@ -28,6 +28,25 @@
     }), { numRuns: 20 })
   })
 
+  it('restores scores and complete texts, also from the end of a batch and from records without them', () => {
+    const rewardCall = { id: 'r', host: 'h', path: '/r', bodyBase64: '' }
+    const batch = new Batch(createSpec({ itemCount: 2 }), [{ ...createItem('i', 'g'), rewardCall }, createItem('j', 'g')])
+    const [scored, plain] = batch.items
+    if (scored === undefined || plain === undefined) throw new Error('item is missing')
+    const submission = codec.encodeSubmission(batch.spec, batch.items.map(state => state.item))
+    scored.progress = { events: ['a'], lastEventId: 1, versions: [1], isComplete: true }
+    const progress = codec.encodeProgress('batch-1', scored)
+    const restored = codec.restore([...submission, progress]).get('batch-1')?.batch
+    expect(restored?.items.map(({ item, progress, hasUnsavedProgress }) => [item.rewardCall, progress.isComplete, hasUnsavedProgress]))
+      .toEqual([[rewardCall, true, false], [undefined, false, false]])
+    const result = codec.encodeResult('batch-1', 0, { itemId: 'i', state: 'completed', text: 'a', versions: [1], score: 's' })
+    const older = codec.encodeResult('batch-1', 1, { itemId: 'j', state: 'completed', text: 'b', versions: [1] })
+    const complete = codec.restore([...submission, ...result, ...older]).get('batch-1')?.batch
+    expect(complete?.results.map(({ score }) => score)).toEqual(['s', undefined])
+    const ended = complete === undefined ? [] : codec.encodeEnd(complete, [], 0)
+    expect(codec.restore([...submission, ...ended]).get('batch-1')?.batch.results.map(({ score }) => score)).toEqual(['s', undefined])
+  })
+
   it('splits items into several records, and does not restore a batch with missing items', () => {
     const items = Array.from({ length: 5 }, (_, index) => ({ ...createItem(`i${index}`, 'g'), bodyBase64: 'x'.repeat(90_000) }))
     const records = codec.encodeSubmission(createSpec({ itemCount: 5 }), items)
--- a/src/common/batch/BatchRecordCodec.ts
+++ b/src/common/batch/BatchRecordCodec.ts
@@ -62,8 +62,8 @@
 
   /** Encodes the events of an item that were not saved yet. */
   encodeProgress (batchId: string, state: ItemState): EncodedRecord {
-    const { events, versions } = state.progress
-    const part: ProgressPart = { firstEventId: state.savedEventId + 1, events: events.slice(state.savedEventId), versions }
+    const { events, versions, isComplete } = state.progress
+    const part: ProgressPart = { firstEventId: state.savedEventId + 1, events: events.slice(state.savedEventId), versions, isComplete: isComplete || undefined }
     return this._encodeJson(`progress/${batchId}/${pad(state.index)}/${pad(state.savedParts)}`, part)
   }
 
@@ -73,7 +73,7 @@
    */
   encodeEnd (batch: Batch, keys: readonly string[], endedAtMs: number): EncodedRecord[] {
     const obsolete = keys.filter(key => key.startsWith('items/') || key.startsWith('progress/') || key.startsWith('result/'))
-    const results = batch.results.map(({ itemId, state, versions }) => ({ itemId, state, versions }))
+    const results = batch.results.map(({ itemId, state, versions, score }) => ({ itemId, state, versions, score }))
     const end: z.infer<typeof endSchema> = { endedAtMs, incompleteGroups: batch.incompleteGroups(), results }
     return [this._encodeJson(`end/${batch.spec.id}`, end), ...this.encodeRemoval(obsolete)]
   }
@@ -177,6 +177,8 @@
       state.progress.lastEventId += part.events.length
       state.progress.versions = [...part.versions]
       state.savedEventId = state.progress.lastEventId
+      state.progress.isComplete = part.isComplete ?? false
+      state.isCompletionSaved = state.progress.isComplete
     }
   }
 
--- a/src/common/batch/BatchService.test.ts
+++ b/src/common/batch/BatchService.test.ts
@@ -1,101 +1,31 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
-import { FleetTable } from '../fleet/FleetTable.js'
-import { Emitter } from '../kernel/Emitter.js'
-import { testServices } from '../log/test/testServices.js'
 import { VirtualTime } from '../log/test/VirtualTime.test.js'
-import type { Route } from '../routing/Route.js'
-import { RouteTable } from '../routing/RouteTable.js'
-import type { ILeadership } from '../store/ILeadership.js'
-import { MemoryStore } from '../store/test/MemoryStore.js'
-import { BatchService } from './BatchService.js'
+import type { MemoryStore } from '../store/test/MemoryStore.js'
+import type { BatchService } from './BatchService.js'
 import type { HandoffProgress } from './record/HandoffProgress.js'
-import { BatchRunner } from './run/BatchRunner.js'
-import { EngineTracker } from './run/EngineTracker.js'
+import { BatchHarness } from './test/BatchHarness.js'
 import { createItem } from './test/createItem.js'
 import { createSpec } from './test/createSpec.js'
-import { FakeEngines } from './test/FakeEngines.js'
-
-const { logger, metrics } = testServices()
-const RETENTION_MS = 120_000
-const EVENT_INTERVAL_MS = 50
-
-/** A leadership that the test controls. */
-class FakeLeadership implements ILeadership {
-  private readonly _gained = new Emitter<number>()
-  private readonly _lost = new Emitter<void>()
-  readonly onGained = this._gained.event
-  readonly onLost = this._lost.event
-  isValid = true
-  latestKnownEpoch: number | undefined
-
-  get isLeader (): boolean { return this.latestKnownEpoch !== undefined }
-  validEpoch (): number | undefined { return this.isValid ? this.latestKnownEpoch : undefined }
-  leaderAddress (): string | undefined { return undefined }
-  observeLeader (): void {}
-  async release (): Promise<void> { this.lose() }
-
-  gain (epoch: number): void {
-    this.latestKnownEpoch = epoch
-    this._gained.fire(epoch)
-  }
-
-  lose (): void {
-    this.latestKnownEpoch = undefined
-    this._lost.fire()
-  }
-}
+import type { FakeEngines } from './test/FakeEngines.js'
 
 describe('BatchService', () => {
   let time: VirtualTime
+  let harness: BatchHarness
   let store: MemoryStore
   let engines: FakeEngines
-  let fleet: FleetTable
-  let routes: RouteTable
-  const services: BatchService[] = []
+  const lead: BatchHarness['lead'] = async epoch => await harness.lead(epoch)
 
   beforeEach(() => {
     time = new VirtualTime()
-    store = new MemoryStore()
-    engines = new FakeEngines(EVENT_INTERVAL_MS)
-    fleet = new FleetTable(logger)
-    routes = new RouteTable(logger)
-    const route: Route = {
-      name: 'r',
-      host: 'host.example',
-      pathPrefix: '/batches/',
-      kind: 'batch',
-      services: [{ name: 'engines', weight: 1 }],
-      maxAttempts: 2,
-      timeoutMs: 1000,
-      targetLatencyMs: 100,
-      priority: 0,
-      isResumable: true,
-      batchDeadlineMs: 7500,
-      batchRetentionMs: 40_000,
-      isSingleVersion: false
-    }
-    routes.apply({ version: 1, routes: [route], services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
-    for (const id of ['e1', 'e2']) {
-      fleet.apply({ id, startedAtMs: 1, service: 'engines', address: id, failureDomain: 'd', slots: 4, isDraining: false, versions: new Map([['model-a', 1]]) })
-    }
+    harness = new BatchHarness(time)
+    ;({ store, engines } = harness)
   })
   afterEach(() => {
-    for (const service of services.splice(0)) service.dispose()
-    fleet.dispose()
+    harness.dispose()
     time.restore()
   })
 
-  async function lead (epoch: number): Promise<{ service: BatchService, leadership: FakeLeadership }> {
-    const leadership = new FakeLeadership()
-    const service = new BatchService(store, leadership, batches =>
-      new BatchRunner(batches, fleet, routes, engines, new EngineTracker(fleet, routes), logger, metrics), RETENTION_MS, logger)
-    services.push(service)
-    leadership.gain(epoch)
-    await time.advance(50)
-    return { service, leadership }
-  }
-
   const items = [createItem('a', 'g'), createItem('b', 'g')]
   const spec = (): ReturnType<typeof createSpec> => createSpec({ itemCount: 2 })
   /** Returns a leader of epoch 1 that has accepted the batch and has run it for `runMs`. */
@@ -107,10 +37,8 @@
     return first
   }
   const textsOf = async (service: BatchService, fromPosition = 0): Promise<string[] | string> => {
-    const reading = service.read('batch-1', fromPosition, 0)
-    await time.advance(20)
-    const outcome = await reading
-    return outcome.kind === 'results' ? outcome.results.map(result => result.text) : outcome.kind
+    const results = await harness.resultsOf(service, fromPosition)
+    return typeof results === 'string' ? results : results.map(result => result.text)
   }
 
   it('accepts a batch once its records are durable, runs its items and returns the results at fixed positions', async () => {
--- a/src/common/batch/BatchStatusReporter.ts
+++ b/src/common/batch/BatchStatusReporter.ts
@@ -18,11 +18,12 @@
     private readonly _metrics: IMetrics
   ) {}
 
-  /** Logs the state unless it was logged less than a second ago; `running` is the number of running items. */
-  logIfDue (running: number, countRunsOn: (engineId: string) => number): void {
+  /** Logs the state unless it was logged less than a second ago; `running` and `scoring` are numbers of items. */
+  logIfDue (running: number, scoring: number, countRunsOn: (engineId: string) => number): void {
     if (performance.now() - this._loggedAtMs < INTERVAL_MS) return
     this._loggedAtMs = performance.now()
     this._metrics.gauge('batch_items_running', running)
+    this._metrics.gauge('batch_items_scoring', scoring)
     const openBatches = [...this._batches.all()].filter(batch => batch.isOpen)
     if (openBatches.length === 0 && running === 0) return
     const engines = this._fleet.all().filter(engine => engine.member.versions.size > 0).map(engine => {
@@ -31,6 +32,6 @@
       return `${id}:${countRunsOn(id)}:${Math.round(engine.averageMs ?? 0)}ms${engine.isExcluded ? ':avoided' : ''}${loading}`
     })
     const batches = openBatches.map(({ spec, positionsAllocated, items }) => `${spec.id}:step ${spec.step}:${positionsAllocated}/${items.length}`)
-    this._logger.info({ open: batches.join(','), running, engines: engines.join(',') }, 'batch_status')
+    this._logger.info({ open: batches.join(','), running, scoring, engines: engines.join(',') }, 'batch_status')
   }
 }
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -96,6 +96,7 @@
     const writes = items.map(async ({ batch, state }) => {
       const record = this._codec.encodeProgress(batch.spec.id, state)
       state.savedEventId = state.progress.lastEventId
+      state.isCompletionSaved = state.progress.isComplete
       state.savedParts += 1
       return await this._write(batch.spec.id, [record])
     })
--- a/src/common/batch/policy/LengthEstimator.ts
+++ b/src/common/batch/policy/LengthEstimator.ts
@@ -21,7 +21,7 @@
   }
 
   remainingEvents (state: ItemState): number {
-    if (state.status === 'finished') return 0
+    if (state.status === 'finished' || state.status === 'scoring') return 0
     const hint = state.item.lengthHintTokens
     const expected = hint === undefined ? this._meanEvents : hint * this._eventsPerToken
     const done = state.progress.events.length
--- a/src/common/batch/record/ItemState.ts
+++ b/src/common/batch/record/ItemState.ts
@@ -4,11 +4,17 @@
 
 /** State of a batch item at the leader. */
 export class ItemState {
-  /** `finished`: its result is final, but may not be durable yet. */
-  status: 'waiting' | 'running' | 'finished' = 'waiting'
+  /**
+   * - `waiting`: needs an engine.
+   * - `scoring`: its text is complete and waits for its reward call.
+   * - `finished`: its result is final, but may not be durable yet.
+   */
+  status: 'waiting' | 'running' | 'scoring' | 'finished' = 'waiting'
   progress: ItemProgress = emptyProgress()
   /** Id of the last event that was passed to the store. */
   savedEventId = 0
+  /** Whether it was passed to the store that the output is complete. */
+  isCompletionSaved = false
   /** Number of progress parts that were passed to the store. */
   savedParts = 0
   /** Number of runs that an engine reported as failed. */
@@ -22,6 +28,11 @@
 
   constructor (readonly item: BatchItem, readonly index: number) {}
 
+  /** Whether the output has changed since it was last passed to the store. */
+  get hasUnsavedProgress (): boolean {
+    return this.progress.lastEventId > this.savedEventId || (this.progress.isComplete && !this.isCompletionSaved)
+  }
+
   /** Discards the output, so that the next run begins from the start. */
   restart (): void {
     this.resumeFrom(emptyProgress())
@@ -34,5 +45,6 @@
   resumeFrom (progress: ItemProgress): void {
     this.progress = progress
     this.savedEventId = 0
+    this.isCompletionSaved = false
   }
 }
--- a/src/common/batch/record/batchItemSchema.ts
+++ b/src/common/batch/record/batchItemSchema.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod'
+import { rewardCallSchema } from './rewardCallSchema.js'
 
 /** Schema of a batch item, as submitted and as stored. */
 export const batchItemSchema = z.object({
@@ -11,5 +12,7 @@
   lengthHintTokens: z.number().optional(),
   promptTokens: z.number(),
   /** Prompt tokens plus the maximum number of output tokens. */
-  tokens: z.number()
+  tokens: z.number(),
+  /** Sent when the text is complete; its response scores the text. */
+  rewardCall: rewardCallSchema.optional()
 })
--- a/src/common/batch/record/batchResultSchema.ts
+++ b/src/common/batch/record/batchResultSchema.ts
@@ -5,5 +5,7 @@
   itemId: z.string(),
   state: z.enum(['completed', 'aborted']),
   /** All weight versions that generated an event of the text. */
-  versions: z.array(z.number())
+  versions: z.array(z.number()),
+  /** Score by the reward call of the item; absent if it has none or was aborted. */
+  score: z.string().optional()
 })
--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -9,11 +9,11 @@
 import { chooseService } from '../../routing/chooseService.js'
 import type { Route } from '../../routing/Route.js'
 import type { Batch } from '../Batch.js'
-import { retryBackoffMs } from '../policy/retryBackoffMs.js'
 import { chooseEngine } from '../policy/chooseEngine.js'
 import { collectHandoffProgress } from '../collectHandoffProgress.js'
 import { countWaitingItems } from '../policy/countWaitingItems.js'
 import { BatchStatusReporter } from '../BatchStatusReporter.js'
+import { deferItem } from './deferItem.js'
 import { describeRun } from './describeRun.js'
 import type { EngineTracker } from './EngineTracker.js'
 import type { EngineRunOutcome } from './EngineRunOutcome.js'
@@ -23,19 +23,18 @@
 import type { IEngineTransport } from './IEngineTransport.js'
 import { ItemRun } from './ItemRun.js'
 import type { ItemState } from '../record/ItemState.js'
+import type { IRewardClient } from '../reward/IRewardClient.js'
+import { RewardRunner } from '../reward/RewardRunner.js'
 import type { HandoffProgress } from '../record/HandoffProgress.js'
 import { hasNoCompatibleEngine } from '../policy/hasNoCompatibleEngine.js'
 import { LengthEstimator } from '../policy/LengthEstimator.js'
 import { ProgressCache } from '../ProgressCache.js'
 import { ProgressSaver } from './ProgressSaver.js'
 import { rankItems } from '../policy/rankItems.js'
+import { ResultWriter } from './ResultWriter.js'
 import { RunSupervisor } from './RunSupervisor.js'
 
 const TICK_MS = 100
-/** Back-off before an item that an engine did not run, or reported as failed, is retried. */
-const REFUSED_BACKOFF_MS = 60
-/** After failures at this many engines an item may return to the earlier ones. */
-const MAX_DEPRIORITISED = 3
 /** Longer runs are logged when they complete; shorter ones are only counted. */
 const LONG_RUN_MS = 3000
 
@@ -47,6 +46,8 @@
   private readonly _supervisor: RunSupervisor
   private readonly _saver: ProgressSaver
   private readonly _statusReporter: BatchStatusReporter
+  private readonly _results: ResultWriter
+  private readonly _rewards: RewardRunner
   /** Engines that ran an item of a group, and so have its prompt prefix in their cache; by group. */
   private readonly _enginesByGroup = new Map<string, Set<string>>()
   private _isDispatchScheduled = false
@@ -57,6 +58,7 @@
     private readonly _fleet: IFleet,
     private readonly _routes: IRouteTable,
     private readonly _transport: IEngineTransport,
+    rewardClient: IRewardClient,
     private readonly _tracker: EngineTracker,
     private readonly _logger: ILogger,
     private readonly _metrics: IMetrics
@@ -65,6 +67,8 @@
     this._supervisor = new RunSupervisor(_tracker, this._estimator, _logger)
     this._saver = new ProgressSaver(_batches, _logger)
     this._statusReporter = new BatchStatusReporter(_batches, _fleet, _tracker, _logger, _metrics)
+    this._results = new ResultWriter(_batches, _logger, _metrics)
+    this._rewards = this._register(new RewardRunner(rewardClient, _fleet, (batch, state, score) => this._results.finishScored(batch, state, score), _logger, _metrics))
     this._register(this._batches.onChanged(() => this._scheduleDispatch()))
     this._register(this._batches.onEnded(batch => this._onBatchEnded(batch)))
     this._register(this._fleet.onChanged(() => this._scheduleDispatch()))
@@ -97,12 +101,13 @@
     this._scheduleDispatch()
   }
 
-  /** Cancels all runs and saves their output; returns the number of runs. */
+  /** Cancels all runs and reward calls and saves the output of their items; returns the number of items. */
   async handOff (): Promise<number> {
-    const running = [...this._runs.values()].map(run => ({ batch: run.batch, state: run.state }))
+    const items = [...[...this._runs.values()].map(run => ({ batch: run.batch, state: run.state })), ...this._rewards.items()]
     this._stopRuns('handed over')
-    await this._saver.save(running)
-    return running.length
+    this._rewards.cancelAll()
+    await this._saver.save(items)
+    return items.length
   }
 
   /** Output of the items whose results are not durable. */
@@ -115,7 +120,7 @@
     let count = 0
     for (const { batchId, itemId, events, versions, isComplete } of progress) {
       const state = this._batches.find(batchId)?.find(itemId)
-      if (state === undefined || state.status === 'finished' || events.length <= state.progress.events.length) continue
+      if (state === undefined || state.status === 'finished' || state.status === 'scoring' || events.length <= state.progress.events.length) continue
       this._runs.get(state)?.cancel('further progress received')
       // These events come from other runs than the saved ones, so all of them have to be saved.
       state.resumeFrom({ events, versions, isComplete, lastEventId: events.length })
@@ -132,9 +137,10 @@
 
   private _tick (): void {
     this._supervisor.check(this._runs)
-    this._saver.saveIfDue(this._runs.values())
+    this._saver.saveIfDue(this._runs.values(), this._rewards.items())
+    this._rewards.startDue()
     this._scheduleDispatch()
-    this._statusReporter.logIfDue(this._runs.size, engineId => this.countRunsOn(engineId))
+    this._statusReporter.logIfDue(this._runs.size, this._rewards.size, engineId => this.countRunsOn(engineId))
   }
 
   private _scheduleDispatch (): void {
@@ -172,7 +178,7 @@
       if (nowMs < state.notBeforeMs) continue
       this._reuseProgress(batch, state, route)
       if (state.progress.isComplete) {
-        this._finishItem(batch, state, 'completed')
+        this._completeItem(batch, state, route)
         continue
       }
       const version = state.progress.versions.at(-1)
@@ -240,15 +246,14 @@
       engine.recordSuccess()
       this._estimator.recordCompletion(state.item.lengthHintTokens, state.progress.events.length)
       state.progress.isComplete = true
-      this._finishItem(batch, state, 'completed')
+      // Without a route, the text waits until the next dispatch that finds one.
+      const route = this._routes.find(batch.spec.host, batch.spec.path)
+      if (route !== undefined) this._completeItem(batch, state, route)
       return
     }
-    if (outcome.kind === 'impossible') return this._finishItem(batch, state, 'aborted')
-    state.failuresWithoutOutput = outcome.kind === 'broken' && run.eventCount === 0 && !run.isCancelled ? state.failuresWithoutOutput + 1 : 0
-    state.notBeforeMs = performance.now() + (outcome.kind === 'broken' ? retryBackoffMs(state.failuresWithoutOutput) : REFUSED_BACKOFF_MS)
+    if (outcome.kind === 'impossible') return this._results.abort(batch, state, 'impossible')
+    deferItem(run, outcome)
     if (outcome.kind === 'not_run' && outcome.reason === 'cancelled') return
-    if (state.deprioritisedUpstreams.size >= MAX_DEPRIORITISED) state.deprioritisedUpstreams.clear()
-    state.deprioritisedUpstreams.add(engine.member.id)
     if (outcome.kind === 'failed') this._onRunFailed(run)
     else if (!run.isCancelled && !(outcome.kind === 'not_run' && outcome.reason === 'full')) engine.recordFailure()
   }
@@ -256,37 +261,31 @@
   private _onRunFailed ({ batch, state }: ItemRun): void {
     state.failures += 1
     const route = this._routes.find(batch.spec.host, batch.spec.path)
-    if (route !== undefined && state.failures >= route.maxAttempts) this._finishItem(batch, state, 'aborted')
+    if (route !== undefined && state.failures >= route.maxAttempts) this._results.abort(batch, state, 'runs failed')
   }
 
-  private _finishItem (batch: Batch, state: ItemState, outcome: 'completed' | 'aborted'): void {
-    if (state.status === 'finished') return
-    state.status = 'finished'
-    const { events, versions } = state.progress
-    if (outcome === 'aborted') this._logger.warn({ batch: batch.spec.id, item: state.item.id, failures: state.failures }, 'item_aborted')
-    this._batches.addResult(batch, {
-      itemId: state.item.id,
-      state: outcome,
-      text: outcome === 'completed' ? events.join('\n') : '',
-      versions: outcome === 'completed' ? [...versions] : []
-    }).then(stored => {
-      if (stored.isErr()) this._logger.error({ batch: batch.spec.id, item: state.item.id, reason: stored.error.message }, 'result_not_stored')
-      this._metrics.count('batch_results', { state: outcome })
-    }).catch((fault: unknown) => this._logger.error({ item: state.item.id, reason: String(fault) }, 'result_fault'))
+  private _completeItem (batch: Batch, state: ItemState, route: Route): void {
+    const { rewardCall } = state.item
+    if (rewardCall === undefined) return this._results.complete(batch, state)
+    state.status = 'scoring'
+    const remainingMs = batch.spec.submittedAtMs + route.batchRetentionMs - Date.now()
+    this._rewards.add(batch, state, rewardCall, route.maxAttempts, performance.now() + remainingMs)
   }
 
   private _abandonBatch (batch: Batch): void {
+    this._rewards.cancel(batch)
     for (const state of batch.items) {
       this._runs.get(state)?.cancel('given up')
-      this._finishItem(batch, state, 'aborted')
+      this._results.abort(batch, state, 'retention of the route ended')
     }
   }
 
   private _onBatchEnded (batch: Batch): void {
+    this._rewards.cancel(batch)
     for (const state of batch.items) {
       const run = this._runs.get(state)
       if (run !== undefined) run.cancel('batch ended')
-      else if (state.status === 'waiting') this._progressCache.put(state.item.id, state.progress)
+      else if (state.status !== 'finished') this._progressCache.put(state.item.id, state.progress)
       this._enginesByGroup.delete(state.item.group)
     }
   }
--- a/src/common/batch/run/ProgressSaver.ts
+++ b/src/common/batch/run/ProgressSaver.ts
@@ -16,18 +16,21 @@
 
   constructor (private readonly _store: IBatchStore, private readonly _logger: ILogger) {}
 
-  /** Saves new events once per interval, unless the last save is still in flight or the store is failing. */
-  saveIfDue (runs: Iterable<ItemRun>): void {
+  /**
+   * Saves new events once per interval, unless the last save is still in flight or the store is failing. `complete` are
+   * items whose output is complete and has no result yet.
+   */
+  saveIfDue (runs: Iterable<ItemRun>, complete: ReadonlyArray<{ batch: Batch, state: ItemState }>): void {
     if (this._isSaving || performance.now() - this._savedAtMs < SAVE_INTERVAL_MS || this._store.failingForMs() > 0) return
     this._savedAtMs = performance.now()
     const savedRuns = [...runs].filter(run => !run.isCancelled && run.state.progress.events.length >= MIN_EVENTS)
-    this.save(savedRuns.map(run => ({ batch: run.batch, state: run.state })))
+    this.save([...savedRuns.map(run => ({ batch: run.batch, state: run.state })), ...complete])
       .catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'progress_save_fault'))
   }
 
   /** Saves the events that were added to these items since they were last saved. */
   async save (items: ReadonlyArray<{ batch: Batch, state: ItemState }>): Promise<void> {
-    const changed = items.filter(({ state }) => state.progress.lastEventId > state.savedEventId)
+    const changed = items.filter(({ state }) => state.hasUnsavedProgress)
     if (changed.length === 0) return
     this._isSaving = true
     const result = await this._store.saveProgress(changed)
--- /dev/null
+++ b/src/common/batch/test/BatchHarness.ts
@@ -0,0 +1,71 @@
+import { FleetTable } from '../../fleet/FleetTable.js'
+import { Disposable } from '../../kernel/Disposable.js'
+import { testServices } from '../../log/test/testServices.js'
+import type { VirtualTime } from '../../log/test/VirtualTime.test.js'
+import type { Route } from '../../routing/Route.js'
+import { RouteTable } from '../../routing/RouteTable.js'
+import { FakeLeadership } from '../../store/test/FakeLeadership.js'
+import { MemoryStore } from '../../store/test/MemoryStore.js'
+import { BatchService } from '../BatchService.js'
+import type { BatchResult } from '../record/BatchResult.js'
+import { BatchRunner } from '../run/BatchRunner.js'
+import { EngineTracker } from '../run/EngineTracker.js'
+import { FakeEngines } from './FakeEngines.js'
+import { FakeRewards } from './FakeRewards.js'
+
+const { logger, metrics } = testServices()
+const RETENTION_MS = 120_000
+const EVENT_INTERVAL_MS = 50
+const REWARD_MS = 40
+
+const ROUTE: Route = {
+  name: 'r',
+  host: 'host.example',
+  pathPrefix: '/batches/',
+  kind: 'batch',
+  services: [{ name: 'engines', weight: 1 }],
+  maxAttempts: 2,
+  timeoutMs: 1000,
+  targetLatencyMs: 100,
+  priority: 0,
+  isResumable: true,
+  batchDeadlineMs: 7500,
+  batchRetentionMs: 40_000,
+  isSingleVersion: false
+}
+
+/** Batch services of successive leaders on one store, with two engines and a reward service. */
+export class BatchHarness extends Disposable {
+  readonly store = new MemoryStore()
+  readonly engines = new FakeEngines(EVENT_INTERVAL_MS)
+  readonly rewards = new FakeRewards(REWARD_MS)
+  private readonly _fleet = this._register(new FleetTable(logger))
+  private readonly _routes = new RouteTable(logger)
+
+  constructor (private readonly _time: VirtualTime) {
+    super()
+    this._routes.apply({ version: 1, routes: [ROUTE], services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
+    for (const id of ['e1', 'e2']) {
+      this._fleet.apply({ id, startedAtMs: 1, service: 'engines', address: id, failureDomain: 'd', slots: 4, isDraining: false, versions: new Map([['model-a', 1]]) })
+    }
+    this._fleet.apply({ id: 's1', startedAtMs: 1, service: 'rewards', address: 's1', failureDomain: 'd', slots: 4, isDraining: false, versions: new Map() })
+  }
+
+  /** Starts a service that leads in an epoch. */
+  async lead (epoch: number): Promise<{ service: BatchService, leadership: FakeLeadership }> {
+    const leadership = new FakeLeadership()
+    const service = this._register(new BatchService(this.store, leadership, batches =>
+      new BatchRunner(batches, this._fleet, this._routes, this.engines, this.rewards, new EngineTracker(this._fleet, this._routes), logger, metrics), RETENTION_MS, logger))
+    leadership.gain(epoch)
+    await this._time.advance(50)
+    return { service, leadership }
+  }
+
+  /** Results of the batch `batch-1` from a position on; the kind of the outcome if it cannot be read. */
+  async resultsOf (service: BatchService, fromPosition = 0): Promise<BatchResult[] | string> {
+    const reading = service.read('batch-1', fromPosition, 0)
+    await this._time.advance(20)
+    const outcome = await reading
+    return outcome.kind === 'results' ? outcome.results : outcome.kind
+  }
+}
--- a/src/common/call/CallOutcome.ts
+++ b/src/common/call/CallOutcome.ts
@@ -5,7 +5,8 @@
  * `timeout` it may have run.
  */
 export type CallOutcome =
-  | { kind: 'answer', answer: UpstreamResponse, upstream: string, attempts: number }
+  /** `failedResponses` counts the responses with status 500 to all attempts. */
+  | { kind: 'answer', answer: UpstreamResponse, upstream: string, attempts: number, failedResponses: number }
   | { kind: 'not_run', reason: string, retryAfterMs: number }
   | { kind: 'unknown', reason: string }
   | { kind: 'timeout', reason: string }
--- a/src/common/call/CallRun.ts
+++ b/src/common/call/CallRun.ts
@@ -9,6 +9,8 @@
 /** Share of the route's target latency after which a hedge is sent. */
 const HEDGE_LATENCY_SHARE = 0.6
 const MIN_HEDGE_DELAY_MS = 40
+/** Status with which an upstream reports that it ran a request and failed. */
+const FAILED_STATUS = 500
 /** Attempts allowed in addition to the route's limit, for upstreams that refuse the request as full. */
 const EXTRA_ATTEMPTS = 2
 /** Retry-After for callers when all upstreams are full. */
@@ -27,6 +29,7 @@
   private readonly _attemptedIdSet = new Set<string>()
   private _mayHaveRunCount = 0
   private _fullCount = 0
+  private _failedCount = 0
   private _lastReason = 'no upstream available'
   private _errorResponse?: { answer: CallOutcome & { kind: 'answer' } }
 
@@ -135,7 +138,8 @@
       this._logFailedAttempt(upstream, outcome.reason)
       return undefined
     }
-    const answer = { kind: 'answer' as const, answer: outcome.answer, upstream, attempts: this._attemptedIdSet.size }
+    if (outcome.answer.status === FAILED_STATUS) this._failedCount += 1
+    const answer = { kind: 'answer' as const, answer: outcome.answer, upstream, attempts: this._attemptedIdSet.size, failedResponses: this._failedCount }
     if (outcome.answer.status < 500 || this._call.route.kind !== 'idempotent') return answer
     // An idempotent call may succeed at another upstream; this response is returned only if no other attempt succeeds.
     this._errorResponse = { answer }
