--- a/src/node/upstream/BufferedResponseSink.ts
+++ b/src/node/upstream/BufferedResponseSink.ts
@@ -2,8 +2,9 @@
 import type { UpstreamResponse } from '../../common/upstream/client/UpstreamResponse.js'
 import type { UpstreamError } from '../../common/upstream/client/UpstreamError.js'
 import type { IExchangeSink } from './IExchangeSink.js'
+import type { ResponseBudget } from './ResponseBudget.js'
 
-/** Buffers a complete response, with a limit on its body. */
+/** Buffers a complete response, with limits on its body and on all bodies of the client. */
 export class BufferedResponseSink implements IExchangeSink {
   private readonly _chunks: Uint8Array[] = []
   private _bodyBytes = 0
@@ -12,9 +13,16 @@
 
   constructor (
     private readonly _maxBodyBytes: number,
-    private readonly _settle: (result: Result<UpstreamResponse, UpstreamError>) => void
+    private readonly _budget: ResponseBudget,
+    private readonly _settle: (result: Result<UpstreamResponse, UpstreamError>) => void,
+    private readonly _fail: (error: UpstreamError) => void
   ) {}
 
+  /** Fails the response, which releases its bytes. */
+  fail (message: string): void {
+    this._fail({ kind: 'truncated', message, sent: true })
+  }
+
   onHead (status: number, headers: Record<string, string>): UpstreamError | undefined {
     this._status = status
     this._headers = headers
@@ -27,14 +35,18 @@
       return { kind: 'truncated', message: `response body exceeds ${this._maxBodyBytes} bytes`, sent: true }
     }
     this._chunks.push(chunk)
+    this._budget.add(this, chunk.length)
     return undefined
   }
 
   onEnd (): void {
+    this._budget.release(this)
     this._settle(ok({ status: this._status, headers: this._headers, body: new Uint8Array(Buffer.concat(this._chunks)) }))
   }
 
   onError (error: UpstreamError): void {
+    this._budget.release(this)
+    this._chunks.length = 0
     this._settle(err(error))
   }
 }
--- a/src/node/upstream/Exchange.ts
+++ b/src/node/upstream/Exchange.ts
@@ -8,6 +8,8 @@
 
 /** Longest delay that setTimeout supports; a longer one fires at once. */
 const MAX_TIMER_MS = 2_147_483_647
+/** Responses with a status below 200 that may come before the actual one. */
+const MAX_INFORMATIONAL = 8
 
 /**
  * One request and its response on one connection. Errors are classified by whether undici has started to write
@@ -16,6 +18,7 @@
 export class Exchange implements Dispatcher.DispatchHandler {
   private _controller?: Dispatcher.DispatchController
   private _isFinished = false
+  private _informationalCount = 0
   private readonly _timer: NodeJS.Timeout
   private readonly _onAbort = (): void => {
     this.fail({ kind: 'cancelled', message: 'request was cancelled', sent: this._isSent })
@@ -52,7 +55,11 @@
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, rawHeaders: Record<string, string | string[] | undefined>): void {
-    if (this._isFinished || status < 200) {
+    if (this._isFinished) {
+      return
+    }
+    if (status < 200) {
+      this._onInformational()
       return
     }
     const echo = rawHeaders[this._protocol.requestIdHeader]
@@ -96,6 +103,12 @@
     }
   }
 
+  private _onInformational (): void {
+    this._informationalCount += 1
+    if (this._informationalCount <= MAX_INFORMATIONAL) return
+    this.fail({ kind: 'reset', message: `more than ${MAX_INFORMATIONAL} informational responses`, sent: true })
+  }
+
   private get _isSent (): boolean {
     return this._controller !== undefined
   }
--- a/src/node/upstream/HttpUpstreamClient.ts
+++ b/src/node/upstream/HttpUpstreamClient.ts
@@ -17,21 +17,27 @@
 import { toRequestHeaders } from './toRequestHeaders.js'
 import type { UpstreamProtocol } from './UpstreamProtocol.js'
 import { BufferedResponseSink } from './BufferedResponseSink.js'
+import { ResponseBudget } from './ResponseBudget.js'
 
 /** Long enough for one retransmission of a lost SYN, which the kernel sends after 1 s. */
 const CONNECT_TIMEOUT_MS = 1_500
 
+/** Limit on the bodies that are buffered at the same time, as a multiple of the limit of one body. */
+const MAX_BUFFERED_BODIES = 3
+
 type Settle<T> = (result: Result<T, UpstreamError>) => void
 
 /** IUpstreamClient on undici, using its dispatch interface, which neither retries requests nor consumes bodies. */
 export class HttpUpstreamClient extends Disposable implements IUpstreamClient {
   private readonly _agent: Agent
+  private readonly _budget: ResponseBudget
 
   constructor (
     @entrySettingsId private readonly _settings: Pick<EntrySettings, 'maxBodyBytes' | 'maxHeaderBytes'>,
     private readonly _protocol: UpstreamProtocol = defaultUpstreamProtocol
   ) {
     super()
+    this._budget = new ResponseBudget(MAX_BUFFERED_BODIES * this._settings.maxBodyBytes)
     this._agent = new Agent({
       // One request at a time per connection, with an unlimited number of connections.
       pipelining: 1,
@@ -49,14 +55,14 @@
   }
 
   call (address: string, request: UpstreamRequest, signal: AbortSignal): ResultAsync<UpstreamResponse, UpstreamError> {
-    return this._start(address, request, signal, (settle: Settle<UpstreamResponse>) => {
-      return new BufferedResponseSink(this._settings.maxBodyBytes, settle)
+    return this._start(address, request, signal, (settle: Settle<UpstreamResponse>, fail) => {
+      return new BufferedResponseSink(this._settings.maxBodyBytes, this._budget, settle, fail)
     })
   }
 
   stream (address: string, request: UpstreamRequest, signal: AbortSignal): ResultAsync<UpstreamStream, UpstreamError> {
-    return this._start(address, request, signal, (settle: Settle<UpstreamStream>, close) => {
-      return new EventStreamSink(settle, close)
+    return this._start(address, request, signal, (settle: Settle<UpstreamStream>, fail) => {
+      return new EventStreamSink(settle, () => fail({ kind: 'cancelled', message: 'reader closed the stream', sent: true }))
     })
   }
 
@@ -74,7 +80,7 @@
     address: string,
     request: UpstreamRequest,
     signal: AbortSignal,
-    createSink: (settle: Settle<T>, close: () => void) => IExchangeSink
+    createSink: (settle: Settle<T>, fail: (error: UpstreamError) => void) => IExchangeSink
   ): ResultAsync<T, UpstreamError> {
     return new ResultAsync(new Promise<Result<T, UpstreamError>>((resolve) => {
       const error = this._checkBeforeSend(request, signal)
@@ -82,8 +88,7 @@
         resolve(err(error))
         return
       }
-      const close = (): void => exchange.fail({ kind: 'cancelled', message: 'reader closed the stream', sent: true })
-      const exchange: Exchange = new Exchange(request, signal, createSink(resolve, close), this._protocol)
+      const exchange: Exchange = new Exchange(request, signal, createSink(resolve, failure => exchange.fail(failure)), this._protocol)
       this._dispatch(address, request, exchange)
     }))
   }
