--- a/src/common/batch/run/ProgressSaver.ts
+++ b/src/common/batch/run/ProgressSaver.ts
@@ -33,8 +33,7 @@
     const changed = items.filter(({ state }) => state.hasUnsavedProgress)
     if (changed.length === 0) return
     this._isSaving = true
-    const result = await this._store.saveProgress(changed)
-    this._isSaving = false
+    const result = await this._store.saveProgress(changed).finally(() => { this._isSaving = false })
     if (result.isErr()) this._logger.warn({ items: changed.length, reason: result.error.message }, 'progress_not_saved')
   }
 }
--- a/src/common/fleet/FleetTable.test.ts
+++ b/src/common/fleet/FleetTable.test.ts
@@ -57,6 +57,14 @@
     expect(available()).toEqual(['u1'])
   })
 
+  it('removes an incarnation whose record expired although a late record of the previous one arrives', async () => {
+    fleet.apply(member({ startedAtMs: 200 }))
+    fleet.remove('u1', 1000)
+    fleet.apply(member({ startedAtMs: 100 }))
+    await time.advance(1100)
+    expect(available()).toEqual([])
+  })
+
   it('never returns to an older weight version within one incarnation', () => {
     fleet.find('u1')?.recordVersion('m', 4)
     fleet.apply(member({ versions: new Map([['m', 3]]) }))
--- a/src/common/fleet/FleetTable.ts
+++ b/src/common/fleet/FleetTable.ts
@@ -20,14 +20,15 @@
 
   /** Adds or updates an upstream, and cancels its pending removal. */
   apply (member: FleetMember): void {
-    this._cancelRemoval(member.id)
     const known = this._upstreams.get(member.id)
+    if (known !== undefined && member.startedAtMs < known.member.startedAtMs) {
+      this._log(member, 'upstream_entry_ignored_as_older')
+      return
+    }
+    this._cancelRemoval(member.id)
     if (known !== undefined && known.member.startedAtMs === member.startedAtMs && known.member.address === member.address) {
       if (known.member.isDraining !== member.isDraining) this._log(member, 'upstream_state_changed')
       known.update(member)
-    } else if (known !== undefined && member.startedAtMs < known.member.startedAtMs) {
-      this._log(member, 'upstream_entry_ignored_as_older')
-      return
     } else {
       if (known !== undefined) this._removeNow(known, 'restarted')
       this._upstreams.set(member.id, new FleetUpstream(member))
