Retry a reward call whose client throws, and read the change as a newcomer

Cause: an exception in a try left its call open for good and its slot taken; the order of rewards was a comparison of unnamed numbers; the test of the runner bore another name than the class. Change: a try frees its slot in any case and is retried after a back-off, with a test that fails before; named fields in the order of rewards; the test file follows its class.

--- a/src/common/batch/policy/rankRewards.ts
+++ b/src/common/batch/policy/rankRewards.ts
@@ -9,18 +9,18 @@
  * come first and then those with the fewest unfinished items; earlier batches are due first.
  */
 export function rankRewards<T extends WaitingReward> (waiting: readonly T[]): T[] {
-  const unfinishedByGroup = new Map<ItemState[], number>()
-  const keys = new Map(waiting.map(reward => [reward, rankOf(reward, unfinishedByGroup)] as const))
-  return [...waiting].sort((a, b) => {
-    const [keyA = [], keyB = []] = [keys.get(a), keys.get(b)]
-    const difference = keyA.findIndex((value, index) => value !== keyB[index])
-    return (keyA[difference] ?? 0) - (keyB[difference] ?? 0)
-  })
+  const ranked = waiting.map(reward => ({
+    reward,
+    submittedAtMs: reward.batch.spec.submittedAtMs,
+    isResubmitted: reward.batch.resubmittedGroups.has(reward.state.item.group),
+    unfinished: countUnfinished(reward)
+  }))
+  ranked.sort((a, b) => a.submittedAtMs - b.submittedAtMs || Number(b.isResubmitted) - Number(a.isResubmitted) || a.unfinished - b.unfinished)
+  return ranked.map(({ reward }) => reward)
 }
 
-function rankOf ({ batch, state }: WaitingReward, unfinishedByGroup: Map<ItemState[], number>): number[] {
+/** Number of unfinished items in the group of an item. */
+function countUnfinished ({ batch, state }: WaitingReward): number {
   const group = batch.itemsByGroup.get(state.item.group) ?? []
-  const unfinished = unfinishedByGroup.get(group) ?? group.filter(({ status }) => status !== 'finished').length
-  unfinishedByGroup.set(group, unfinished)
-  return [batch.spec.submittedAtMs, batch.resubmittedGroups.has(state.item.group) ? 0 : 1, unfinished]
+  return group.filter(({ status }) => status !== 'finished').length
 }
--- a/src/common/batch/reward/RewardOutcome.ts
+++ b/src/common/batch/reward/RewardOutcome.ts
@@ -1,4 +1,4 @@
-/** Outcome of one try of a reward call. */
+/** Outcome of one try of a reward call, which consists of attempts at several upstreams. */
 export type RewardOutcome =
   | { kind: 'scored', score: string }
   /** The reward service reported failures: the number of its responses with status 500. */
--- a/src/common/batch/reward/rewards.test.ts
+++ b/src/common/batch/reward/RewardRunner.test.ts
@@ -15,7 +15,7 @@
   return { ...createItem(id, group), rewardCall: { id: `reward-${id}`, host: 'host.example', path: '/rewards/x', bodyBase64: '' } }
 }
 
-describe('rewards of a batch', () => {
+describe('RewardRunner, in a batch service', () => {
   let time: VirtualTime
   let harness: BatchHarness
 
@@ -45,7 +45,7 @@
     return typeof results === 'string' ? [results] : results.map(({ itemId, state, score }) => `${itemId} ${state} ${score ?? 'none'}`)
   }
 
-  it('are called when the text is complete, and complete the result', async () => {
+  it('makes reward calls when the text is complete, and completes the result', async () => {
     harness.engines.eventCounts = { a: 20 }
     const service = await leadWith([createScoredItem('a'), createItem('plain', 'g')], 900)
     expect(harness.rewards.sent).toEqual([])
@@ -55,7 +55,7 @@
     expect((await harness.resultsOf(service, 1) as Array<{ text: string }>)[0]?.text).toEqual(harness.engines.textOf('a'))
   })
 
-  it('are retried after a lost response, and abort the item after as many failures as its route allows', async () => {
+  it('retries after a lost response, and aborts the item after as many failures as its route allows', async () => {
     harness.rewards.outcomes['reward-a'] = [NO_RESPONSE, { kind: 'not_run', reason: 'full', retryAfterMs: 300 }]
     harness.rewards.outcomes['reward-b'] = [{ kind: 'failed', failures: 3 }, { kind: 'failed', failures: 1 }]
     const service = await leadWith([createScoredItem('a'), createScoredItem('b')], 1500)
@@ -64,8 +64,14 @@
     expect(harness.engines.runs.length).toEqual(2)
   })
 
+  it('retries a call whose client throws, and frees its slot', async () => {
+    for (const id of ['a', 'b', 'c']) harness.rewards.throwing.add(`reward-${id}`)
+    const service = await leadWith(['a', 'b', 'c'].map(id => createScoredItem(id)), 1000)
+    expect((await scoresOf(service)).sort()).toEqual(['a', 'b', 'c'].map(id => `${id} completed score of reward-${id}, try 2`))
+  })
+
   // The reward service is away for long, or its route is removed for a while.
-  it('wait for a missing route without aborting the item, and end with the batch', async () => {
+  it('waits for a missing route without aborting the item, and ends with the batch', async () => {
     harness.rewards.hasRoute = false
     const service = await leadWith([createScoredItem('a')], 6000)
     expect(await scoresOf(service)).toEqual([])
@@ -82,7 +88,7 @@
     expect(harness.rewards.sent).toEqual(['reward-a'])
   })
 
-  it('are cancelled by the end of the batch, and the text is used when a later batch resubmits the item', async () => {
+  it('is cancelled by the end of the batch, and the text is used when a later batch resubmits the item', async () => {
     harness.rewards.outcomes['reward-a'] = [NO_RESPONSE, NO_RESPONSE, NO_RESPONSE]
     const service = await leadWith([createScoredItem('a'), createScoredItem('b')], 320)
     const ended = service.end('batch-1')
@@ -102,7 +108,7 @@
   })
 
   // The leader fails between the text and its reward. The text is not generated again, and an earlier score is not kept.
-  it('are called again by the next leader, which does not run the item again', async () => {
+  it('calls again at the next leader, which does not run the item again', async () => {
     harness.rewards.outcomes['reward-a'] = Array<RewardOutcome>(6).fill(NO_RESPONSE)
     const first = await leadWith([createScoredItem('a')], 900)
     first.dispose()
@@ -114,7 +120,7 @@
     expect(harness.engines.runs.length).toEqual(1)
   })
 
-  it('are called by the leader to which a text was handed off, and cancelled at the former one', async () => {
+  it('calls at the leader to which a text was handed off, and stops at the former one', async () => {
     harness.rewards.outcomes['reward-a'] = Array<RewardOutcome>(6).fill(NO_RESPONSE)
     const { service: first, leadership } = await harness.lead(1)
     const handoffs: HandoffProgress[] = []
@@ -132,7 +138,7 @@
     expect((await scoresOf(second.service))[0]).toEqual(`a completed score of reward-a, try ${tries + 1}`)
   })
 
-  it('are cancelled and their texts saved at a planned stop', async () => {
+  it('cancels its calls at a planned stop, and the texts are saved', async () => {
     harness.rewards.outcomes['reward-a'] = Array<RewardOutcome>(6).fill(NO_RESPONSE)
     const service = await leadWith([createScoredItem('a')], 160)
     const stopped = service.handOff()
@@ -149,7 +155,7 @@
   })
 
   // The runs of a step end together: their reward calls must not fill the slots that callers use.
-  it('use at most half of the slots of their service, and complete the groups one after the other', async () => {
+  it('uses at most half of the slots of the reward service, and completes the groups one after the other', async () => {
     const groups = ['g1', 'g2', 'g3', 'g4']
     const items = groups.flatMap(group => Array.from({ length: 2 }, (_, index) => createScoredItem(`${group}-${index}`, group)))
     const service = await leadWith(items, 2000)
--- a/src/common/batch/reward/RewardRunner.ts
+++ b/src/common/batch/reward/RewardRunner.ts
@@ -25,7 +25,7 @@
   readonly deadlineAtMs: number
   readonly controller: AbortController
   readonly startedAtMs: number
-  /** Limit on failed responses of the reward service, after which the item is aborted. */
+  /** Number of failed responses of the reward service after which the item is aborted. */
   maxFailures: number
   failures: number
   /** Number of tries that have failed. */
@@ -88,6 +88,7 @@
     for (const pending of this._pending.values()) if (pending.batch === batch) this._remove(pending)
   }
 
+  /** Ends all reward calls without telling the listener. */
   cancelAll (): void {
     for (const pending of this._pending.values()) this._remove(pending)
   }
@@ -103,7 +104,7 @@
         continue
       }
       if (!this._hasFreeSlot(target.service)) continue
-      this._try(pending, target).catch((fault: unknown) => this._logger.error({ item: pending.state.item.id, reason: String(fault) }, 'reward_fault'))
+      this._try(pending, target).catch((fault: unknown) => this._onTryFailed(pending, 'fault', String(fault)))
     }
   }
 
@@ -117,9 +118,10 @@
     const startedAtMs = performance.now()
     pending.isOpen = true
     this._openByService.set(service, (this._openByService.get(service) ?? 0) + 1)
-    const outcome = await this._client.send(pending.call, target, pending.deadlineAtMs, pending.controller.signal)
-    this._openByService.set(service, (this._openByService.get(service) ?? 1) - 1)
-    pending.isOpen = false
+    const outcome = await this._client.send(pending.call, target, pending.deadlineAtMs, pending.controller.signal).finally(() => {
+      this._openByService.set(service, (this._openByService.get(service) ?? 1) - 1)
+      pending.isOpen = false
+    })
     pending.maxFailures = Math.max(pending.maxFailures, route.maxAttempts)
     this._metrics.duration('reward_call', performance.now() - startedAtMs, { outcome: outcome.kind })
     if (this._pending.get(pending.state) === pending) this._onTryEnded(pending, outcome)
--- a/src/common/batch/test/FakeRewards.ts
+++ b/src/common/batch/test/FakeRewards.ts
@@ -10,6 +10,8 @@
   hasRoute = true
   /** Outcomes of the next tries by call id; then the call is scored. */
   readonly outcomes: Record<string, RewardOutcome[]> = {}
+  /** Ids of the calls whose next try throws. */
+  readonly throwing = new Set<string>()
   /** Call ids of all tries so far. */
   readonly sent: string[] = []
   /** Call ids of the tries that were cancelled. */
@@ -25,6 +27,7 @@
 
   async send (call: RewardCall, _target: RewardTarget, _deadlineAtMs: number, signal: AbortSignal): Promise<RewardOutcome> {
     this.sent.push(call.id)
+    if (this.throwing.delete(call.id)) throw new Error('fault')
     this.open += 1
     this.maxOpen = Math.max(this.maxOpen, this.open)
     const outcome = this.outcomes[call.id]?.shift() ?? { kind: 'scored', score: `score of ${call.id}, try ${this.sent.filter(id => id === call.id).length}` }
