--- a/src/common/call/CallRun.ts
+++ b/src/common/call/CallRun.ts
@@ -96,10 +96,8 @@
     const outcome = await this._transport.send(this._call, upstream, attempt.controller.signal)
     upstream.outstanding -= 1
     if (outcome.load !== undefined) upstream.recordLoad(outcome.load)
-    // The response time of a failure would make an upstream that fails fast the preferred one.
-    if (outcome.kind === 'answer') {
-      if (outcome.answer.status < 500) upstream.recordResponseTime(performance.now() - startedAtMs)
-    } else if (outcome.kind === 'broken' || (outcome.reason !== 'cancelled' && outcome.reason !== 'deadline' && outcome.reason !== 'full')) upstream.recordFailure()
+    if (outcome.kind === 'answer') upstream.recordResponseTime(performance.now() - startedAtMs)
+    else if (outcome.kind === 'broken' || (outcome.reason !== 'cancelled' && outcome.reason !== 'deadline' && outcome.reason !== 'full')) upstream.recordFailure()
     return { attempt, outcome }
   }
 
