--- a/tools/harness/ManagedProcess.ts
+++ b/tools/harness/ManagedProcess.ts
@@ -21,7 +21,7 @@
   })
 }
 
-/** A Node.js child process that prints `ready <ip:port>` once it listens. It ends when its parent exits or is killed. */
+/** A Node.js child process that prints a line with its address once it listens. It ends when its parent exits or is killed. */
 export class ManagedProcess implements IDisposable {
   /** Lines of stdout and stderr, including those of earlier runs. */
   readonly logs: string[] = []
@@ -36,6 +36,11 @@
     return []
   }
 
+  /** Matches the line that the process prints once it listens, with its address `ip:port` as the first group. */
+  protected get readyPattern (): RegExp {
+    return /^ready (\S+)/
+  }
+
   /** Variables added to the environment of the process. */
   protected get environment (): NodeJS.ProcessEnv {
     return {}
@@ -78,7 +83,7 @@
       })
       output.on('line', line => {
         this._appendLog(line)
-        const address = /^ready (\S+)/.exec(line)?.[1]
+        const address = this.readyPattern.exec(line)?.[1]
         if (address === undefined) return
         this.address = address
         clearTimeout(timer)
