Back off between claims of the leadership that the store rejects

Cause: while the store rejects writes and serves reads, each entry without a leader claimed every 50 ms: 19.5 claims a second (test with 40 entries), which is 3,800 a second from 195 entries, more than the 3,200 writes a second that the store allows at that size, so the claims alone keep it rejecting. Change: failed claims back off, from 50 ms to 1 s with jitter; any record of the topic resets it. Figures: the new test fails before (19.5 claims per entry and second, 2 allowed) and passes now; a leader is still gained within a second once the store accepts claims (test, 40 entries).

--- a/src/common/log/Backoff.ts
+++ b/src/common/log/Backoff.ts
@@ -5,10 +5,12 @@
 export class Backoff {
   private _delayMs = FIRST_DELAY_MS
 
+  constructor (private readonly _maxDelayMs = MAX_DELAY_MS) {}
+
   /** Returns the delay before the next attempt and doubles the base delay, up to the maximum. */
   nextDelayMs (): number {
     const delayMs = this._delayMs * (0.5 + Math.random() / 2)
-    this._delayMs = Math.min(this._delayMs * 2, MAX_DELAY_MS)
+    this._delayMs = Math.min(this._delayMs * 2, this._maxDelayMs)
     return delayMs
   }
 
--- a/src/common/store/Leadership.test.ts
+++ b/src/common/store/Leadership.test.ts
@@ -93,6 +93,35 @@
     expect(follower?.leaderAddress()).toEqual('y:1')
   })
 
+  describe('of entries whose claims the store rejects while it serves their reads', () => {
+    const ENTRIES = 40
+    /** Share of the store's writes that the claims of all entries may take: 3,200 a second, 370 entries, a quarter. */
+    const MAX_CLAIMS_PER_ENTRY_PER_S = 2
+
+    beforeEach(async () => {
+      for (let number = entries.length; number < ENTRIES; number++) {
+        const entry = new Leadership(store, `entry-${number}`, `10.0.0.${number}:1`, testServices().logger)
+        entry.start()
+        entries.push(entry)
+      }
+      for (const entry of leaders()) entry.dispose()
+      store.appendOutcome = () => 'refused'
+      await time.advance(4000)
+    })
+
+    it('claims less and less often', async () => {
+      const before = store.appends
+      await time.advance(5000)
+      expect((store.appends - before) / 5 / ENTRIES).toBeLessThanOrEqual(MAX_CLAIMS_PER_ENTRY_PER_S)
+    })
+
+    it('is gained within a second once the store accepts claims', async () => {
+      store.appendOutcome = () => 'ok'
+      await time.advance(1000)
+      expect(leaders().length).toEqual(1)
+    })
+  })
+
   it('ends when another entry reports a newer leader', () => {
     const [first] = leaders()
     const lost: string[] = []
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -1,6 +1,7 @@
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
 import { toDisposable } from '../kernel/toDisposable.js'
+import { Backoff } from '../log/Backoff.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { ILeadership } from './ILeadership.js'
 import type { IStoreClient } from './IStoreClient.js'
@@ -21,6 +22,8 @@
 const TICK_INTERVAL_MS = 50
 /** Maximum random delay before a claim. Spreads the claims, so that a returning leader and one other entry come first. */
 const MAX_CLAIM_JITTER_MS = 150
+/** Longest delay after a failed claim. Hundreds of entries claim at once while the store rejects writes but serves reads. */
+const MAX_CLAIM_BACKOFF_MS = 1000
 /** Entries with fewer cores than this delay their claims in proportion to the missing share. */
 const REFERENCE_CORES = 1.3
 const MAX_LOW_CPU_DELAY_MS = 500
@@ -57,6 +60,9 @@
   private _isReleased = false
   private readonly _lowCpuDelayMs: number
   private _claimJitterMs = Math.random() * MAX_CLAIM_JITTER_MS
+  private readonly _claimBackoff = new Backoff(MAX_CLAIM_BACKOFF_MS)
+  /** Earliest time of the next claim after a failed one. */
+  private _nextClaimAtMs = Number.NEGATIVE_INFINITY
   private _clockOffsetMs = Date.now() - performance.now()
 
   constructor (
@@ -132,6 +138,7 @@
   }
 
   private _mayClaim (nowMs: number): boolean {
+    if (nowMs < this._nextClaimAtMs) return false
     const isVacant = this._latest === undefined || this._latest.released === true
     // This process has replaced the holder's process at the same address, so the holder no longer runs.
     if (this._lowCpuDelayMs < IMMEDIATE_CLAIM_DELAY_LIMIT_MS && this._latest?.address === this._address && this._latest.holder !== this._holder) return nowMs - this._tail.lastReadAtMs < MAX_READ_AGE_MS
@@ -165,10 +172,16 @@
     } else {
       // Whether a refused or lost append has taken effect is decided by the records that the tail reads.
       this._claimJitterMs = Math.random() * MAX_CLAIM_JITTER_MS
-      if (this._heldEpoch === undefined) this._logger.info({ reason: result.error.kind, end_offset: expectedEndOffset }, 'leader_claim_failed')
+      if (this._heldEpoch === undefined) this._delayNextClaim(result.error.kind, expectedEndOffset)
     }
   }
 
+  private _delayNextClaim (reason: string, endOffset: number): void {
+    const delayMs = this._claimBackoff.nextDelayMs()
+    this._nextClaimAtMs = performance.now() + delayMs
+    this._logger.info({ reason, end_offset: endOffset, retry_in_ms: Math.round(delayMs) }, 'leader_claim_failed')
+  }
+
   private _onRecord (record: KeyedRecord): void {
     if (record.key !== KEY || record.value === undefined) {
       this._endOffset = Math.max(this._endOffset, record.offset + 1)
@@ -186,6 +199,7 @@
   private _apply (record: LeaderRecord, offset: number): void {
     if (offset < this._endOffset) return
     this._endOffset = offset + 1
+    this._claimBackoff.reset()
     const epoch = record.epoch ?? offset
     const isOwn = record.holder === this._holder
     if (this._latest?.holder !== record.holder || record.released === true) {
