--- a/src/common/store/Journal.ts
+++ b/src/common/store/Journal.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from 'neverthrow'
-import { Backoff } from '../log/Backoff.js'
+import { Backoff } from '../kernel/Backoff.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IStoreClient } from './IStoreClient.js'
 import type { StoreError } from './StoreError.js'
@@ -86,7 +86,7 @@
   }
 
   private async _send (records: readonly JournalRecord[]): Promise<Result<void, StoreError>> {
-    const backoff = new Backoff()
+    const backoff = new Backoff(MAX_BACKOFF_MS)
     let sequence = this._sequence
     let mayHaveTakenEffect = false
     for (;;) {
@@ -123,7 +123,7 @@
       mayHaveTakenEffect ||= error.mayTakeEffect
       this._failingSinceMs ??= performance.now()
       this._logger.warn({ topic: this._topic, epoch: this._epoch, sequence, reason: error.message }, 'journal_append_retried')
-      await new Promise(resolve => setTimeout(resolve, Math.min(MAX_BACKOFF_MS, backoff.nextDelayMs())))
+      await new Promise(resolve => setTimeout(resolve, backoff.nextDelayMs()))
     }
   }
 }
--- a/src/common/store/KeyedTail.ts
+++ b/src/common/store/KeyedTail.ts
@@ -1,4 +1,4 @@
-import { Backoff } from '../log/Backoff.js'
+import { Backoff } from '../kernel/Backoff.js'
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
 import type { ILogger } from '../metrics/ILogger.js'
@@ -8,7 +8,6 @@
 
 /** Kept short, since a connection that no longer responds hides new records for this long. */
 const READ_WAIT_MS = 1000
-const MIN_BACKOFF_MS = 20
 const MAX_BACKOFF_MS = 400
 
 /** Follows a keyed topic: reads the newest record of each key first, then every new record in order. */
@@ -59,12 +58,12 @@
   }
 
   private async _run (): Promise<void> {
-    const backoff = new Backoff()
+    const backoff = new Backoff(MAX_BACKOFF_MS)
     while (!this._isStopped) {
       const isOk = this._nextOffset === undefined ? await this._readSnapshot() : await this._readNext(this._nextOffset)
       if (this._isStopped) return
       if (isOk) backoff.reset()
-      const delayMs = isOk ? this._readDelayMs : Math.min(MAX_BACKOFF_MS, Math.max(MIN_BACKOFF_MS, backoff.nextDelayMs()))
+      const delayMs = isOk ? this._readDelayMs : backoff.nextDelayMs()
       if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, delayMs))
     }
   }
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -1,7 +1,7 @@
+import { Backoff } from '../kernel/Backoff.js'
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
 import { toDisposable } from '../kernel/toDisposable.js'
-import { Backoff } from '../log/Backoff.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { ILeadership } from './ILeadership.js'
 import type { IStoreClient } from './IStoreClient.js'
