--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,8 @@
 import { mkdir, writeFile } from 'node:fs/promises'
 import { fileURLToPath } from 'node:url'
 import { cac } from 'cac'
+import { writeReport } from '../tools/report/writeReport.js'
+import { createPlots } from './createPlots.js'
 import { printReport } from './printReport.js'
 import { runScenario } from './runScenario.js'
 import { scenarios } from './scenarios.js'
@@ -32,10 +34,12 @@
     const variants = options['variants'] === undefined ? scenario.variants : String(options['variants']).split(',')
     const report = await runScenario(name, { ...scenario, variants }, seed, {
       rounds: options['rounds'] === undefined ? undefined : Number(options['rounds']),
-      roundMs: options['seconds'] === undefined ? undefined : Number(options['seconds']) * 1000
+      roundMs: options['seconds'] === undefined ? undefined : Number(options['seconds']) * 1000,
+      onRound: (round, rounds, variant) => console.log(`bench: scenario=${name} round=${round}/${rounds} variant=${variant}`)
     })
     await mkdir(RESULTS_FOLDER, { recursive: true })
     await writeFile(`${RESULTS_FOLDER}${name}-${seed}.json`, JSON.stringify(report, undefined, 2))
+    await writeReport(`${RESULTS_FOLDER}${name}-${seed}.html`, createPlots(report))
     printReport(report, scenario.summaryNames)
   }
 }
--- a/chaos/main.ts
+++ b/chaos/main.ts
@@ -1,4 +1,7 @@
 import { cac } from 'cac'
+import { writeReport } from '../tools/report/writeReport.js'
+import type { ChaosResult } from './ChaosResult.js'
+import { createSoakPlots } from './createSoakPlots.js'
 import { maxProcesses } from './driver/maxProcesses.js'
 import { MIN_PROCESSES } from './driver/MIN_PROCESSES.js'
 import { formatResult } from './formatResult.js'
@@ -17,6 +20,7 @@
 cli.option('--processes <count>', 'Number of processes of the whole system, including stand-ins', { default: MIN_PROCESSES })
 cli.option('--poison <count>', 'Number of poison requests, which crash each engine that runs them', { default: 1 })
 cli.option('--regressions', 'Run the seeds that failed in earlier runs')
+cli.option('--report <file>', 'HTML file of the report', { default: 'reports/soak.html' })
 cli.help()
 const { options } = cli.parse()
 if (options['help'] !== true) process.exit(await main())
@@ -31,13 +35,20 @@
   const plans: SoakOptions[] = options['regressions'] === true
     ? regressionSeeds.map(item => ({ ...item, processes }))
     : Array.from({ length: runs }, (_, index) => ({ seed: seed + index, seconds, poisonCount, processes }))
-  let failed = 0
-  for (const plan of plans) if (!await runOne(plan)) failed++
+  const results: Array<{ seed: number, result: ChaosResult }> = []
+  for (const [index, plan] of plans.entries()) {
+    console.log(`soak: run=${index + 1}/${plans.length} seed=${plan.seed} seconds=${plan.seconds}`)
+    results.push({ seed: plan.seed, result: await runOne(plan) })
+  }
+  const failed = results.filter(({ result }) => result.violations.length > 0).length
+  const file = String(options['report'])
+  await writeReport(file, createSoakPlots(results))
+  console.log(`report: ${file}`)
   if (plans.length > 1) console.log(`soak: runs=${plans.length} failed=${failed}`)
   return failed === 0 ? 0 : 1
 }
 
-async function runOne (plan: SoakOptions): Promise<boolean> {
+async function runOne (plan: SoakOptions): Promise<ChaosResult> {
   const watchdog = setTimeout(() => {
     console.log('violation rule="ends" subject="run" the run did not end in time')
     console.log(`chaos: seed=${plan.seed} requests=0 faults=0 violations=1`)
@@ -47,5 +58,5 @@
   const result = await runChaos(plan, violation => console.log(`after ${Date.now() - startedAtMs} ms: ${formatViolation(violation)[0]}`))
   clearTimeout(watchdog)
   console.log(formatResult(plan.seed, result))
-  return result.violations.length === 0
+  return result
 }
