--- a/src/common/admission/Admission.test.ts
+++ b/src/common/admission/Admission.test.ts
@@ -68,7 +68,9 @@
       isAwaitingCrashRecords: (fingerprint) => suspects.awaitingRecords.has(fingerprint),
       isSuspect: (fingerprint) => suspects.suspected.has(fingerprint),
       recordCompletion: (fingerprint) => suspects.suspected.delete(fingerprint),
-      recordCrash: (_upstream, _boot, fingerprints) => suspects.crashes.push(fingerprints)
+      recordCrash: (_upstream, _boot, fingerprints) => suspects.crashes.push(fingerprints),
+      isRunningAtPeer: () => false,
+      startRun: () => () => undefined
     }
     table = new UpstreamTable(silent, silent)
     admission = new Admission(() => random(), table, table, contracts as unknown as IContractStore, suspectTable, hasher, settings, silent)
--- a/src/common/admission/Admission.ts
+++ b/src/common/admission/Admission.ts
@@ -221,7 +221,7 @@
   private _openSlot (waiter: Waiter, upstream: Upstream, nowMs: number): ISlot {
     const { request } = waiter
     const { organisation, service, size, units, fingerprint } = request
-    const endSuspectRun = this._guard.isSuspect(fingerprint) ? this._guard.startRun(service) : undefined
+    const endSuspectRun = this._guard.isSuspect(fingerprint) ? this._guard.startRun(service, fingerprint) : undefined
     const inFlight = this._usage.beginRequest(upstream.id, { size, units, fingerprint })
     this._counts.addInFlight(organisation, 1)
     const queuedMs = nowMs - waiter.enqueuedAtMs
@@ -229,7 +229,7 @@
     return new Slot(upstream, queuedMs, (result) => {
       const outstanding = upstream.outstanding
       this._counts.addInFlight(organisation, -1)
-      endSuspectRun?.()
+      endSuspectRun?.(result)
       this._recordResult(upstream, request, result)
       this._usage.endRequest(upstream.id, inFlight, result)
       if (result.kind === 'completed') {
--- a/src/common/admission/SuspectGuard.test.ts
+++ b/src/common/admission/SuspectGuard.test.ts
@@ -4,7 +4,7 @@
 import type { Upstream } from '../upstream/Upstream.js'
 import { SuspectGuard } from './SuspectGuard.js'
 
-const noSuspects = { isSuspect: () => false, isAwaitingCrashRecords: () => false } as unknown as ISuspectTable
+const noSuspects = { isSuspect: () => false, isAwaitingCrashRecords: () => false, isRunningAtPeer: () => false } as unknown as ISuspectTable
 
 describe('SuspectGuard', () => {
   let guard: SuspectGuard
@@ -40,4 +40,20 @@
     mock.timers.tick(250)
     expect([mustWait(), guard.isSuspect('f')]).toEqual([false, true])
   })
+  it('holds back a suspect that a peer may be running, and no other request', () => {
+    const table = { isSuspect: (fingerprint: string) => fingerprint === 'suspect', isAwaitingCrashRecords: () => false, isRunningAtPeer: () => true } as unknown as ISuspectTable
+    guard = new SuspectGuard(table)
+    expect([guard.mustWait('s', 'suspect'), guard.mustWait('s', 'other')]).toEqual([true, false])
+  })
+
+  it('reports whether an upstream may still be running a suspect', () => {
+    const ended: boolean[] = []
+    const table = { startRun: () => (isResolved: boolean) => ended.push(isResolved) } as unknown as ISuspectTable
+    guard = new SuspectGuard(table)
+    guard.startRun('s', 'f')({ kind: 'completed', durationMs: 1, units: 1 })
+    guard.startRun('s', 'f')({ kind: 'timeout' })
+    guard.startRun('s', 'f')({ kind: 'failed', sent: true })
+    guard.startRun('s', 'f')({ kind: 'failed', sent: false })
+    expect(ended).toEqual([true, false, false, true])
+  })
 })
--- a/src/common/admission/SuspectGuard.ts
+++ b/src/common/admission/SuspectGuard.ts
@@ -1,5 +1,6 @@
 import type { ISuspectTable } from '../crash/ISuspectTable.js'
 import type { Upstream } from '../upstream/Upstream.js'
+import type { SlotResult } from './SlotResult.js'
 
 /** How long a request whose connection was reset counts as a suspect; polls show meanwhile whether its upstream crashed. */
 const RESET_SUSPECT_MS = 2_000
@@ -29,18 +30,26 @@
     return performance.now() - resetAtMs < RESET_SUSPECT_MS || this._suspects.isSuspect(fingerprint)
   }
 
-  /** True when the request must wait: another suspect is running, or not all is known yet about the crash or reset of its own last run. */
+  /**
+   * True when the request must wait: another suspect is running, a peer may be running the request, or not all is known
+   * yet about the crash or reset of its own last run.
+   */
   mustWait (service: string, fingerprint: string): boolean {
     if (this._suspects.isAwaitingCrashRecords(fingerprint) || this._isResetUnresolved(fingerprint)) {
       return true
     }
-    return this.isSuspect(fingerprint) && (this._runningSuspects.get(service) ?? 0) > 0
+    const isBlocked = (this._runningSuspects.get(service) ?? 0) > 0 || this._suspects.isRunningAtPeer(fingerprint)
+    return isBlocked && this.isSuspect(fingerprint)
   }
 
-  /** Counts a suspect as running until the returned function is called. */
-  startRun (service: string): () => void {
+  /** Counts a suspect as running until the returned function is called with the result of its run. */
+  startRun (service: string, fingerprint: string): (result: SlotResult) => void {
     this._runningSuspects.set(service, (this._runningSuspects.get(service) ?? 0) + 1)
-    return () => this._runningSuspects.set(service, (this._runningSuspects.get(service) ?? 1) - 1)
+    const end = this._suspects.startRun(fingerprint)
+    return (result) => {
+      this._runningSuspects.set(service, (this._runningSuspects.get(service) ?? 1) - 1)
+      end(!mayStillRun(result))
+    }
   }
 
   onReset (fingerprint: string, upstream: Upstream): void {
@@ -65,3 +74,8 @@
     return (reset.upstream.loadReadAtMs ?? -Infinity) <= reset.atMs
   }
 }
+
+/** Whether the upstream may still be running the request, or has just crashed with it. */
+function mayStillRun (result: SlotResult): boolean {
+  return result.kind === 'timeout' || result.kind === 'abandoned' || (result.kind === 'failed' && result.sent)
+}
--- a/src/common/crash/ISuspectTable.ts
+++ b/src/common/crash/ISuspectTable.ts
@@ -13,4 +13,8 @@
    * entries should have arrived; the request must wait until then. The time is longer when the crash would block it.
    */
   isAwaitingCrashRecords (fingerprint: string): boolean
+  /** Whether a peer may be running the suspect at one of its upstreams. */
+  isRunningAtPeer (fingerprint: string): boolean
+  /** Tells the peers that a suspect runs, until the returned function is called; see `SuspectRuns.start`. */
+  startRun (fingerprint: string): (isResolved: boolean) => void
 }
--- a/src/common/crash/SuspectTable.ts
+++ b/src/common/crash/SuspectTable.ts
@@ -9,6 +9,7 @@
 import type { CrashEvent } from './CrashEvent.js'
 import type { ISuspectGossip } from './ISuspectGossip.js'
 import type { ISuspectTable } from './ISuspectTable.js'
+import { SuspectRuns } from './SuspectRuns.js'
 
 /** How long crashes are kept. */
 const CRASH_RETENTION_MS = 600_000
@@ -47,6 +48,8 @@
   /** `Date.now()` at which a peer last named each request as a suspect. */
   private readonly _peerSuspectsAtMs = new Map<string, number>()
   private _suspects = new Map<string, Suspect>()
+  private readonly _runs = new SuspectRuns()
+  readonly onRunsChanged = this._runs.onChanged
 
   constructor (
     @logHubId private readonly _hub: ILogHub,
@@ -120,6 +123,22 @@
     evictBefore(this._peerSuspectsAtMs, nowMs - PEER_SUSPECT_RETENTION_MS)
   }
 
+  isRunningAtPeer (fingerprint: string): boolean {
+    return this._runs.isRunningAtPeer(fingerprint)
+  }
+
+  startRun (fingerprint: string): (isResolved: boolean) => void {
+    return this._runs.start(fingerprint)
+  }
+
+  runningSuspects (): string[] {
+    return this._runs.running()
+  }
+
+  setPeerRuns (peer: string, keys: readonly string[]): void {
+    this._runs.setPeerRuns(peer, keys)
+  }
+
   private _findSuspect (fingerprint: string): Suspect | undefined {
     const suspect = this._suspects.get(fingerprint)
     return suspect !== undefined && Date.now() - suspect.lastCrashAtMs < CRASH_RETENTION_MS ? suspect : undefined
--- a/src/common/peer/Gossip.test.ts
+++ b/src/common/peer/Gossip.test.ts
@@ -2,6 +2,7 @@
 import { fromBinary } from '@bufbuild/protobuf'
 import { expect } from 'earl'
 import { GossipSchema, type Gossip as GossipMessage } from '../../gen/peer_pb.js'
+import { SuspectRuns } from '../crash/SuspectRuns.js'
 import { Emitter } from '../kernel/Emitter.js'
 import { Gossip } from './Gossip.js'
 import { PeerTable } from './PeerTable.js'
@@ -16,6 +17,7 @@
   readonly peerOutstanding = new Map<string, number>()
   readonly leaving: string[] = []
   readonly receivedSuspects: string[] = []
+  readonly runs = new SuspectRuns()
   readonly table: PeerTable
   readonly gossip: Gossip
 
@@ -32,7 +34,13 @@
         updatePeerOutstanding: (upstream: string, sum: number) => this.peerOutstanding.set(upstream, sum),
         markLeaving: (upstream: string) => this.leaving.push(upstream)
       } as any,
-      { suspects: () => suspects, addPeerSuspects: (names: string[]) => this.receivedSuspects.push(...names) } as any)
+      {
+        suspects: () => suspects,
+        addPeerSuspects: (names: string[]) => this.receivedSuspects.push(...names),
+        runningSuspects: () => this.runs.running(),
+        setPeerRuns: (peer: string, names: string[]) => this.runs.setPeerRuns(peer, names),
+        onRunsChanged: this.runs.onChanged
+      })
     this.gossip.start()
   }
 
@@ -81,4 +89,15 @@
     receiver.events.fire({ message: { ...fromBinary(GossipSchema, new Uint8Array()), sender: 'entry-2', incarnation: 'zzz', contractHeads: [{ organisation: 'lin-shun', revision: 1n }] as any }, address: 'x' })
     expect(receiver.fetched.length).toEqual(1)
   })
+  it('tells peers at once when a suspect starts to run, and when it has ended', () => {
+    const sender = new FakeEntry('entry-2', 1)
+    const receiver = new FakeEntry('entry-1', 1)
+    sender.table.updateMembers([{ id: 'entry-1', role: 'entry', address: '', peer_address: '127.0.0.1:1', failure_domain: 'x', state: 'live', incarnation: '' }])
+    const end = sender.runs.start('eee')
+    sender.deliverTo(receiver)
+    expect(receiver.runs.isRunningAtPeer('eee')).toEqual(true)
+    end(true)
+    sender.deliverTo(receiver)
+    expect(receiver.runs.isRunningAtPeer('eee')).toEqual(false)
+  })
 })
--- a/src/common/peer/Gossip.ts
+++ b/src/common/peer/Gossip.ts
@@ -43,6 +43,7 @@
 
   start (): void {
     this._register(this._socket.onGossip(({ message, address }) => this._applyMessage(message, address)))
+    this._register(this._suspects.onRunsChanged(() => this.announce()))
     const timer = setInterval(() => this._onInterval(), this._settings.gossipIntervalMs)
     this._register(toDisposable(() => clearInterval(timer)))
   }
@@ -77,7 +78,8 @@
       upstreams: this._upstreams.all().map(upstream => ({
         id: upstream.id, incarnation: upstream.incarnation, outstanding: upstream.outstanding, isLeaving: upstream.isLeaving
       })),
-      suspects: this._suspects.suspects()
+      suspects: this._suspects.suspects(),
+      runningSuspects: this._suspects.runningSuspects()
     }
   }
 
@@ -94,6 +96,7 @@
       if (hint.leaving) this._upstreams.markLeaving(hint.id, hint.incarnation)
     }
     this._suspects.addPeerSuspects(message.suspects)
+    this._suspects.setPeerRuns(message.sender, message.runningSuspects)
     const hasNewerContract = message.contractHeads.some(head => Number(head.revision) > (this._contracts.current(head.organisation)?.revision ?? 0))
     if (hasNewerContract) this._sync.fetchFrom(message.sender)
   }
--- a/src/common/peer/GossipEncoder.test.ts
+++ b/src/common/peer/GossipEncoder.test.ts
@@ -17,7 +17,8 @@
       heartbeats: range(30, index => ({ id: `entry-${index}`, incarnation: 'mabcdefghijk', sequence: 1e6, isDraining: false })),
       contractHeads: range(20, index => ({ organisation: `organisation-${index}`, revision: 300 })),
       upstreams: range(40, index => ({ id: `engine-${index}`, incarnation: 'x'.repeat(12), outstanding: 7, isLeaving: index === 39 })),
-      suspects: range(12, index => `${index}`.padStart(32, 'f'))
+      suspects: range(12, index => `${index}`.padStart(32, 'f')),
+      runningSuspects: range(6, index => `${index}`.padStart(16, 'e'))
     }
     const encoder = new GossipEncoder()
     const seen = new Set<string>()
--- a/src/common/peer/GossipEncoder.ts
+++ b/src/common/peer/GossipEncoder.ts
@@ -11,6 +11,9 @@
 // Part of the payload that each list other than the upstreams may fill; the upstreams get the remainder.
 const MAX_LIST_FRACTION = 1 / 4
 
+/** An entry runs one suspect of each service, so more are rare. */
+const MAX_RUNNING_SUSPECTS = 3
+
 /** Encodes gossip messages within the size limit of a datagram; lists that do not fit continue in the next message. */
 export class GossipEncoder {
   private _sequence = 0n
@@ -27,7 +30,8 @@
       incarnation: content.incarnation,
       sequence: this._sequence,
       failureDomain: content.failureDomain,
-      draining: content.isDraining
+      draining: content.isDraining,
+      runningSuspects: content.runningSuspects.slice(0, MAX_RUNNING_SUSPECTS)
     })
     const freeBytes = MAX_PAYLOAD_BYTES - toBinary(GossipSchema, message).length
     const lists = this._fillLists(message, content, Math.floor(freeBytes * MAX_LIST_FRACTION))
--- a/src/node/entry/testing/registerFakes.ts
+++ b/src/node/entry/testing/registerFakes.ts
@@ -9,6 +9,7 @@
 import { suspectTableId } from '../../../common/crash/suspectTableId.js'
 import { forwarderId } from '../../../common/forward/forwarderId.js'
 import { generatorId } from '../../../common/generation/generatorId.js'
+import { Emitter } from '../../../common/kernel/Emitter.js'
 import type { IServiceRegistry } from '../../../common/kernel/IServiceRegistry.js'
 import { logHubId } from '../../../common/log/logHubId.js'
 import { trainingServiceId } from '../../../common/training/trainingServiceId.js'
@@ -36,7 +37,7 @@
       return { status: 200, headers: {}, body: Buffer.from('done') }
     })
   })
-  register(suspectGossipId, { suspects: () => [], addPeerSuspects () {} })
+  register(suspectGossipId, { suspects: () => [], addPeerSuspects () {}, runningSuspects: () => [], setPeerRuns () {}, onRunsChanged: new Emitter<void>().event })
   for (const id of [suspectTableId, admissionId, generatorId, trainingServiceId, contractPublisherId, contractDiffId]) register(id, {})
   return { startOrder: [], inFlight: options.otherInFlight }
 }
--- a/src/node/peer/gossipAndContractSync.test.ts
+++ b/src/node/peer/gossipAndContractSync.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
+import { Emitter } from '../../common/kernel/Emitter.js'
 import { ContractSync } from '../../common/peer/ContractSync.js'
 import { Gossip } from '../../common/peer/Gossip.js'
 import { PeerTable } from '../../common/peer/PeerTable.js'
@@ -37,7 +38,7 @@
     this.table = new PeerTable(this.settings, logger)
     this.server = new PeerServer(this.settings, this.contracts, logger)
     this.sync = new ContractSync(this.table, new PeerClient(this.settings), this.contracts, { status: () => ({ isCaughtUp: false }) } as any, logger)
-    this.gossip = new Gossip(this.settings, this.table, this.socket, this.contracts, this.sync, { all: () => [], updatePeerOutstanding () {} } as any, { suspects: () => [], addPeerSuspects () {} })
+    this.gossip = new Gossip(this.settings, this.table, this.socket, this.contracts, this.sync, { all: () => [], updatePeerOutstanding () {} } as any, { suspects: () => [], addPeerSuspects () {}, runningSuspects: () => [], setPeerRuns () {}, onRunsChanged: new Emitter<void>().event })
   }
 
   async start (): Promise<void> {
