Say in the protocol how running suspects are named, and how many

Cause: read as a newcomer: the comment in the protocol said that the list is complete; three are sent. Conclusion: no behaviour changes.

--- a/src/common/peer/GossipContent.ts
+++ b/src/common/peer/GossipContent.ts
@@ -10,6 +10,6 @@
   contractHeads: Array<{ organisation: string, revision: number }>
   upstreams: Array<{ id: string, incarnation: string, outstanding: number, isLeaving: boolean }>
   suspects: string[]
-  /** Suspects that may be running; sent in full, as far as they fit. */
+  /** Keys of suspects that may be running; at most three are sent. */
   runningSuspects: string[]
 }
