--- a/src/common/call/Call.ts
+++ b/src/common/call/Call.ts
@@ -3,6 +3,8 @@
 /** One request of a caller, with its complete body. */
 export interface Call {
   requestId: string
+  /** What the request asks for, see `fingerprintCall`; undefined for requests of this system, whose content is known to be sound. */
+  fingerprint?: string
   route: Route
   service: string
   method: string
--- a/src/common/call/CallRun.ts
+++ b/src/common/call/CallRun.ts
@@ -167,7 +167,7 @@
   }
 
   private _logFailedAttempt (upstream: string, reason: string): void {
-    this._logger.info({ request: this._call.requestId, upstream, reason, remaining_ms: Math.round(this._remainingMs()) }, 'call_attempt_failed')
+    this._logger.info({ request: this._call.requestId, fingerprint: this._call.fingerprint, upstream, reason, remaining_ms: Math.round(this._remainingMs()) }, 'call_attempt_failed')
   }
 
   private _onExhausted (): CallOutcome {
--- a/src/common/call/CallService.ts
+++ b/src/common/call/CallService.ts
@@ -24,7 +24,7 @@
     const durationMs = performance.now() - startedAtMs
     this._metrics.count('calls', { route: call.route.name, outcome: outcome.kind })
     this._metrics.duration('call', durationMs, { route: call.route.name })
-    const fields = { request: call.requestId, route: call.route.name, duration_ms: Math.round(durationMs), tried: run.attemptedUpstreamIds.join(','), outcome: outcome.kind }
+    const fields = { request: call.requestId, fingerprint: call.fingerprint, route: call.route.name, duration_ms: Math.round(durationMs), tried: run.attemptedUpstreamIds.join(','), outcome: outcome.kind }
     if (outcome.kind === 'answer') this._logger.info({ ...fields, status: outcome.answer.status, upstream: outcome.upstream }, 'call_done')
     else this._logger.warn({ ...fields, reason: 'reason' in outcome ? outcome.reason : undefined }, 'call_failed')
     return outcome
