Remember at all entries under which requests upstreams crash, and refuse such a request after three crashes

Cause: attempts were bounded for one sending of a request only. By the new field fingerprint: 15 sendings of one content in 12 s, none over its own limit. Change: src/common/suspect. A run that breaks counts as a crash at once, and no longer when its upstream responds or writes heartbeats later; a run that was abandoned counts when its upstream has ended. Crashes are records of a keyed topic that each entry follows, one key for a request and an incarnation, written 200 ms later unless the request has completed elsewhere. Three crashes: refused as not run, with up to three trials (5 s, 20 s, 10 min), each claimed by a conditional append; a completed run clears the request. Reward calls and items are exempt.

--- a/src/common/batch/reward/RewardClient.test.ts
+++ b/src/common/batch/reward/RewardClient.test.ts
@@ -8,6 +8,7 @@
 import { VirtualTime } from '../../log/test/VirtualTime.test.js'
 import type { Route } from '../../routing/Route.js'
 import { RouteTable } from '../../routing/RouteTable.js'
+import type { ICallSuspects } from '../../suspect/ICallSuspects.js'
 import { RewardClient } from './RewardClient.js'
 import type { RewardOutcome } from './RewardOutcome.js'
 
@@ -16,6 +17,13 @@
 const TIMEOUT_MS = 1000
 const call = { id: 'reward-1', host: 'host.example', path: '/rewards/x?y=1', bodyBase64: Buffer.from('question').toString('base64') }
 
+/** Reward calls are exempt from suspicion: they are owed, and their content is sound. */
+const refuseAll: ICallSuspects = {
+  admit: async () => ({ kind: 'refused', retryAfterMs: 1 }),
+  mayStartAttempt: () => false,
+  recordRun: () => {}
+}
+
 const respond = (status: number, headers: Record<string, string> = {}): CallAttemptOutcome => ({ kind: 'answer', answer: { status, headers, body: new Uint8Array() } })
 
 describe('RewardClient', () => {
@@ -58,7 +66,7 @@
         return outcomes.shift() ?? await new Promise<CallAttemptOutcome>(() => {})
       }
     }
-    client = new RewardClient(routes, new CallService(fleet, transport, logger, metrics), SCORE_HEADER)
+    client = new RewardClient(routes, new CallService(fleet, transport, refuseAll, logger, metrics), SCORE_HEADER)
   })
   afterEach(() => time.restore())
 
@@ -81,7 +89,7 @@
   it('counts failed responses, and repeats the call on a route whose requests run at most once', async () => {
     outcomes = [respond(500), respond(500), respond(500)]
     expect(await send()).toEqual({ kind: 'failed', failures: 3 })
-    outcomes = [respond(500), { kind: 'broken', reason: 'reset' }, respond(200, { [SCORE_HEADER]: 'good' })]
+    outcomes = [respond(500), { kind: 'broken', reason: 'reset', isAbandoned: false }, respond(200, { [SCORE_HEADER]: 'good' })]
     expect(await send()).toEqual({ kind: 'scored', score: 'good' })
   })
 
--- a/src/common/call/CallRun.test.ts
+++ b/src/common/call/CallRun.test.ts
@@ -4,16 +4,18 @@
 import { testServices } from '../log/test/testServices.js'
 import { VirtualTime } from '../log/test/VirtualTime.test.js'
 import type { Route } from '../routing/Route.js'
+import type { RunEnd } from '../suspect/RunEnd.js'
 import type { Call } from './Call.js'
 import type { CallAttemptOutcome } from './CallAttemptOutcome.js'
 import type { CallOutcome } from './CallOutcome.js'
 import { CallRun } from './CallRun.js'
+import { noAttemptGuard } from './noAttemptGuard.js'
 
 type Behaviour = { afterMs: number, outcome: CallAttemptOutcome }
 
 const answer = (status = 200): CallAttemptOutcome => ({ kind: 'answer', answer: { status, headers: {}, body: new Uint8Array() } })
 const full: CallAttemptOutcome = { kind: 'not_run', reason: 'full' }
-const broken: CallAttemptOutcome = { kind: 'broken', reason: 'reset' }
+const broken: CallAttemptOutcome = { kind: 'broken', reason: 'reset', isAbandoned: false }
 
 describe('CallRun', () => {
   let time: VirtualTime
@@ -30,7 +32,7 @@
   afterEach(() => time.restore())
 
   /** Upstreams are tried in the order of the list, since each has twice the average time of the one before. */
-  function start (behaviours: Record<string, Behaviour>, route: Partial<Route> = {}): Promise<CallOutcome> {
+  function start (behaviours: Record<string, Behaviour>, route: Partial<Route> = {}, guard = noAttemptGuard): Promise<CallOutcome> {
     const upstreams = Object.keys(behaviours).map((id, index) => {
       const upstream = new FleetUpstream({ id, startedAtMs: 0, service: 's', address: '', failureDomain: 'd', slots: 8, isDraining: false, versions: new Map() })
       upstream.averageMs = 10 * 2 ** index
@@ -55,7 +57,7 @@
         return await new Promise(resolve => setTimeout(() => resolve(outcome), afterMs))
       }
     }
-    return new CallRun(call, () => upstreams, transport, testServices().logger).run()
+    return new CallRun(call, () => upstreams, transport, guard, testServices().logger).run()
   }
 
   it('tries other upstreams when one is full, without using up one of the attempts of the route', async () => {
@@ -141,6 +143,17 @@
     expect(result.kind === 'answer' ? result.answer.status : undefined).toEqual(500)
   })
 
+  // Guards against a call that goes on to the next upstream after it has crashed as many as a request may.
+  it('starts no attempt that its guard does not allow, and tells the guard how its runs ended', async () => {
+    const ends: string[] = []
+    const guard = { mayStart: () => ends.length < 2, onEnded: (upstream: FleetUpstream, end: RunEnd) => { ends.push(`${upstream.member.id} ${end}`) } }
+    const abandoned: CallAttemptOutcome = { kind: 'broken', reason: 'timeout', isAbandoned: true }
+    const outcome = start({ full: { afterMs: 1, outcome: full }, a: { afterMs: 1, outcome: broken }, b: { afterMs: 1, outcome: abandoned }, c: { afterMs: 1, outcome: answer() } }, { maxAttempts: 3 }, guard)
+    await time.advance(20)
+    expect((await outcome).kind).toEqual('unknown')
+    expect(ends).toEqual(['a broken', 'b abandoned'])
+  })
+
   it('ends at its deadline or when the caller disconnects, and aborts running attempts', async () => {
     const expired = start({ a: { afterMs: 9000, outcome: answer() } })
     await time.advance(1100)
--- a/src/common/call/CallRun.ts
+++ b/src/common/call/CallRun.ts
@@ -1,9 +1,11 @@
 import { chooseUpstream } from '../fleet/chooseUpstream.js'
 import type { FleetUpstream } from '../fleet/FleetUpstream.js'
 import type { ILogger } from '../metrics/ILogger.js'
+import type { RunEnd } from '../suspect/RunEnd.js'
 import type { Call } from './Call.js'
 import type { CallAttemptOutcome } from './CallAttemptOutcome.js'
 import type { CallOutcome } from './CallOutcome.js'
+import type { IAttemptGuard } from './IAttemptGuard.js'
 import type { ICallTransport } from './ICallTransport.js'
 
 /** Share of the route's target latency after which a hedge is sent. */
@@ -39,6 +41,7 @@
     private readonly _call: Call,
     private readonly _listCandidates: () => FleetUpstream[],
     private readonly _transport: ICallTransport,
+    private readonly _guard: IAttemptGuard,
     private readonly _logger: ILogger
   ) {}
 
@@ -70,6 +73,7 @@
   private _mayStartAttempt (): boolean {
     const { maxAttempts, kind } = this._call.route
     if (this.attemptedUpstreamIds.length >= maxAttempts + EXTRA_ATTEMPTS) return false
+    if (!this._guard.mayStart(this._running.size)) return false
     // An attempt in flight may still run at its upstream, so it counts like one that may have run.
     const possibleRuns = this._mayHaveRunCount + this._running.size
     if (kind !== 'idempotent') return possibleRuns === 0
@@ -109,6 +113,9 @@
     const outcome = await this._transport.send(this._call, upstream, attempt.controller.signal)
     upstream.outstanding -= 1
     if (outcome.load !== undefined) upstream.recordLoad(outcome.load)
+    if (isFromUpstream(outcome)) upstream.recordAnswer(startedAtMs)
+    const end = toRunEnd(outcome)
+    if (end !== undefined) this._guard.onEnded(upstream, end)
     if (outcome.kind === 'answer') upstream.recordResponseTime(performance.now() - startedAtMs)
     else if (outcome.kind === 'broken' || (outcome.reason !== 'cancelled' && outcome.reason !== 'deadline' && outcome.reason !== 'full')) upstream.recordFailure()
     return { attempt, outcome }
@@ -185,3 +192,15 @@
       : { kind: 'not_run', reason: 'no upstream accepted the call before the deadline', retryAfterMs: FULL_RETRY_AFTER_MS }
   }
 }
+
+/** Whether the upstream to which the attempt was sent has responded, and so is running. */
+function isFromUpstream (outcome: CallAttemptOutcome): boolean {
+  return outcome.kind === 'answer' || (outcome.kind === 'not_run' && outcome.reason === 'full')
+}
+
+/** How the run at the upstream ended; undefined if there was none. */
+function toRunEnd (outcome: CallAttemptOutcome): RunEnd | undefined {
+  if (outcome.kind === 'not_run') return undefined
+  if (outcome.kind === 'answer') return 'answered'
+  return outcome.isAbandoned ? 'abandoned' : 'broken'
+}
--- /dev/null
+++ b/src/common/call/CallService.test.ts
@@ -0,0 +1,55 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { FleetTable } from '../fleet/FleetTable.js'
+import { testServices } from '../log/test/testServices.js'
+import type { Route } from '../routing/Route.js'
+import type { SuspectAdmission } from '../suspect/SuspectAdmission.js'
+import type { Call } from './Call.js'
+import { CallService } from './CallService.js'
+
+const { logger, metrics } = testServices()
+const RETRY_AFTER_MS = 4000
+
+describe('CallService', () => {
+  let sendings = 0
+
+  async function run (admission: SuspectAdmission): Promise<unknown> {
+    sendings = 0
+    const fleet = new FleetTable(logger)
+    for (const id of ['a', 'b', 'c']) fleet.apply({ id, startedAtMs: 0, service: 's', address: id, failureDomain: 'd', slots: 8, isDraining: false, versions: new Map() })
+    const transport = {
+      send: async () => {
+        sendings += 1
+        return { kind: 'broken', reason: 'reset', isAbandoned: false } as const
+      }
+    }
+    const suspects = { admit: async () => admission, mayStartAttempt: () => true, recordRun: () => {} }
+    const call = {
+      requestId: 'r',
+      fingerprint: 'f',
+      route: { kind: 'idempotent', maxAttempts: 3, targetLatencyMs: 100 } as Route,
+      service: 's',
+      method: 'POST',
+      path: '/',
+      headers: {},
+      body: new Uint8Array(),
+      deadlineAtMs: performance.now() + 1000,
+      signal: new AbortController().signal
+    } satisfies Call
+    return await new CallService(fleet, transport, suspects, logger, metrics).run(call)
+  }
+
+  // Guards against a caller that is told 502 although its request was not sent.
+  it('refuses a suspect truthfully as not run, with the time at which it may come back', async () => {
+    expect(await run({ kind: 'refused', retryAfterMs: RETRY_AFTER_MS }))
+      .toEqual({ kind: 'not_run', reason: 'the request crashed the upstreams that ran it', retryAfterMs: RETRY_AFTER_MS })
+    expect(sendings).toEqual(0)
+  })
+
+  it('sends a trial to one upstream only', async () => {
+    expect(((await run({ kind: 'trial' })) as { kind: string }).kind).toEqual('unknown')
+    expect(sendings).toEqual(1)
+    await run({ kind: 'admitted' })
+    expect(sendings).toEqual(3)
+  })
+})
--- a/src/common/call/CallService.ts
+++ b/src/common/call/CallService.ts
@@ -5,26 +5,46 @@
 import type { Call } from './Call.js'
 import { CallRun } from './CallRun.js'
 import type { CallOutcome } from './CallOutcome.js'
+import type { ICallSuspects } from '../suspect/ICallSuspects.js'
+import type { IAttemptGuard } from './IAttemptGuard.js'
 import type { ICallTransport } from './ICallTransport.js'
+import { noAttemptGuard } from './noAttemptGuard.js'
+import { SuspectGuard } from './SuspectGuard.js'
+import { TrialGuard } from './TrialGuard.js'
 
 /** Forwards calls to upstreams, and logs and counts their outcomes. */
 export class CallService {
   constructor (
     private readonly _fleet: IFleet,
     private readonly _transport: ICallTransport,
+    private readonly _suspects: ICallSuspects,
     private readonly _logger: ILogger,
     private readonly _metrics: IMetrics
   ) {}
 
   async run (call: Call): Promise<CallOutcome> {
     const startedAtMs = performance.now()
+    const guard = await this._admit(call)
+    if (!('mayStart' in guard)) return this._onEnded(call, guard, startedAtMs, [])
     const candidates = (): FleetUpstream[] => this._fleet.listAvailable(call.service)
-    const run = new CallRun(call, candidates, this._transport, this._logger)
-    const outcome = await run.run()
+    const run = new CallRun(call, candidates, this._transport, guard, this._logger)
+    return this._onEnded(call, await run.run(), startedAtMs, run.attemptedUpstreamIds)
+  }
+
+  /** Returns the guard of the call's attempts, or the refusal of a call that must not be sent. */
+  private async _admit ({ fingerprint }: Call): Promise<IAttemptGuard | CallOutcome> {
+    if (fingerprint === undefined) return noAttemptGuard
+    const admission = await this._suspects.admit(fingerprint)
+    if (admission.kind === 'refused') return { kind: 'not_run', reason: 'the request crashed the upstreams that ran it', retryAfterMs: admission.retryAfterMs }
+    return admission.kind === 'trial' ? new TrialGuard(this._suspects, fingerprint) : new SuspectGuard(this._suspects, fingerprint)
+  }
+
+  /** Logs and counts the outcome of a call, and returns it. */
+  private _onEnded (call: Call, outcome: CallOutcome, startedAtMs: number, attemptedUpstreamIds: readonly string[]): CallOutcome {
     const durationMs = performance.now() - startedAtMs
     this._metrics.count('calls', { route: call.route.name, outcome: outcome.kind })
     this._metrics.duration('call', durationMs, { route: call.route.name })
-    const fields = { request: call.requestId, fingerprint: call.fingerprint, route: call.route.name, duration_ms: Math.round(durationMs), tried: run.attemptedUpstreamIds.join(','), outcome: outcome.kind }
+    const fields = { request: call.requestId, fingerprint: call.fingerprint, route: call.route.name, duration_ms: Math.round(durationMs), tried: attemptedUpstreamIds.join(','), outcome: outcome.kind }
     if (outcome.kind === 'answer') this._logger.info({ ...fields, status: outcome.answer.status, upstream: outcome.upstream }, 'call_done')
     else this._logger.warn({ ...fields, reason: 'reason' in outcome ? outcome.reason : undefined }, 'call_failed')
     return outcome
--- a/src/common/fleet/FleetUpstream.ts
+++ b/src/common/fleet/FleetUpstream.ts
@@ -24,6 +24,9 @@
   outstanding = 0
   /** Moving average of the response time, or of the event interval for engines; undefined before the first. */
   averageMs?: number
+  /** `performance.now()` at which the upstream list last named this incarnation. */
+  heartbeatAtMs = 0
+  private _lastAnsweredSentAtMs = Number.NEGATIVE_INFINITY
   private _load?: LoadReading & { atMs: number }
   private _consecutiveFailures = 0
   private _excludedUntilMs = 0
@@ -36,6 +39,7 @@
   /** Versions never decrease within one incarnation, so a late record does not replace one from a newer response. */
   update (member: FleetMember): void {
     this.member = member
+    this.heartbeatAtMs = performance.now()
     for (const [model, version] of member.versions) this.recordVersion(model, version)
   }
 
@@ -52,6 +56,16 @@
     this._load = { ...load, atMs: performance.now() }
   }
 
+  /** Records that this incarnation has responded to a request that was sent at `sentAtMs`, in terms of `performance.now()`. */
+  recordAnswer (sentAtMs: number): void {
+    this._lastAnsweredSentAtMs = Math.max(this._lastAnsweredSentAtMs, sentAtMs)
+  }
+
+  /** Whether this incarnation has responded to a request that was sent after `atMs`. */
+  hasAnsweredSince (atMs: number): boolean {
+    return this._lastAnsweredSentAtMs > atMs
+  }
+
   recordResponseTime (durationMs: number): void {
     this.recordSuccess()
     this.averageMs = this.averageMs === undefined ? durationMs : this.averageMs + RESPONSE_TIME_WEIGHT * (durationMs - this.averageMs)
--- a/src/common/store/KeyedTail.ts
+++ b/src/common/store/KeyedTail.ts
@@ -38,6 +38,11 @@
     return this._nextOffset !== undefined
   }
 
+  /** Offset after the last record that was read; undefined while the tail is not synced. */
+  get nextOffset (): number | undefined {
+    return this._nextOffset
+  }
+
   /** `performance.now()` of the last successful read; 0 or less if there has been none. */
   get lastReadAtMs (): number {
     return this._lastReadAtMs
