Send no further requests to a server that says in its responses that it leaves

Cause: platform/ read only the record of a server; the header was read nowhere. Change: calls, runs of items and orders read Server-Leaving (not from a 421, which another server sends); the incarnation is used no more, also when its record says ready, lapses and returns. Its end counts as no crash. Conclusion: an entry stops at the first such response that it sees; what runs there ends there.

--- a/src/common/batch/run/IEngineTransport.ts
+++ b/src/common/batch/run/IEngineTransport.ts
@@ -7,6 +7,8 @@
 interface EngineRunListener {
   onVersion (version: number): void
   onLoad (load: LoadReading): void
+  /** The engine says that it leaves. */
+  onLeaving (): void
   onEvent (id: number, data: string): void
 }
 
--- a/src/common/batch/run/ItemRun.ts
+++ b/src/common/batch/run/ItemRun.ts
@@ -93,6 +93,7 @@
       {
         onVersion: version => this._onVersion(version),
         onLoad: load => this.engine.recordLoad(load),
+        onLeaving: () => this.engine.recordLeaving(),
         onEvent: (id, data) => this._onEvent(id, data)
       },
       this._controller.signal
--- a/src/common/call/CallRun.ts
+++ b/src/common/call/CallRun.ts
@@ -113,6 +113,7 @@
     const outcome = await this._transport.send(this._call, upstream, attempt.controller.signal)
     upstream.outstanding -= 1
     if (outcome.load !== undefined) upstream.recordLoad(outcome.load)
+    if (outcome.isLeaving === true) upstream.recordLeaving()
     if (isFromUpstream(outcome)) upstream.recordAnswer(startedAtMs)
     const end = toRunEnd(outcome)
     if (end !== undefined) this._guard.onEnded(upstream, end)
--- a/src/common/fleet/FleetTable.test.ts
+++ b/src/common/fleet/FleetTable.test.ts
@@ -36,6 +36,18 @@
     expect(removed).toEqual(['u1/100'])
   })
 
+  // The record of a server that leaves may say nothing of it, and may lapse and return in an outage of the store.
+  it('uses an incarnation no more that said that it leaves, whatever its record says later', () => {
+    fleet.find('u1')?.recordLeaving()
+    fleet.apply(member())
+    expect(available()).toEqual([])
+    fleet.remove('u1', 0)
+    fleet.apply(member())
+    expect(available()).toEqual([])
+    fleet.apply(member({ startedAtMs: 200 }))
+    expect(available()).toEqual(['u1'])
+  })
+
   it('keeps an upstream whose record expired in an outage until the grace period has passed', async () => {
     fleet.apply(member({ id: 'u2' }))
     fleet.remove('u1', 1000)
--- a/src/common/fleet/FleetTable.ts
+++ b/src/common/fleet/FleetTable.ts
@@ -5,6 +5,9 @@
 import { FleetUpstream } from './FleetUpstream.js'
 import type { IFleet } from './IFleet.js'
 
+/** Incarnations remembered as leaving after their records have been removed; a record may return. */
+const MAX_LEAVING = 1024
+
 /** The upstreams in the upstream list of the store, one object per incarnation. */
 export class FleetTable extends Disposable implements IFleet {
   private readonly _onChanged = this._register(new Emitter<void>())
@@ -12,6 +15,8 @@
   private readonly _onRemoved = this._register(new Emitter<FleetUpstream>())
   readonly onRemoved = this._onRemoved.event
   private readonly _upstreams = new Map<string, FleetUpstream>()
+  /** Incarnations that said in a response that they leave, the latest last. */
+  private readonly _leaving = new Set<string>()
   private readonly _pendingRemovals = new Map<string, NodeJS.Timeout>()
 
   constructor (private readonly _logger: ILogger) {
@@ -31,7 +36,7 @@
       known.update(member)
     } else {
       if (known !== undefined) this._removeNow(known, 'restarted')
-      this._upstreams.set(member.id, new FleetUpstream(member))
+      this._upstreams.set(member.id, this._create(member))
       this._log(member, 'upstream_added')
     }
     this._onChanged.fire()
@@ -59,7 +64,7 @@
   }
 
   listAvailable (service: string): FleetUpstream[] {
-    return this.all().filter(upstream => upstream.member.service === service && !upstream.member.isDraining)
+    return this.all().filter(upstream => upstream.member.service === service && !upstream.isLeaving)
   }
 
   all (): FleetUpstream[] {
@@ -75,6 +80,21 @@
     super.dispose()
   }
 
+  private _create (member: FleetMember): FleetUpstream {
+    const upstream = new FleetUpstream(member)
+    if (this._leaving.has(toIncarnationKey(member))) upstream.recordLeaving()
+    upstream.onLeaving(() => this._onLeaving(member))
+    return upstream
+  }
+
+  private _onLeaving (member: FleetMember): void {
+    this._leaving.add(toIncarnationKey(member))
+    const [oldest] = this._leaving
+    if (this._leaving.size > MAX_LEAVING && oldest !== undefined) this._leaving.delete(oldest)
+    this._log(member, 'upstream_leaving')
+    this._onChanged.fire()
+  }
+
   private _cancelRemoval (id: string): void {
     clearTimeout(this._pendingRemovals.get(id))
     this._pendingRemovals.delete(id)
@@ -91,3 +111,7 @@
     this._logger.info({ upstream: id, service, address, born_at_ms: startedAtMs, draining: isDraining }, event)
   }
 }
+
+function toIncarnationKey ({ id, startedAtMs }: FleetMember): string {
+  return `${startedAtMs}.${id}`
+}
--- a/src/common/fleet/FleetUpstream.ts
+++ b/src/common/fleet/FleetUpstream.ts
@@ -1,3 +1,4 @@
+import { Emitter } from '../kernel/Emitter.js'
 import type { FleetMember } from './FleetMember.js'
 import type { LoadReading } from './LoadReading.js'
 
@@ -31,6 +32,10 @@
   private _consecutiveFailures = 0
   private _excludedUntilMs = 0
   private _versions = new Map<string, number>()
+  private _hasSaidLeaving = false
+  private readonly _onLeaving = new Emitter<void>()
+  /** Fires when the upstream has said in a response that it leaves. */
+  readonly onLeaving = this._onLeaving.event
 
   constructor (public member: FleetMember) {
     this.update(member)
@@ -43,6 +48,18 @@
     for (const [model, version] of member.versions) this.recordVersion(model, version)
   }
 
+  /** Whether the upstream stops soon and must get no further requests, by its record or its own responses. */
+  get isLeaving (): boolean {
+    return this.member.isDraining || this._hasSaidLeaving
+  }
+
+  /** Records that the upstream has said in a response that it leaves. Its record may never say so. */
+  recordLeaving (): void {
+    if (this._hasSaidLeaving) return
+    this._hasSaidLeaving = true
+    this._onLeaving.fire()
+  }
+
   recordVersion (model: string, version: number): void {
     this._versions.set(model, Math.max(version, this._versions.get(model) ?? 0))
   }
--- a/src/common/fleet/IFleet.ts
+++ b/src/common/fleet/IFleet.ts
@@ -7,7 +7,7 @@
   readonly onChanged: IEvent<void>
   /** Fires with each incarnation of an upstream that has been removed or replaced by a newer one. */
   readonly onRemoved: IEvent<FleetUpstream>
-  /** Upstreams of a service that are not draining. */
+  /** Upstreams of a service that do not leave. */
   listAvailable (service: string): FleetUpstream[]
   all (): FleetUpstream[]
   find (id: string): FleetUpstream | undefined
--- a/src/common/suspect/CallSuspects.ts
+++ b/src/common/suspect/CallSuspects.ts
@@ -74,7 +74,7 @@
   recordRun (fingerprint: string, upstream: FleetUpstream, end: RunEnd): void {
     if (end === 'answered') return this._clear(fingerprint)
     // The stop of an upstream that leaves cuts off its last runs, whatever they are.
-    if (upstream.member.isDraining) return
+    if (upstream.isLeaving) return
     const { id, startedAtMs } = upstream.member
     const run = { fingerprint, upstreamId: id, startedAtMs, sinceMs: performance.now() }
     if (end === 'broken') this._addOwnCrash(fingerprint, run, run.sinceMs)
--- a/src/common/version/VersionRollout.ts
+++ b/src/common/version/VersionRollout.ts
@@ -71,7 +71,7 @@
   private _enginesByService (): Map<string, FleetUpstream[]> {
     const byService = new Map<string, FleetUpstream[]>()
     for (const engine of this._fleet.all()) {
-      if (engine.member.versions.size === 0 || engine.member.isDraining) continue
+      if (engine.member.versions.size === 0 || engine.isLeaving) continue
       byService.set(engine.member.service, [...byService.get(engine.member.service) ?? [], engine])
     }
     return byService
