--- a/src/common/batch/BatchService.test.ts
+++ b/src/common/batch/BatchService.test.ts
@@ -64,6 +64,14 @@
     expect(await refused).toEqual('refused')
   })
 
+  // Guards against an item that is never placed again, and a slot that is never free again, after an unexpected error.
+  it('runs an item again after an unexpected error of its run', async () => {
+    engines.eventCounts = { a: 3, b: 3 }
+    engines.throwing.add('a')
+    const { service } = await leadWithBatch(2000)
+    expect((await textsOf(service)).toString()).toEqual([engines.textOf('b'), engines.textOf('a')].toString())
+  })
+
   // The leader fails while long items are running. Their output must not be lost or duplicated.
   it('resumes after the saved events on a takeover, with all texts complete and at their positions', async () => {
     engines.eventCounts = { a: 60, b: 5 }
--- a/src/common/batch/test/FakeEngines.ts
+++ b/src/common/batch/test/FakeEngines.ts
@@ -14,6 +14,8 @@
   readonly crashing = new Set<string>()
   /** Ids of the items whose runs the engine reports as failed. */
   readonly failing = new Set<string>()
+  /** Ids of the items whose next run throws. */
+  readonly throwing = new Set<string>()
   /** All runs so far, as `ITEM ENGINE LAST_EVENT_ID`. */
   readonly runs: string[] = []
   private readonly _resumedAt = new Map<string, number>()
@@ -34,6 +36,7 @@
     const { id } = request.item
     this.runs.push(`${id} ${engine.member.id} ${request.lastEventId}`)
     this._resumedAt.set(id, request.lastEventId)
+    if (this.throwing.delete(id)) throw new Error('fault of the transport')
     if (this.crashing.has(id)) return { kind: 'broken', reason: 'reset' }
     if (this.failing.has(id)) return { kind: 'failed', status: 500 }
     listener.onVersion(1)
