Go on at another engine when the next one answers a stream that has begun with an error

What callers saw: on the own interface, a stream that broke off and whose next engine answered 400, 404, 421 or 422 ended with an error event (without [DONE]) although other engines could continue it. Cause: a 4xx was taken for a verdict on the request, also after another engine had accepted and begun it. Change: after the first token any error status counts as the failure of that engine, within the same number of failures. Conclusion: the callers' streams end with an error only when the failures are used up. The text of an engine's error never reached a stream: only its status did.

--- a/src/common/generation/GenerationAttempt.ts
+++ b/src/common/generation/GenerationAttempt.ts
@@ -163,7 +163,9 @@
 
   private _refusalEnd (status: number): AttemptEnd {
     const message = `the engine responded with status ${status}`
-    if (status === 429 || status >= 500) return { kind: 'broken', message, result: { kind: 'failed', sent: true }, status }
+    // Another engine has accepted the request before, so the error is one of this engine.
+    const hasBegun = this._tokens.length > 0
+    if (status === 429 || status >= 500 || hasBegun) return { kind: 'broken', message, result: { kind: 'failed', sent: true }, status }
     return { kind: 'refused', message, result: { kind: 'cancelled' }, status }
   }
 
--- a/src/common/generation/Generator.test.ts
+++ b/src/common/generation/Generator.test.ts
@@ -76,6 +76,15 @@
     expect(engines.failures).toEqual(['a'])
   })
 
+  // Guards against a stream that ends with the error of the engine that was to continue it, while others can.
+  it('goes on at another engine when the next one answers a stream that has begun with an error of any kind', async () => {
+    for (const status of [400, 404, 421, 422, 429, 500, 503]) {
+      const engines = new FakeEngines({ a: [[...tokenEvents(0, 2, 3), 'reset']], b: [status], c: [[{ token: 2, version: 3, last: true }, 'done']] })
+      const result = await collect(engines)
+      expect([status, result.tokens, result.finishReason]).toEqual([status, [0, 1, 2], 'stop'])
+    }
+  })
+
   it('neither repeats nor loses tokens, wherever streams break', async () => {
     const broken = fc.constantFrom<EngineEvent>('reset', 'end', 'invalid')
     await fc.assert(fc.asyncProperty(fc.array(fc.tuple(fc.nat(3), broken, fc.boolean()), { maxLength: 4 }), async (breaks) => {
