Count a crash of an upstream that is back under its id before its record is read

What callers saw: not seen; found by reading. A server that starts again under its id can run and crash under a request before its new record ('born') is read, and both crashes had the same key, so the third one was counted as the second. Cause: crashes were told apart by the start in the record only. Change: a run that was sent after a crash of the same incarnation reached the next one; the key counts such restarts. Evidence: the new test fails with the rule taken out ('admitted' after three crashes) and passes. Conclusion: runs at the same time as a crash still count once.

--- a/src/common/call/CallRun.ts
+++ b/src/common/call/CallRun.ts
@@ -116,7 +116,7 @@
     if (outcome.isLeaving === true) upstream.recordLeaving()
     if (isFromUpstream(outcome)) upstream.recordAnswer(startedAtMs)
     const end = toRunEnd(outcome)
-    if (end !== undefined) this._guard.onEnded(upstream, end)
+    if (end !== undefined) this._guard.onEnded(upstream, end, startedAtMs)
     if (outcome.kind === 'answer') upstream.recordResponseTime(performance.now() - startedAtMs)
     else if (outcome.kind === 'broken' || (outcome.reason !== 'cancelled' && outcome.reason !== 'deadline' && outcome.reason !== 'full')) upstream.recordFailure()
     return { attempt, outcome }
--- a/src/common/call/IAttemptGuard.ts
+++ b/src/common/call/IAttemptGuard.ts
@@ -5,6 +5,6 @@
 export interface IAttemptGuard {
   /** Whether another attempt may start while `running` attempts of the call are in progress. */
   mayStart (running: number): boolean
-  /** A run at an upstream has ended; not called for attempts that have not run. */
-  onEnded (upstream: FleetUpstream, end: RunEnd): void
+  /** A run at an upstream, sent at `sentAtMs`, has ended; not called for attempts that have not run. */
+  onEnded (upstream: FleetUpstream, end: RunEnd, sentAtMs: number): void
 }
--- a/src/common/call/SuspectGuard.ts
+++ b/src/common/call/SuspectGuard.ts
@@ -11,7 +11,7 @@
     return this._suspects.mayStartAttempt(this._fingerprint, running)
   }
 
-  onEnded (upstream: FleetUpstream, end: RunEnd): void {
-    this._suspects.recordRun(this._fingerprint, upstream, end)
+  onEnded (upstream: FleetUpstream, end: RunEnd, sentAtMs: number): void {
+    this._suspects.recordRun(this._fingerprint, upstream, end, sentAtMs)
   }
 }
--- a/src/common/call/TrialGuard.ts
+++ b/src/common/call/TrialGuard.ts
@@ -13,8 +13,8 @@
     return running === 0 && !this._hasRun
   }
 
-  onEnded (upstream: FleetUpstream, end: RunEnd): void {
+  onEnded (upstream: FleetUpstream, end: RunEnd, sentAtMs: number): void {
     this._hasRun = true
-    this._suspects.recordRun(this._fingerprint, upstream, end)
+    this._suspects.recordRun(this._fingerprint, upstream, end, sentAtMs)
   }
 }
--- a/src/common/suspect/AbandonedRuns.ts
+++ b/src/common/suspect/AbandonedRuns.ts
@@ -1,24 +1,19 @@
 import { formatIncarnation } from './formatIncarnation.js'
-import type { Incarnation } from './Incarnation.js'
 import type { IncarnationJudge } from './IncarnationJudge.js'
+import type { UnansweredRun } from './UnansweredRun.js'
 
 /** After this time the end of an upstream is not attributed to a run that was abandoned there. */
 const MAX_AGE_MS = 10_000
 const MAX_RUNS = 1024
 
-interface AbandonedRun extends Incarnation {
-  fingerprint: string
-  sinceMs: number
-}
-
 /**
  * Runs for which this entry stopped waiting. Most are sound and end by themselves, but an upstream that crashes without
  * closing its connections looks the same until it is missed in the upstream list.
  */
 export class AbandonedRuns {
-  private readonly _runs = new Map<string, AbandonedRun>()
+  private readonly _runs = new Map<string, UnansweredRun>()
 
-  add (run: AbandonedRun): void {
+  add (run: UnansweredRun): void {
     this._runs.set(`${run.fingerprint}/${formatIncarnation(run)}`, run)
     const [oldest] = this._runs.keys()
     if (this._runs.size > MAX_RUNS && oldest !== undefined) this._runs.delete(oldest)
@@ -34,8 +29,8 @@
   }
 
   /** Removes and returns the runs whose upstreams have ended, and forgets those at upstreams that proved to be alive. */
-  takeCrashed (judge: IncarnationJudge): AbandonedRun[] {
-    const crashed: AbandonedRun[] = []
+  takeCrashed (judge: IncarnationJudge): UnansweredRun[] {
+    const crashed: UnansweredRun[] = []
     for (const [key, run] of this._runs) {
       const state = judge.judge(run, run.sinceMs)
       if (state === 'unknown' && performance.now() - run.sinceMs < MAX_AGE_MS) continue
--- a/src/common/suspect/CallSuspects.test.ts
+++ b/src/common/suspect/CallSuspects.test.ts
@@ -70,7 +70,7 @@
   /** Upstreams that crash under a request of one entry; they are missing in the upstream list soon after. */
   const crash = (entry: Entry, fingerprint: string, ...ids: string[]): void => {
     for (const id of ids) {
-      entry.suspects.recordRun(fingerprint, entry.upstream(id), 'broken')
+      entry.suspects.recordRun(fingerprint, entry.upstream(id), 'broken', performance.now())
       setTimeout(() => { for (const { fleet } of [first, second]) fleet.remove(id, 0) }, 10)
     }
   }
@@ -94,6 +94,21 @@
     expect([await first.admit(POISON), await second.admit(POISON)]).toEqual(['admitted', 'admitted'])
   })
 
+  // An upstream may be back under its id, and crash again, before its new record is read.
+  it('counts a run that was sent after a crash of the same upstream as another crash, and runs at the same time as one', async () => {
+    const runAt = (sentAtMs: number): void => first.suspects.recordRun(POISON, first.upstream('u1'), 'broken', sentAtMs)
+    runAt(performance.now())
+    runAt(performance.now() - 20)
+    await time.advance(100)
+    expect(first.suspects.mayStartAttempt(POISON, 1)).toEqual(true)
+    runAt(performance.now() - 10)
+    await time.advance(100)
+    runAt(performance.now() - 10)
+    expect(await first.admit(POISON)).toEqual('refused')
+    await time.advance(500)
+    expect(await second.admit(POISON)).toEqual('refused')
+  })
+
   it('lets a suspect start no more attempts than it may crash upstreams', () => {
     expect([0, 5].map(running => first.suspects.mayStartAttempt(POISON, running))).toEqual([true, true])
     crash(first, POISON, 'u1')
@@ -106,7 +121,7 @@
   it('publishes nothing of a request that completes at another upstream soon after', async () => {
     crash(first, SOUND, 'u1')
     await time.advance(100)
-    first.suspects.recordRun(SOUND, first.upstream('u2'), 'answered')
+    first.suspects.recordRun(SOUND, first.upstream('u2'), 'answered', performance.now())
     await time.advance(1000)
     expect(memoryStore.appends).toEqual(0)
   })
@@ -117,7 +132,7 @@
     await time.advance(5500)
     expect((await Promise.all([first.admit(SOUND), second.admit(SOUND)])).sort()).toEqual(['refused', 'trial'])
     expect(await second.admit(SOUND)).toEqual('refused')
-    second.suspects.recordRun(SOUND, second.upstream('u4'), 'answered')
+    second.suspects.recordRun(SOUND, second.upstream('u4'), 'answered', performance.now())
     await time.advance(100)
     expect([await first.admit(SOUND), await second.admit(SOUND), memoryStore.keys(TOPIC)]).toEqual(['admitted', 'admitted', []])
   })
@@ -140,7 +155,7 @@
 
   // A lost answer, a reset connection and a cut look like a crash until the upstream is heard of again.
   it('clears a break when the upstream responds again, or writes heartbeats', async () => {
-    for (const id of ['u1', 'u2', 'u3']) first.suspects.recordRun(SOUND, first.upstream(id), 'broken')
+    for (const id of ['u1', 'u2', 'u3']) first.suspects.recordRun(SOUND, first.upstream(id), 'broken', performance.now())
     await time.advance(500)
     expect(await first.admit(SOUND)).toEqual('refused')
     first.upstream('u1').recordAnswer(performance.now())
@@ -154,7 +169,7 @@
 
   // A heartbeat that was written before the crash may be read long after it.
   it('takes no heartbeat for a sign of life that was read in a backlog, after an outage of the store or a pause of the process', async () => {
-    for (const id of ['u1', 'u2', 'u3']) first.suspects.recordRun(POISON, first.upstream(id), 'broken')
+    for (const id of ['u1', 'u2', 'u3']) first.suspects.recordRun(POISON, first.upstream(id), 'broken', performance.now())
     first.readableSinceMs = Number.POSITIVE_INFINITY
     await time.advance(4000)
     first.readableSinceMs = performance.now()
@@ -170,7 +185,7 @@
 
   // An upstream that loses power closes no connection: its callers give up.
   it('counts a run that was abandoned once its upstream has ended, and not while it lives', async () => {
-    for (const id of ['u1', 'u2', 'u3', 'u4']) first.suspects.recordRun(POISON, first.upstream(id), 'abandoned')
+    for (const id of ['u1', 'u2', 'u3', 'u4']) first.suspects.recordRun(POISON, first.upstream(id), 'abandoned', performance.now())
     expect(await first.admit(POISON)).toEqual('admitted')
     for (let elapsedMs = 0; elapsedMs < 3000; elapsedMs += HEARTBEAT_MS) {
       await time.advance(HEARTBEAT_MS)
@@ -183,7 +198,7 @@
   })
 
   it('takes an upstream for ended when another one has its address, or when it has started again', async () => {
-    for (const id of ['u1', 'u2', 'u3']) first.suspects.recordRun(POISON, first.upstream(id), 'abandoned')
+    for (const id of ['u1', 'u2', 'u3']) first.suspects.recordRun(POISON, first.upstream(id), 'abandoned', performance.now())
     first.fleet.apply(member('new', { address: 'u1', startedAtMs: 2 }))
     first.fleet.apply(member('u2', { startedAtMs: 2 }))
     first.fleet.remove('u3', 0)
@@ -240,14 +255,14 @@
     crash(first, POISON, 'u1', 'u2', 'u3')
     for (let number = 0; number < 3000; number++) {
       first.fleet.apply(member('crowd'))
-      first.suspects.recordRun(number.toString(16).padStart(16, '0'), first.upstream('crowd'), 'broken')
+      first.suspects.recordRun(number.toString(16).padStart(16, '0'), first.upstream('crowd'), 'broken', performance.now())
     }
     expect(await first.admit(POISON)).toEqual('refused')
   })
 
   it('ignores records that it cannot read', async () => {
-    memoryStore.write(TOPIC, 'crash/zz/1.u1', { at_ms: 1 })
-    memoryStore.write(TOPIC, `crash/${POISON}/1.u1`, { at: 'x' })
+    memoryStore.write(TOPIC, 'crash/zz/1.0.u1', { at_ms: 1 })
+    memoryStore.write(TOPIC, `crash/${POISON}/1.0.u1`, { at: 'x' })
     memoryStore.write(TOPIC, 'other', { at_ms: 1 })
     await time.advance(100)
     expect(await first.admit(POISON)).toEqual('admitted')
--- a/src/common/suspect/CallSuspects.ts
+++ b/src/common/suspect/CallSuspects.ts
@@ -12,6 +12,7 @@
 import { Suspect } from './Suspect.js'
 import type { SuspectAdmission } from './SuspectAdmission.js'
 import type { SuspectRecord } from './SuspectRecord.js'
+import type { UnansweredRun } from './UnansweredRun.js'
 
 const CHECK_INTERVAL_MS = 250
 /** A check that is later than this shows that the process was paused. */
@@ -71,13 +72,13 @@
     return this._suspects.get(fingerprint)?.mayStart(running) ?? true
   }
 
-  recordRun (fingerprint: string, upstream: FleetUpstream, end: RunEnd): void {
+  recordRun (fingerprint: string, upstream: FleetUpstream, end: RunEnd, sentAtMs: number): void {
     if (end === 'answered') return this._clear(fingerprint)
     // The stop of an upstream that leaves cuts off its last runs, whatever they are.
     if (upstream.isLeaving) return
     const { id, startedAtMs } = upstream.member
-    const run = { fingerprint, upstreamId: id, startedAtMs, sinceMs: performance.now() }
-    if (end === 'broken') this._addOwnCrash(fingerprint, run, run.sinceMs)
+    const run = { fingerprint, upstreamId: id, startedAtMs, restarts: 0, sentAtMs, sinceMs: performance.now() }
+    if (end === 'broken') this._addOwnCrash(run)
     else this._abandonedRuns.add(run)
     this._scheduleCheck()
   }
@@ -96,9 +97,10 @@
     return { kind: 'refused', retryAfterMs }
   }
 
-  private _addOwnCrash (fingerprint: string, { upstreamId, startedAtMs }: Incarnation, sinceMs: number): void {
+  private _addOwnCrash ({ fingerprint, upstreamId, startedAtMs, sentAtMs, sinceMs }: UnansweredRun): void {
     const suspect = this._getOrAdd(fingerprint)
-    suspect.add({ upstreamId, startedAtMs, sinceMs, isOwn: true, isPublished: false }, sinceMs)
+    const incarnation = suspect.nextIncarnation({ upstreamId, startedAtMs, restarts: 0 }, sentAtMs)
+    suspect.add({ ...incarnation, sinceMs, isOwn: true, isPublished: false }, sinceMs)
     this._logger.info({ fingerprint, upstream: upstreamId, born_at_ms: startedAtMs, crashes: suspect.crashCount }, 'crash_suspected')
     this._metrics.count('suspected_crashes')
   }
@@ -147,7 +149,7 @@
 
   private _check (): void {
     this._judge.refresh()
-    for (const run of this._abandonedRuns.takeCrashed(this._judge)) this._addOwnCrash(run.fingerprint, run, run.sinceMs)
+    for (const run of this._abandonedRuns.takeCrashed(this._judge)) this._addOwnCrash(run)
     for (const suspect of this._suspects.values()) this._checkSuspect(suspect)
   }
 
--- a/src/common/suspect/ICallSuspects.ts
+++ b/src/common/suspect/ICallSuspects.ts
@@ -8,6 +8,6 @@
   admit (fingerprint: string): Promise<SuspectAdmission>
   /** Whether an admitted call may be sent to another upstream while `running` of its attempts are in progress. */
   mayStartAttempt (fingerprint: string, running: number): boolean
-  /** Records how a run at an upstream ended. */
-  recordRun (fingerprint: string, upstream: FleetUpstream, end: RunEnd): void
+  /** Records how a run ended that was sent to an upstream at `sentAtMs`, in terms of `performance.now()`. */
+  recordRun (fingerprint: string, upstream: FleetUpstream, end: RunEnd, sentAtMs: number): void
 }
--- a/src/common/suspect/Suspect.ts
+++ b/src/common/suspect/Suspect.ts
@@ -37,6 +37,13 @@
     return this._crashes.get(formatIncarnation(incarnation))
   }
 
+  /** Incarnation of an upstream that ended under a run sent at `sentAtMs`: a run that was sent after a crash reached the next one. */
+  nextIncarnation (incarnation: Incarnation, sentAtMs: number): Incarnation {
+    const known = this.find(incarnation)
+    if (known === undefined || known.sinceMs > sentAtMs) return incarnation
+    return this.nextIncarnation({ ...incarnation, restarts: incarnation.restarts + 1 }, sentAtMs)
+  }
+
   /** Adds a crash of the time `atMs`, in terms of `performance.now()`, unless it is known. */
   add (crash: SuspectedCrash, atMs: number): void {
     const key = formatIncarnation(crash)
