--- a/src/common/call/CallService.ts
+++ b/src/common/call/CallService.ts
@@ -1,16 +1,17 @@
+import { err, ok, type Result } from 'neverthrow'
 import type { FleetUpstream } from '../fleet/FleetUpstream.js'
 import type { IFleet } from '../fleet/IFleet.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IMetrics } from '../metrics/IMetrics.js'
+import type { ICallSuspects } from '../suspect/ICallSuspects.js'
 import type { Call } from './Call.js'
 import { CallRun } from './CallRun.js'
 import type { CallOutcome } from './CallOutcome.js'
-import type { ICallSuspects } from '../suspect/ICallSuspects.js'
 import type { IAttemptGuard } from './IAttemptGuard.js'
 import type { ICallTransport } from './ICallTransport.js'
 import { noAttemptGuard } from './noAttemptGuard.js'
-import { SuspectGuard } from './SuspectGuard.js'
-import { TrialGuard } from './TrialGuard.js'
+import { SuspectAttemptGuard } from './SuspectAttemptGuard.js'
+import { TrialAttemptGuard } from './TrialAttemptGuard.js'
 
 /** Forwards calls to upstreams, and logs and counts their outcomes. */
 export class CallService {
@@ -25,18 +26,21 @@
   async run (call: Call): Promise<CallOutcome> {
     const startedAtMs = performance.now()
     const guard = await this._admit(call)
-    if (!('mayStart' in guard)) return this._onEnded(call, guard, startedAtMs, [])
+    if (guard.isErr()) return this._onEnded(call, guard.error, startedAtMs, [])
     const candidates = (): FleetUpstream[] => this._fleet.listAvailable(call.service)
-    const run = new CallRun(call, candidates, this._transport, guard, this._logger)
+    const run = new CallRun(call, candidates, this._transport, guard.value, this._logger)
     return this._onEnded(call, await run.run(), startedAtMs, run.attemptedUpstreamIds)
   }
 
-  /** Returns the guard of the call's attempts, or the refusal of a call that must not be sent. */
-  private async _admit ({ fingerprint }: Call): Promise<IAttemptGuard | CallOutcome> {
-    if (fingerprint === undefined) return noAttemptGuard
+  /** Returns the guard of the call's attempts, or the outcome of a call that must not be sent. */
+  private async _admit ({ fingerprint }: Call): Promise<Result<IAttemptGuard, CallOutcome>> {
+    if (fingerprint === undefined) return ok(noAttemptGuard)
     const admission = await this._suspects.admit(fingerprint)
-    if (admission.kind === 'refused') return { kind: 'not_run', reason: 'the request crashed the upstreams that ran it', retryAfterMs: admission.retryAfterMs }
-    return admission.kind === 'trial' ? new TrialGuard(this._suspects, fingerprint) : new SuspectGuard(this._suspects, fingerprint)
+    switch (admission.kind) {
+      case 'admitted': return ok(new SuspectAttemptGuard(this._suspects, fingerprint))
+      case 'trial': return ok(new TrialAttemptGuard(this._suspects, fingerprint))
+      case 'refused': return err({ kind: 'not_run', reason: 'the request crashed the upstreams that ran it', retryAfterMs: admission.retryAfterMs })
+    }
   }
 
   /** Logs and counts the outcome of a call, and returns it. */
--- a/src/common/call/SuspectGuard.ts
+++ b/src/common/call/SuspectAttemptGuard.ts
@@ -4,7 +4,7 @@
 import type { IAttemptGuard } from './IAttemptGuard.js'
 
 /** Stops the attempts of a call whose request has crashed too many upstreams. */
-export class SuspectGuard implements IAttemptGuard {
+export class SuspectAttemptGuard implements IAttemptGuard {
   constructor (private readonly _suspects: ICallSuspects, private readonly _fingerprint: string) {}
 
   mayStart (running: number): boolean {
--- a/src/common/call/TrialGuard.ts
+++ b/src/common/call/TrialAttemptGuard.ts
@@ -4,7 +4,7 @@
 import type { IAttemptGuard } from './IAttemptGuard.js'
 
 /** Lets a call run at one upstream, to see whether its request still crashes it. */
-export class TrialGuard implements IAttemptGuard {
+export class TrialAttemptGuard implements IAttemptGuard {
   private _hasRun = false
 
   constructor (private readonly _suspects: ICallSuspects, private readonly _fingerprint: string) {}
--- a/src/common/suspect/Suspect.ts
+++ b/src/common/suspect/Suspect.ts
@@ -15,10 +15,12 @@
 
   constructor (readonly fingerprint: string) {}
 
+  /** Crashes that count, the earliest known first. */
   get crashes (): SuspectedCrash[] {
     return [...this._crashes.values()]
   }
 
+  /** Number of crashes that count. */
   get crashCount (): number {
     return this._crashes.size
   }
@@ -33,6 +35,7 @@
     return this._hasTrial
   }
 
+  /** The crash of an incarnation under this request, if it is known. */
   find (incarnation: Incarnation): SuspectedCrash | undefined {
     return this._crashes.get(formatIncarnation(incarnation))
   }
@@ -52,14 +55,17 @@
     this.recordActivity(atMs)
   }
 
+  /** Removes the crash of an incarnation that proved to be alive, or whose record was deleted. */
   remove (incarnation: Incarnation): void {
     this._crashes.delete(formatIncarnation(incarnation))
   }
 
+  /** Records a crash or a sending at `atMs`, from which the time until the next trial counts. */
   recordActivity (atMs: number): void {
     this._lastActivityAtMs = Math.max(this._lastActivityAtMs, atMs)
   }
 
+  /** Records that an entry has claimed a trial at `atMs`. */
   recordTrial (atMs: number): void {
     this._hasTrial = true
     this.recordActivity(atMs)
@@ -70,6 +76,7 @@
     return this.crashCount + running < MAX_CRASHES
   }
 
+  /** Whether the request may run as a trial only. */
   get isRefused (): boolean {
     return this.crashCount >= MAX_CRASHES
   }
