Let the leader decide whether a batch exists, whatever routes are in force

Cause: calls of the batch interface were refused as 'route not found' when no route in force had their host, before anybody looked whether the batch exists. On a host where another route covers /api/lots/, such calls went to a server of that route.

Change: a call of the batch interface goes to the leader, unless another route of a host that never had a batch route covers its path.

--- a/src/common/routing/IRouteTable.ts
+++ b/src/common/routing/IRouteTable.ts
@@ -9,6 +9,6 @@
   /** Returns the route of the HTTP host with the longest matching path prefix. */
   find (host: string, path: string): Route | undefined
   findByName (name: string): Route | undefined
-  /** Whether any route belongs to the HTTP host. */
-  hasHost (host: string): boolean
+  /** Whether the HTTP host has a batch route, or had one in a configuration that was in force in this process. */
+  hasHadBatchRoute (host: string): boolean
 }
--- a/src/common/routing/RouteTable.ts
+++ b/src/common/routing/RouteTable.ts
@@ -11,6 +11,8 @@
   readonly onChanged = this._onChanged.event
   private _config?: RoutingConfig
   private _routesByHost = new Map<string, Route[]>()
+  /** Hosts that have a batch route, or had one before: their batches outlive it. */
+  private readonly _batchHosts = new Set<string>()
 
   constructor (private readonly _logger: ILogger) {
     super()
@@ -32,6 +34,7 @@
     for (const route of config.routes) {
       const host = route.host.toLowerCase()
       byHost.set(host, [...byHost.get(host) ?? [], route])
+      if (route.kind === 'batch') this._batchHosts.add(host)
     }
     // Longest prefix first, so that the first match is the longest one.
     for (const routes of byHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
@@ -50,8 +53,8 @@
     return this._config?.routes.find(route => route.name === name)
   }
 
-  hasHost (host: string): boolean {
-    return this._routesByHost.has(normalizeHost(host))
+  hasHadBatchRoute (host: string): boolean {
+    return this._batchHosts.has(normalizeHost(host))
   }
 }
 
