End the items of a batch whose route has been removed

What callers saw: the output of a run that ended after the removal of its route was never listed, and items that waited then stayed open until the batch was deleted.

Cause: the runner skipped batches without a route in every dispatch, and looked the route up again when a run ended.

Change: a run keeps the route under which it started, so its output is listed. Waiting items are aborted after 10 s without a route; until then the operator may put it back, and a leader that reads the configuration late may get it.

Evidence: BatchService.test.ts 'lists the output of items that run when their route is removed, and aborts those that wait' failed before (no result listed) and passes now.

--- a/src/common/batch/BatchService.test.ts
+++ b/src/common/batch/BatchService.test.ts
@@ -6,6 +6,7 @@
 import type { HandoffProgress } from './record/HandoffProgress.js'
 import { BatchHarness } from './test/BatchHarness.js'
 import { createItem } from './test/createItem.js'
+import { createRoute } from './test/createRoute.js'
 import { createSpec } from './test/createSpec.js'
 import type { FakeEngines } from './test/FakeEngines.js'
 
@@ -157,6 +158,32 @@
     expect((await withLease).kind).toEqual('absent')
   })
 
+  // Guards against output that is never listed, and items that stay open for ever, because the route was removed.
+  it('lists the output of items that run when their route is removed, and aborts those that wait', async () => {
+    engines.eventCounts = { a: 20, b: 20 }
+    engines.breakAfterEvent = { b: 10 }
+    const { service } = await leadWithBatch(300)
+    harness.configure([])
+    await time.advance(2000)
+    expect(await textsOf(service)).toEqual([engines.textOf('a')])
+    await time.advance(9000)
+    const results = await harness.resultsOf(service)
+    expect(typeof results === 'string' ? results : results.map(({ itemId, state }) => `${itemId} ${state}`)).toEqual(['a completed', 'b aborted'])
+    expect(engines.runs.filter(run => run.startsWith('b')).length).toEqual(1)
+  })
+
+  // The operator corrects a configuration, or the leader reads it later than the entry that accepted the batch.
+  it('runs the waiting items when their route is back in time', async () => {
+    engines.eventCounts = { a: 20, b: 20 }
+    engines.breakAfterEvent = { b: 10 }
+    const { service } = await leadWithBatch(300)
+    harness.configure([])
+    await time.advance(5000)
+    harness.configure([createRoute()])
+    await time.advance(8000)
+    expect(await textsOf(service)).toEqual([engines.textOf('a'), engines.textOf('b')])
+  })
+
   // One item crashes each engine that starts it.
   it('retries an item that breaks before its first event with a growing back-off, while others continue', async () => {
     engines.eventCounts = { a: 5, b: 5 }
--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -10,6 +10,7 @@
 import type { Route } from '../../routing/Route.js'
 import type { Batch } from '../Batch.js'
 import { chooseEngine } from '../policy/chooseEngine.js'
+import { applyHandoffProgress } from '../applyHandoffProgress.js'
 import { collectHandoffProgress } from '../collectHandoffProgress.js'
 import { countWaitingItems } from '../policy/countWaitingItems.js'
 import { BatchStatusReporter } from '../BatchStatusReporter.js'
@@ -33,6 +34,7 @@
 import { rankItems } from '../policy/rankItems.js'
 import { ResultWriter } from './ResultWriter.js'
 import { RunSupervisor } from './RunSupervisor.js'
+import { UnroutedBatches } from './UnroutedBatches.js'
 
 const TICK_MS = 100
 /** Longer runs are logged when they complete; shorter ones are only counted. */
@@ -48,6 +50,7 @@
   private readonly _statusReporter: BatchStatusReporter
   private readonly _results: ResultWriter
   private readonly _rewards: RewardRunner
+  private readonly _unrouted: UnroutedBatches
   /** Engines that ran an item of a group, and so have its prompt prefix in their cache; by group. */
   private readonly _enginesByGroup = new Map<string, Set<string>>()
   private _isDispatchScheduled = false
@@ -68,6 +71,7 @@
     this._saver = new ProgressSaver(_batches, _logger)
     this._statusReporter = new BatchStatusReporter(_batches, _fleet, _tracker, _logger, _metrics)
     this._results = new ResultWriter(_batches, _logger, _metrics)
+    this._unrouted = new UnroutedBatches(this._results)
     this._rewards = this._register(new RewardRunner(rewardClient, _fleet, (batch, state, score) => this._results.finishScored(batch, state, score), _logger, _metrics))
     this._register(this._batches.onChanged(() => this._scheduleDispatch()))
     this._register(this._batches.onEnded(batch => this._onBatchEnded(batch)))
@@ -117,17 +121,9 @@
 
   /** Resumes items from progress that the previous leader handed off; returns the number of items that it extends. */
   acceptHandoff (progress: HandoffProgress): number {
-    let count = 0
-    for (const { batchId, itemId, events, versions, isComplete } of progress) {
-      const state = this._batches.find(batchId)?.find(itemId)
-      if (state === undefined || state.status === 'finished' || state.status === 'scoring' || events.length <= state.progress.events.length) continue
-      this._runs.get(state)?.cancel('further progress received')
-      // These events come from other runs than the saved ones, so all of them have to be saved.
-      state.resumeFrom({ events, versions, isComplete, lastEventId: events.length })
-      count += 1
-    }
+    const items = applyHandoffProgress(this._batches, progress, state => this._runs.get(state)?.cancel('further progress received'))
     this._scheduleDispatch()
-    return count
+    return items.length
   }
 
   private _stopRuns (reason: string): void {
@@ -160,7 +156,11 @@
     for (const batch of openBatches) {
       const route = this._routes.find(batch.spec.host, batch.spec.path)
       const service = route === undefined ? undefined : chooseService(route, 0)
-      if (route === undefined || service === undefined || route.kind !== 'batch') continue
+      if (route === undefined || service === undefined || route.kind !== 'batch') {
+        this._unrouted.check(batch)
+        continue
+      }
+      this._unrouted.clear(batch)
       if (nowMs > batch.spec.submittedAtMs + route.batchRetentionMs) {
         this._abandonBatch(batch)
         continue
@@ -221,8 +221,7 @@
     this._enginesByGroup.set(state.item.group, groupEngines.add(engineId))
     state.status = 'running'
     const remainingMs = Math.max(1, Math.round(batch.spec.submittedAtMs + route.batchRetentionMs - Date.now()))
-    const isMovable = route.isResumable && !route.isSingleVersion
-    const run = new ItemRun({ batch, state, engine, service, isMovable, remainingMs }, this._transport)
+    const run = new ItemRun({ batch, state, engine, route, service, remainingMs }, this._transport)
     this._runs.set(state, run)
     run.execute()
       .then(outcome => this._onRunEnded(run, outcome))
@@ -246,9 +245,7 @@
       engine.recordSuccess()
       this._estimator.recordCompletion(state.item.lengthHintTokens, state.progress.events.length)
       state.progress.isComplete = true
-      // Without a route, the text waits until the next dispatch that finds one.
-      const route = this._routes.find(batch.spec.host, batch.spec.path)
-      if (route !== undefined) this._completeItem(batch, state, route)
+      this._completeItem(batch, state, run.route)
       return
     }
     if (outcome.kind === 'impossible') return this._results.abort(batch, state, 'impossible')
@@ -258,10 +255,9 @@
     else if (!run.isCancelled && !(outcome.kind === 'not_run' && outcome.reason === 'full')) engine.recordFailure()
   }
 
-  private _onRunFailed ({ batch, state }: ItemRun): void {
+  private _onRunFailed ({ batch, state, route }: ItemRun): void {
     state.failures += 1
-    const route = this._routes.find(batch.spec.host, batch.spec.path)
-    if (route !== undefined && state.failures >= route.maxAttempts) this._results.abort(batch, state, 'runs failed')
+    if (state.failures >= route.maxAttempts) this._results.abort(batch, state, 'runs failed')
   }
 
   private _completeItem (batch: Batch, state: ItemState, route: Route): void {
--- a/src/common/batch/run/ItemRun.test.ts
+++ b/src/common/batch/run/ItemRun.test.ts
@@ -7,6 +7,7 @@
 import type { IEngineTransport } from './IEngineTransport.js'
 import { ItemRun } from './ItemRun.js'
 import { createItem } from '../test/createItem.js'
+import { createRoute } from '../test/createRoute.js'
 import { createSpec } from '../test/createSpec.js'
 
 type Listener = Parameters<IEngineTransport['run']>[2]
@@ -31,7 +32,7 @@
         signal.addEventListener('abort', () => resolve({ kind: 'broken', reason: 'cancelled' }))
       })
     }
-    run = new ItemRun({ batch, state, engine, service: 's', isMovable: true, remainingMs: 1000 }, transport)
+    run = new ItemRun({ batch, state, engine, route: createRoute(), service: 's', remainingMs: 1000 }, transport)
     outcome = run.execute()
   })
   afterEach(() => time.restore())
--- a/src/common/batch/run/ItemRun.ts
+++ b/src/common/batch/run/ItemRun.ts
@@ -1,4 +1,5 @@
 import type { FleetUpstream } from '../../fleet/FleetUpstream.js'
+import type { Route } from '../../routing/Route.js'
 import type { Batch } from '../Batch.js'
 import type { EngineRunOutcome } from './EngineRunOutcome.js'
 import type { IEngineTransport } from './IEngineTransport.js'
@@ -13,9 +14,9 @@
   batch: Batch
   state: ItemState
   engine: FleetUpstream
+  /** Route of the batch at the start of the run; it may have been removed since. */
+  route: Route
   service: string
-  /** Whether another engine may resume the output at any event. */
-  isMovable: boolean
   /** Time until the retention of the batch ends, after which the engine may stop. */
   remainingMs: number
 }
@@ -37,17 +38,17 @@
   readonly batch: Batch
   readonly state: ItemState
   readonly engine: FleetUpstream
+  /** Route of the batch at the start of the run; it may have been removed since. */
+  readonly route: Route
   readonly service: string
-  /** Whether another engine may resume the output at any event. */
-  readonly isMovable: boolean
   private readonly _remainingMs: number
 
   constructor (options: ItemRunOptions, private readonly _transport: IEngineTransport) {
     this.batch = options.batch
     this.state = options.state
     this.engine = options.engine
+    this.route = options.route
     this.service = options.service
-    this.isMovable = options.isMovable
     this._remainingMs = options.remainingMs
   }
 
@@ -55,6 +56,11 @@
     return this.cancelReason !== undefined
   }
 
+  /** Whether another engine may resume the output at any event. */
+  get isMovable (): boolean {
+    return this.route.isResumable && !this.route.isSingleVersion
+  }
+
   get durationMs (): number {
     return performance.now() - this._startedAtMs
   }
--- a/src/common/batch/run/RunSupervisor.test.ts
+++ b/src/common/batch/run/RunSupervisor.test.ts
@@ -7,6 +7,7 @@
 import { Batch } from '../Batch.js'
 import { LengthEstimator } from '../policy/LengthEstimator.js'
 import { createItem } from '../test/createItem.js'
+import { createRoute } from '../test/createRoute.js'
 import { createSpec } from '../test/createSpec.js'
 import { EngineTracker } from './EngineTracker.js'
 import type { IEngineTransport } from './IEngineTransport.js'
@@ -40,7 +41,7 @@
         signal.addEventListener('abort', () => resolve({ kind: 'broken', reason: 'cancelled' }))
       })
     }
-    run = new ItemRun({ batch, state, engine, service: 's', isMovable: true, remainingMs: 60_000 }, transport)
+    run = new ItemRun({ batch, state, engine, route: createRoute(), service: 's', remainingMs: 60_000 }, transport)
     run.execute().catch(() => undefined)
     checks = setInterval(() => supervisor.check(new Map([[state, run]])), CHECK_INTERVAL_MS)
   })
--- /dev/null
+++ b/src/common/batch/run/UnroutedBatches.ts
@@ -0,0 +1,43 @@
+import type { Batch } from '../Batch.js'
+import type { ItemState } from '../record/ItemState.js'
+import type { ResultWriter } from './ResultWriter.js'
+
+/**
+ * Time for which items wait for a route. The operator may put the route back, and the entry that accepted the batch may
+ * know a newer configuration than the leader does.
+ */
+const ROUTE_WAIT_MS = 10_000
+
+/** Ends the waiting items of open batches whose route has been removed, since no engine may run them any more. */
+export class UnroutedBatches {
+  /** `performance.now()` since which a batch has had no route. */
+  private readonly _unroutedSinceMs = new WeakMap<Batch, number>()
+
+  constructor (private readonly _results: ResultWriter) {}
+
+  /** Records that a batch has a route. */
+  clear (batch: Batch): void {
+    this._unroutedSinceMs.delete(batch)
+  }
+
+  /** Records that a batch has no route; after the waiting time, its waiting items get their results. */
+  check (batch: Batch): void {
+    const nowMs = performance.now()
+    const sinceMs = this._unroutedSinceMs.get(batch) ?? nowMs
+    this._unroutedSinceMs.set(batch, sinceMs)
+    if (nowMs - sinceMs < ROUTE_WAIT_MS) return
+    for (const state of batch.items) {
+      if (state.status === 'waiting') this._finish(batch, state)
+    }
+  }
+
+  private _finish (batch: Batch, state: ItemState): void {
+    if (isResult(state)) this._results.complete(batch, state)
+    else this._results.abort(batch, state, 'route removed')
+  }
+}
+
+/** Whether the output is a valid result under any route; the removed one may have allowed a single version only. */
+function isResult ({ item, progress }: ItemState): boolean {
+  return progress.isComplete && progress.versions.length === 1 && item.rewardCall === undefined
+}
--- a/src/common/batch/test/BatchHarness.ts
+++ b/src/common/batch/test/BatchHarness.ts
@@ -10,6 +10,7 @@
 import type { BatchResult } from '../record/BatchResult.js'
 import { BatchRunner } from '../run/BatchRunner.js'
 import { EngineTracker } from '../run/EngineTracker.js'
+import { createRoute } from './createRoute.js'
 import { FakeEngines } from './FakeEngines.js'
 import { FakeRewards } from './FakeRewards.js'
 
@@ -18,22 +19,6 @@
 const EVENT_INTERVAL_MS = 50
 const REWARD_MS = 40
 
-const ROUTE: Route = {
-  name: 'r',
-  host: 'host.example',
-  pathPrefix: '/batches/',
-  kind: 'batch',
-  services: [{ name: 'engines', weight: 1 }],
-  maxAttempts: 2,
-  timeoutMs: 1000,
-  targetLatencyMs: 100,
-  priority: 0,
-  isResumable: true,
-  batchDeadlineMs: 7500,
-  batchRetentionMs: 40_000,
-  isSingleVersion: false
-}
-
 /** Batch services of successive leaders on one store, with two engines and a reward service. */
 export class BatchHarness extends Disposable {
   readonly store = new MemoryStore()
@@ -44,13 +29,19 @@
 
   constructor (private readonly _time: VirtualTime) {
     super()
-    this._routes.apply({ version: 1, routes: [ROUTE], services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
+    this.configure([createRoute()])
     for (const id of ['e1', 'e2']) {
       this._fleet.apply({ id, startedAtMs: 1, service: 'engines', address: id, failureDomain: 'd', slots: 4, isDraining: false, versions: new Map([['model-a', 1]]) })
     }
     this._fleet.apply({ id: 's1', startedAtMs: 1, service: 'rewards', address: 's1', failureDomain: 'd', slots: 4, isDraining: false, versions: new Map() })
   }
 
+  /** Replaces the routes. */
+  configure (routes: Route[]): void {
+    const version = (this._routes.config?.version ?? 0) + 1
+    this._routes.apply({ version, routes, services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
+  }
+
   /** Starts a service that leads in an epoch. */
   async lead (epoch: number): Promise<{ service: BatchService, leadership: FakeLeadership }> {
     const leadership = new FakeLeadership()
