Ignore records of a server that are older than the newest one known

Cause: the decoder dropped seq, and the table of upstreams compared starts only, so an older record of the same start replaced a newer one.

Change: RecordOrder compares start and sequence number, also after a removal. It ignores older records for 10 s; a writer ahead of the server, or a clock that was stepped back, no longer keeps a server out of use for ever.

--- a/src/common/fleet/FleetMember.ts
+++ b/src/common/fleet/FleetMember.ts
@@ -3,6 +3,8 @@
   id: string
   /** Start of this incarnation, in Unix milliseconds; 0 if unknown. */
   startedAtMs: number
+  /** Number of this record among those of the incarnation, in the order of writing; undefined if unknown. */
+  sequence?: number
   service: string
   /** `ip:port` */
   address: string
--- a/src/common/fleet/FleetTable.test.ts
+++ b/src/common/fleet/FleetTable.test.ts
@@ -77,6 +77,50 @@
     expect(available()).toEqual([])
   })
 
+  // Guards against a heartbeat that the store executes late and that takes back the draining state (review/5).
+  it('ignores a late record of the same incarnation, while the upstream drains and after its removal', async () => {
+    fleet.apply(member({ sequence: 4 }))
+    fleet.apply(member({ sequence: 8, isDraining: true }))
+    await time.advance(3000)
+    fleet.apply(member({ sequence: 5 }))
+    fleet.apply(member({ sequence: undefined }))
+    expect(available()).toEqual([])
+    fleet.remove('u1', 0)
+    await time.advance(3000)
+    fleet.apply(member({ sequence: 7 }))
+    expect(available()).toEqual([])
+    fleet.apply(member({ sequence: 9 }))
+    expect(available()).toEqual(['u1'])
+  })
+
+  // Guards against a late record that keeps an upstream whose own record has expired.
+  it('removes an upstream whose record expired although an older one of the same incarnation arrives', async () => {
+    fleet.apply(member({ sequence: 4 }))
+    fleet.remove('u1', 1000)
+    fleet.apply(member({ sequence: 3 }))
+    await time.advance(1100)
+    expect(available()).toEqual([])
+  })
+
+  it('begins to count anew after a restart, and does not compare the records of an unknown start', () => {
+    fleet.apply(member({ sequence: 400 }))
+    fleet.apply(member({ startedAtMs: 200, sequence: 1 }))
+    expect(fleet.find('u1')?.member.startedAtMs).toEqual(200)
+    fleet.apply(member({ id: 'u2', startedAtMs: 0, sequence: 400 }))
+    fleet.apply(member({ id: 'u2', startedAtMs: 0, sequence: 1, isDraining: true }))
+    expect(available()).toEqual(['u1'])
+  })
+
+  // Guards against an upstream that is out of use for ever, because another writer's record or a stepped clock was ahead.
+  it('uses an upstream again whose own records continue for longer than a write may be late', async () => {
+    fleet.apply(member({ startedAtMs: 9_000_000, sequence: 1, isDraining: true }))
+    for (let sequence = 1; sequence <= 10; sequence++) {
+      fleet.apply(member({ sequence }))
+      await time.advance(1200)
+    }
+    expect(available()).toEqual(['u1'])
+  })
+
   it('never returns to an older weight version within one incarnation', () => {
     fleet.find('u1')?.recordVersion('m', 4)
     fleet.apply(member({ versions: new Map([['m', 3]]) }))
--- a/src/common/fleet/FleetTable.ts
+++ b/src/common/fleet/FleetTable.ts
@@ -4,6 +4,7 @@
 import type { FleetMember } from './FleetMember.js'
 import { FleetUpstream } from './FleetUpstream.js'
 import type { IFleet } from './IFleet.js'
+import { RecordOrder } from './RecordOrder.js'
 
 /** Incarnations remembered as leaving after their records have been removed; a record may return. */
 const MAX_LEAVING = 1024
@@ -18,18 +19,19 @@
   /** Incarnations that said in a response that they leave, the latest last. */
   private readonly _leaving = new Set<string>()
   private readonly _pendingRemovals = new Map<string, NodeJS.Timeout>()
+  private readonly _recordOrder = new RecordOrder()
 
   constructor (private readonly _logger: ILogger) {
     super()
   }
 
-  /** Adds or updates an upstream, and cancels its pending removal. */
+  /** Adds or updates an upstream, and cancels its pending removal. A record that the store executed late has no effect. */
   apply (member: FleetMember): void {
-    const known = this._upstreams.get(member.id)
-    if (known !== undefined && member.startedAtMs < known.member.startedAtMs) {
+    if (!this._recordOrder.accept(member)) {
       this._log(member, 'upstream_entry_ignored_as_older')
       return
     }
+    const known = this._upstreams.get(member.id)
     this._cancelRemoval(member.id)
     if (known !== undefined && known.member.startedAtMs === member.startedAtMs && known.member.address === member.address) {
       if (known.member.isDraining !== member.isDraining) this._log(member, 'upstream_state_changed')
@@ -107,8 +109,8 @@
   }
 
   private _log (member: FleetMember, event: string): void {
-    const { id, service, address, startedAtMs, isDraining } = member
-    this._logger.info({ upstream: id, service, address, born_at_ms: startedAtMs, draining: isDraining }, event)
+    const { id, service, address, startedAtMs, sequence, isDraining } = member
+    this._logger.info({ upstream: id, service, address, born_at_ms: startedAtMs, sequence, draining: isDraining }, event)
   }
 }
 
