Keep the output of a single-version route within one version

Cause: the plan of loads orders every engine below the highest minimum version of the open batches, whatever runs there; a run compares versions with the minimum only; and complete output is listed whatever its versions.

Change: engines that run such items load after these have ended, checked again before the order is sent. A run ends at a second version. Output with several versions is never listed, and its item starts again.

--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -27,6 +27,7 @@
 import type { IRewardClient } from '../reward/IRewardClient.js'
 import { RewardRunner } from '../reward/RewardRunner.js'
 import type { HandoffProgress } from '../record/HandoffProgress.js'
+import { hasMixedVersions } from '../policy/hasMixedVersions.js'
 import { hasNoCompatibleEngine } from '../policy/hasNoCompatibleEngine.js'
 import { LengthEstimator } from '../policy/LengthEstimator.js'
 import { ProgressCache } from '../ProgressCache.js'
@@ -34,6 +35,7 @@
 import { rankItems } from '../policy/rankItems.js'
 import { ResultWriter } from './ResultWriter.js'
 import { RunSupervisor } from './RunSupervisor.js'
+import { RunTable } from './RunTable.js'
 import { UnroutedBatches } from './UnroutedBatches.js'
 
 const TICK_MS = 100
@@ -42,7 +44,7 @@
 
 /** Dispatches the items of all open batches to engines and stores their output as results. */
 export class BatchRunner extends Disposable implements IBatchWorkload {
-  private readonly _runs = new Map<ItemState, ItemRun>()
+  private readonly _runs = new RunTable()
   private readonly _estimator = new LengthEstimator()
   private readonly _progressCache = new ProgressCache()
   private readonly _supervisor: RunSupervisor
@@ -89,11 +91,11 @@
   addDisposable (disposable: IDisposable): void { this._register(disposable) }
 
   countRunsOn (engineId: string, model?: string): number {
-    let count = 0
-    for (const run of this._runs.values()) {
-      if (run.engine.member.id === engineId && (model === undefined || run.batch.spec.model === model)) count += 1
-    }
-    return count
+    return this._runs.countOn(engineId, model)
+  }
+
+  countSingleVersionRunsOn (engineId: string, model: string): number {
+    return this._runs.countSingleVersionOn(engineId, model)
   }
 
   countWaitingItems (model: string): { count: number, minVersion: number | undefined } {
@@ -107,7 +109,7 @@
 
   /** Cancels all runs and reward calls and saves the output of their items; returns the number of items. */
   async handOff (): Promise<number> {
-    const items = [...[...this._runs.values()].map(run => ({ batch: run.batch, state: run.state })), ...this._rewards.items()]
+    const items = [...this._runs.all().map(run => ({ batch: run.batch, state: run.state })), ...this._rewards.items()]
     this._stopRuns('handed over')
     this._rewards.cancelAll()
     await this._saver.save(items)
@@ -121,19 +123,19 @@
 
   /** Resumes items from progress that the previous leader handed off; returns the number of items that it extends. */
   acceptHandoff (progress: HandoffProgress): number {
-    const items = applyHandoffProgress(this._batches, progress, state => this._runs.get(state)?.cancel('further progress received'))
+    const items = applyHandoffProgress(this._batches, progress, state => this._runs.of(state)?.cancel('further progress received'))
     this._scheduleDispatch()
     return items.length
   }
 
   private _stopRuns (reason: string): void {
     this._isStopped = true
-    for (const run of this._runs.values()) run.cancel(reason)
+    this._runs.cancelAll(reason)
   }
 
   private _tick (): void {
-    this._supervisor.check(this._runs)
-    this._saver.saveIfDue(this._runs.values(), this._rewards.items())
+    this._supervisor.check(this._runs.byState)
+    this._saver.saveIfDue(this._runs.all(), this._rewards.items())
     this._rewards.startDue()
     this._scheduleDispatch()
     this._statusReporter.logIfDue(this._runs.size, this._rewards.size, engineId => this.countRunsOn(engineId))
@@ -166,7 +168,7 @@
         continue
       }
       const key = `${service} ${batch.spec.model}`
-      const engines = viewsByKey.get(key) ?? this._tracker.views(service, batch.spec.model, this._runs.values(), this._estimator)
+      const engines = viewsByKey.get(key) ?? this._tracker.views(service, batch.spec.model, this._runs.all(), this._estimator)
       viewsByKey.set(key, engines)
       this._dispatchBatch(batch, route, service, engines)
     }
@@ -177,6 +179,7 @@
     for (const { state } of rankItems(batch, this._estimator)) {
       if (nowMs < state.notBeforeMs) continue
       this._reuseProgress(batch, state, route)
+      if (hasMixedVersions(state, route)) this._restartItem(state)
       if (state.progress.isComplete) {
         this._completeItem(batch, state, route)
         continue
@@ -222,7 +225,7 @@
     state.status = 'running'
     const remainingMs = Math.max(1, Math.round(batch.spec.submittedAtMs + route.batchRetentionMs - Date.now()))
     const run = new ItemRun({ batch, state, engine, route, service, remainingMs }, this._transport)
-    this._runs.set(state, run)
+    this._runs.add(run)
     run.execute()
       .then(outcome => this._onRunEnded(run, outcome))
       .catch((fault: unknown) => this._logger.error({ item: state.item.id, reason: String(fault) }, 'item_run_fault'))
@@ -231,7 +234,7 @@
   private _onRunEnded (run: ItemRun, outcome: EngineRunOutcome): void {
     const { batch, state } = run
     this._metrics.count('batch_runs', { outcome: outcome.kind, cancelled: run.cancelReason ?? '' })
-    this._runs.delete(state)
+    this._runs.remove(run)
     if (state.status === 'running') state.status = 'waiting'
     if ((outcome.kind !== 'complete' && run.cancelReason !== 'slow') || run.durationMs > LONG_RUN_MS) this._logger.info(describeRun(run, outcome), 'item_run_ended')
     if (!batch.isOpen) return this._progressCache.put(state.item.id, state.progress)
@@ -261,6 +264,7 @@
   }
 
   private _completeItem (batch: Batch, state: ItemState, route: Route): void {
+    if (hasMixedVersions(state, route)) return this._restartItem(state)
     const { rewardCall } = state.item
     if (rewardCall === undefined) return this._results.complete(batch, state)
     state.status = 'scoring'
@@ -271,7 +275,7 @@
   private _abandonBatch (batch: Batch): void {
     this._rewards.cancel(batch)
     for (const state of batch.items) {
-      this._runs.get(state)?.cancel('given up')
+      this._runs.of(state)?.cancel('given up')
       this._results.abort(batch, state, 'retention of the route ended')
     }
   }
@@ -279,7 +283,7 @@
   private _onBatchEnded (batch: Batch): void {
     this._rewards.cancel(batch)
     for (const state of batch.items) {
-      const run = this._runs.get(state)
+      const run = this._runs.of(state)
       if (run !== undefined) run.cancel('batch ended')
       else if (state.status !== 'finished') this._progressCache.put(state.item.id, state.progress)
       this._enginesByGroup.delete(state.item.group)
@@ -290,6 +294,6 @@
   private _onUpstreamRemoved (upstream: FleetUpstream): void {
     const successor = this._fleet.find(upstream.member.id)
     if (successor === undefined || successor === upstream) return
-    for (const run of this._runs.values()) if (run.engine === upstream) run.cancel('engine restarted')
+    for (const run of this._runs.all()) if (run.engine === upstream) run.cancel('engine restarted')
   }
 }
--- a/src/common/batch/run/IBatchWorkload.ts
+++ b/src/common/batch/run/IBatchWorkload.ts
@@ -2,6 +2,8 @@
 export interface IBatchWorkload {
   /** Number of runs at an engine, of one model or of all models. */
   countRunsOn (engineId: string, model?: string): number
+  /** Number of runs of a model at an engine whose output a version change would make worthless. */
+  countSingleVersionRunsOn (engineId: string, model: string): number
   /** Number of items of a model that wait for an engine, and the highest minimum version of its open batches. */
   countWaitingItems (model: string): { count: number, minVersion: number | undefined }
   /**
--- a/src/common/batch/run/ItemRun.ts
+++ b/src/common/batch/run/ItemRun.ts
@@ -116,9 +116,17 @@
   private _onVersion (version: number): void {
     this._version = version
     this.engine.recordVersion(this.batch.spec.model, version)
-    if (version >= this.batch.spec.minVersion) return
-    this._isStale = true
-    this.cancel('version')
+    if (version < this.batch.spec.minVersion) {
+      this._isStale = true
+      this.cancel('version')
+    } else if (this._wouldMixVersions(version)) {
+      this.cancel('version changed')
+    }
+  }
+
+  /** Whether the next event would give the output a second version on a route that allows one. */
+  private _wouldMixVersions (version: number): boolean {
+    return this.route.isSingleVersion && this.state.progress.versions.some(known => known !== version)
   }
 
   private _onEvent (id: number, data: string): void {
--- /dev/null
+++ b/src/common/batch/run/RunTable.ts
@@ -0,0 +1,50 @@
+import type { ItemState } from '../record/ItemState.js'
+import type { ItemRun } from './ItemRun.js'
+
+/** The runs in flight, at most one of each item. */
+export class RunTable {
+  private readonly _byState = new Map<ItemState, ItemRun>()
+
+  get byState (): ReadonlyMap<ItemState, ItemRun> {
+    return this._byState
+  }
+
+  get size (): number {
+    return this._byState.size
+  }
+
+  add (run: ItemRun): void {
+    this._byState.set(run.state, run)
+  }
+
+  remove (run: ItemRun): void {
+    this._byState.delete(run.state)
+  }
+
+  /** The run of an item; undefined if it does not run. */
+  of (state: ItemState): ItemRun | undefined {
+    return this._byState.get(state)
+  }
+
+  all (): ItemRun[] {
+    return [...this._byState.values()]
+  }
+
+  /** Number of runs at an engine, of one model or of all models. */
+  countOn (engineId: string, model?: string): number {
+    return this.all().filter(run => isOn(run, engineId, model)).length
+  }
+
+  /** Number of runs at an engine whose output a version change would make worthless. */
+  countSingleVersionOn (engineId: string, model: string): number {
+    return this.all().filter(run => isOn(run, engineId, model) && run.route.isSingleVersion && !run.isCancelled).length
+  }
+
+  cancelAll (reason: string): void {
+    for (const run of this.all()) run.cancel(reason)
+  }
+}
+
+function isOn (run: ItemRun, engineId: string, model?: string): boolean {
+  return run.engine.member.id === engineId && (model === undefined || run.batch.spec.model === model)
+}
--- a/src/common/batch/test/BatchHarness.ts
+++ b/src/common/batch/test/BatchHarness.ts
@@ -24,16 +24,16 @@
   readonly store = new MemoryStore()
   readonly engines = new FakeEngines(EVENT_INTERVAL_MS)
   readonly rewards = new FakeRewards(REWARD_MS)
-  private readonly _fleet = this._register(new FleetTable(logger))
+  readonly fleet = this._register(new FleetTable(logger))
   private readonly _routes = new RouteTable(logger)
 
   constructor (private readonly _time: VirtualTime) {
     super()
     this.configure([createRoute()])
     for (const id of ['e1', 'e2']) {
-      this._fleet.apply({ id, startedAtMs: 1, service: 'engines', address: id, failureDomain: 'd', slots: 4, isDraining: false, versions: new Map([['model-a', 1]]) })
+      this.fleet.apply({ id, startedAtMs: 1, service: 'engines', address: id, failureDomain: 'd', slots: 4, isDraining: false, versions: new Map([['model-a', 1]]) })
     }
-    this._fleet.apply({ id: 's1', startedAtMs: 1, service: 'rewards', address: 's1', failureDomain: 'd', slots: 4, isDraining: false, versions: new Map() })
+    this.fleet.apply({ id: 's1', startedAtMs: 1, service: 'rewards', address: 's1', failureDomain: 'd', slots: 4, isDraining: false, versions: new Map() })
   }
 
   /** Replaces the routes. */
@@ -46,7 +46,7 @@
   async lead (epoch: number): Promise<{ service: BatchService, leadership: FakeLeadership }> {
     const leadership = new FakeLeadership()
     const service = this._register(new BatchService(this.store, leadership, batches =>
-      new BatchRunner(batches, this._fleet, this._routes, this.engines, this.rewards, new EngineTracker(this._fleet, this._routes), logger, metrics), RETENTION_MS, logger))
+      new BatchRunner(batches, this.fleet, this._routes, this.engines, this.rewards, new EngineTracker(this.fleet, this._routes), logger, metrics), RETENTION_MS, logger))
     leadership.gain(epoch)
     await this._time.advance(50)
     return { service, leadership }
--- a/src/common/batch/test/FakeEngines.ts
+++ b/src/common/batch/test/FakeEngines.ts
@@ -16,6 +16,10 @@
   readonly failing = new Set<string>()
   /** Ids of the items whose next run throws. */
   readonly throwing = new Set<string>()
+  /** Loaded version by engine id; 1 unless it is given. */
+  versions: Record<string, number> = {}
+  /** Version that the engine has from an event of an item on, in the first run that makes this event. */
+  versionFromEvent: Record<string, { eventId: number, version: number }> = {}
   /** All runs so far, as `ITEM ENGINE LAST_EVENT_ID`. */
   readonly runs: string[] = []
   private readonly _resumedAt = new Map<string, number>()
@@ -39,7 +43,8 @@
     if (this.throwing.delete(id)) throw new Error('fault of the transport')
     if (this.crashing.has(id)) return { kind: 'broken', reason: 'reset' }
     if (this.failing.has(id)) return { kind: 'failed', status: 500 }
-    listener.onVersion(1)
+    listener.onVersion(this.versions[engine.member.id] ?? 1)
+    if (signal.aborted) return { kind: 'broken', reason: 'cancelled' }
     const breakAfterEvent = this.breakAfterEvent[id]
     delete this.breakAfterEvent[id]
     return await new Promise(resolve => {
@@ -49,6 +54,13 @@
       const timer = setInterval(() => {
         if (isEnded) return
         eventId += 1
+        const change = this.versionFromEvent[id]
+        if (change?.eventId === eventId) {
+          this.versions[engine.member.id] = change.version
+          delete this.versionFromEvent[id]
+          listener.onVersion(change.version)
+        }
+        if (isEnded) return
         listener.onEvent(eventId, `${id}${eventId}`)
         if (eventId === breakAfterEvent) finish({ kind: 'broken', reason: 'reset' })
         else if (eventId >= (this.eventCounts[id] ?? 0)) finish({ kind: 'complete' })
--- a/src/common/version/EngineVersionView.ts
+++ b/src/common/version/EngineVersionView.ts
@@ -4,6 +4,8 @@
   version: number
   /** Number of running requests of the model. */
   running: number
+  /** Number of running requests whose output a load would make worthless. */
+  runningSingleVersion: number
   /** Expected time between two events of a run. */
   eventIntervalMs: number
   /** Whether it is already loading, or may not receive an order now. */
--- a/src/common/version/VersionRollout.test.ts
+++ b/src/common/version/VersionRollout.test.ts
@@ -24,6 +24,8 @@
   let sent: Array<VersionOrder & { engine: string }>
   let queried: string[]
   let recorded: string[]
+  let singleVersionRuns: Map<string, number>
+  let onRecorded: (engineId: string) => void
   let respond: (order: VersionOrder, engine: FleetUpstream) => VersionOrderOutcome
 
   beforeEach(() => {
@@ -34,6 +36,8 @@
     sent = []
     queried = []
     recorded = []
+    singleVersionRuns = new Map()
+    onRecorded = () => undefined
     respond = () => 'accepted'
     for (const id of ['a', 'b', 'c']) {
       fleet.apply({ id, startedAtMs: 0, service: 's', address: id, failureDomain: 'd', slots: 4, isDraining: false, versions: new Map([['m', 1]]) })
@@ -48,11 +52,12 @@
   /** `lastOrderedAgoMs` tells how long ago the previous leader recorded an order, by engine. */
   function start (lastOrderedAgoMs: Record<string, number> = {}): void {
     const startedAtMs = Date.now()
-    const workload = { countRunsOn: () => 0, countWaitingItems: () => ({ count: 0, minVersion: undefined }), setLoading () {} }
+    const workload = { countRunsOn: () => 0, countSingleVersionRunsOn: (id: string) => singleVersionRuns.get(id) ?? 0, countWaitingItems: () => ({ count: 0, minVersion: undefined }), setLoading () {} }
     const orderStore = {
       lastOrderedAtMs: (id: string) => lastOrderedAgoMs[id] === undefined ? undefined : startedAtMs - lastOrderedAgoMs[id],
       recordOrder: async (id: string) => {
         recorded.push(id)
+        onRecorded(id)
         return true
       }
     }
@@ -99,6 +104,22 @@
     expect(queried.filter(id => id === 'a').length).toEqual(2)
   })
 
+  // Guards against a load that spoils a run which started between the choice of the engine and the order.
+  it('sends no order to an engine that has begun to run an item of a single version, until it has ended', async () => {
+    announced.update('m', 2)
+    onRecorded = id => {
+      if (id === 'a') singleVersionRuns.set(id, 1)
+    }
+    start()
+    await time.advance(1500)
+    expect(engines()).toEqual(['b', 'c'])
+    onRecorded = () => undefined
+    singleVersionRuns.clear()
+    load('b', 2)
+    await time.advance(1000)
+    expect(engines()).toInclude('a')
+  })
+
   it('sends no order without a valid lease', async () => {
     announced.update('m', 2)
     isValid = false
--- a/src/common/version/VersionRollout.ts
+++ b/src/common/version/VersionRollout.ts
@@ -89,6 +89,7 @@
           id: engine.member.id,
           version: engine.versionOf(model),
           running: this._options.workload.countRunsOn(engine.member.id, model),
+          runningSingleVersion: this._options.workload.countSingleVersionRunsOn(engine.member.id, model),
           eventIntervalMs: engine.averageMs ?? 0,
           isLoading: this._isPending(engine) || engine.isExcluded || performance.now() < this._stateOf(engine).notBeforeMs
         }))
@@ -145,7 +146,9 @@
     state.acceptedCount ??= await this._orderClient.acceptedOrderCount(engine)
     const isRecorded = state.acceptedCount !== undefined && await this._options.orderStore.recordOrder(engine.member.id, Date.now())
     const isStillHolder = isRecorded && this._leadership.validEpoch() === this._options.epoch
-    if (state.acceptedCount === undefined || !isStillHolder) {
+    // A run may have started there since the load was planned.
+    const isFree = this._options.workload.countSingleVersionRunsOn(engine.member.id, model) === 0
+    if (state.acceptedCount === undefined || !isStillHolder || !isFree) {
       state.isOrdering = false
       state.notBeforeMs = performance.now() + RETRY_BACKOFF_MS
       return
--- a/src/common/version/planVersionLoads.test.ts
+++ b/src/common/version/planVersionLoads.test.ts
@@ -5,7 +5,7 @@
 import { planVersionLoads } from './planVersionLoads.js'
 
 const engine = (id: string, version: number, overrides: Partial<EngineVersionView> = {}): EngineVersionView =>
-  ({ id, version, running: 0, eventIntervalMs: 30, isLoading: false, ...overrides })
+  ({ id, version, running: 0, runningSingleVersion: 0, eventIntervalMs: 30, isLoading: false, ...overrides })
 const input = { newestVersion: 3, announcedForMs: 5000, waitingItemCount: 0, minVersion: 2, freeLoadSlots: 2 }
 
 describe('planVersionLoads', () => {
@@ -15,6 +15,12 @@
     expect(planVersionLoads({ ...input, engines, waitingItemCount: 10 })).toEqual(['fast', 'slow'])
   })
 
+  // Two steps of a trainer are open, and a load would spoil the output of the earlier one (review/2).
+  it('does not load engines that run items of a single version until these have ended', () => {
+    const engines = [engine('running', 1, { running: 2, runningSingleVersion: 2 }), engine('free', 1, { running: 1 })]
+    expect(planVersionLoads({ ...input, engines, waitingItemCount: 10 })).toEqual(['free'])
+  })
+
   it('does not load engines that the open batch can use until they are idle and no item waits', () => {
     const engines = [engine('busy', 2, { running: 2 }), engine('idle', 2), engine('done', 3)]
     expect(planVersionLoads({ ...input, engines, waitingItemCount: 1 })).toEqual([])
--- a/src/common/version/planVersionLoads.ts
+++ b/src/common/version/planVersionLoads.ts
@@ -18,13 +18,14 @@
 
 /**
  * Chooses the engines of a model that start to load its newest version now. Engines whose version the open batch
- * does not accept come first. The others load only when they are idle and no item waits: while the last items of
- * a batch complete and while the trainer trains.
+ * does not accept come first, but not while they run items of an earlier batch whose output must come from one
+ * version. The others load only when they are idle and no item waits: while the last items of a batch complete and
+ * while the trainer trains.
  */
 export function planVersionLoads (input: VersionLoadPlanInput): string[] {
   const { engines, newestVersion, minVersion, waitingItemCount, announcedForMs, freeLoadSlots } = input
   const outdated = engines.filter(engine => engine.version < newestVersion && !engine.isLoading)
-  const incompatible = outdated.filter(engine => minVersion !== undefined && engine.version < minVersion)
+  const incompatible = outdated.filter(engine => minVersion !== undefined && engine.version < minVersion && engine.runningSingleVersion === 0)
   const mayLoadIdleEngines = waitingItemCount === 0 && announcedForMs >= BATCH_ARRIVAL_MS
   const idle = outdated.filter(engine => !incompatible.includes(engine) && engine.running === 0 && mayLoadIdleEngines)
   // The fastest engines come first, because they run the longest items.
