--- a/src/common/batch/run/ItemRun.test.ts
+++ b/src/common/batch/run/ItemRun.test.ts
@@ -56,6 +56,14 @@
     expect(run.state.progress.events).toEqual(['a'])
   })
 
+  it('is not complete after a cancel, because later events are dropped', async () => {
+    listener.onVersion(3)
+    listener.onEvent(1, 'a')
+    resolveRun({ kind: 'complete' })
+    run.cancel('slow')
+    expect((await outcome).kind).toEqual('broken')
+  })
+
   it('ignores events of a version that the batch does not accept', async () => {
     listener.onVersion(2)
     listener.onEvent(1, 'a')
