Start an item again when no engine has its version, although some have older ones

What callers saw: nothing for the item until its deadline. An item of a single_version route whose version was lost with its engine waited for one with an older version, which loads nothing while items wait.

--- a/src/common/batch/singleVersion.test.ts
+++ b/src/common/batch/singleVersion.test.ts
@@ -68,4 +68,15 @@
     await time.advance(4000)
     expect(await listed()).toEqual(whole(1))
   })
+
+  it('run an item again whose version no engine has, while others have older ones', async () => {
+    harness.engines.versions = { e1: 3, e2: 1 }
+    harness.fleet.find('e1')?.recordVersion('model-a', 3)
+    await submit()
+    handOff({ versions: [2], events: Array(EVENTS - 5).fill('x') })
+    await time.advance(4000)
+    const [result] = await listed() as Array<{ text: string, versions: number[] }>
+    expect(result?.text).toEqual(harness.engines.textOf('a'))
+    expect(result?.versions.length).toEqual(1)
+  })
 })
