--- a/src/node/front/HttpListener.ts
+++ b/src/node/front/HttpListener.ts
@@ -24,6 +24,10 @@
 const MAX_BUFFERED_BYTES = 48_000_000
 const OVERLOAD_RETRY_AFTER_S = '0.3'
 const MAX_CONNECTIONS = 3000
+const CUT_OFF_RETRY_AFTER_S = '0'
+
+/** A request without a complete response. */
+interface PendingRequest { incoming: IncomingMessage, outgoing: ServerResponse, isRead: boolean }
 
 /** HTTP/1.1 listener. Reads complete requests within the configured limits and responds to them in order. */
 export class HttpListener extends Disposable {
@@ -31,7 +35,7 @@
   private _limits?: CallerLimits
   private _isClosing = false
   private _bufferedBytes = 0
-  private _inFlight = 0
+  private readonly _pending = new Set<PendingRequest>()
 
   constructor (
     private readonly _name: string,
@@ -72,7 +76,7 @@
 
   /** Requests received but not yet fully answered. */
   get inFlight (): number {
-    return this._inFlight
+    return this._pending.size
   }
 
   /** Adds `connection: close` to all further responses. */
@@ -86,12 +90,24 @@
     this._server.closeIdleConnections()
   }
 
+  /**
+   * Responds to every request in flight, so that no caller waits for a process that ends: 503 if the request has not
+   * been read as a whole, and 504 if it may have run.
+   */
+  cutOffPending (): void {
+    for (const { incoming, outgoing, isRead } of this._pending) {
+      this._logger.warn({ listener: this._name, target: incoming.url, request_read: isRead }, 'request_cut_off')
+      this._write(outgoing, incoming, isRead ? { status: 504 } : { status: 503, headers: { 'retry-after': CUT_OFF_RETRY_AFTER_S } })
+    }
+  }
+
   private async _serve (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const arrivedAtMs = performance.now()
     const disconnected = new AbortController()
-    this._inFlight += 1
+    const pending: PendingRequest = { incoming, outgoing, isRead: false }
+    this._pending.add(pending)
     outgoing.once('close', () => {
-      this._inFlight -= 1
+      this._pending.delete(pending)
       if (!outgoing.writableFinished) disconnected.abort()
     })
     let bufferedBytes = 0
@@ -99,6 +115,7 @@
       const refusal = this._checkHeaders(incoming)
       const body = refusal === undefined ? await this._readBody(incoming, bytes => { bufferedBytes += bytes }) : undefined
       if (body === 'aborted') return
+      pending.isRead = true
       const response = refusal ?? (Buffer.isBuffer(body)
         ? await this._handler(toListenerRequest(incoming, body, arrivedAtMs, disconnected.signal))
         : body)
--- a/src/node/front/LeaderGateway.ts
+++ b/src/node/front/LeaderGateway.ts
@@ -1,6 +1,7 @@
 import type { ILogger } from '../../common/metrics/ILogger.js'
 import type { ILeadership } from '../../common/store/ILeadership.js'
 import type { IUpstreamClient } from '../../common/upstream/client/IUpstreamClient.js'
+import type { GatewayOptions } from './GatewayOptions.js'
 import type { LeaderViewClient } from './LeaderViewClient.js'
 import type { ListenerResponse } from './ListenerResponse.js'
 import type { ListenerRequest } from './ListenerRequest.js'
@@ -14,14 +15,6 @@
 const FORWARD_TIMEOUT_MS = 1500
 const NO_LEADER_RETRY_AFTER_S = '0.4'
 
-interface GatewayOptions {
-  requestId: string
-  /** How long the request is retried while no leader accepts it. */
-  retryForMs: number
-  /** How long the leader may hold the request before it responds, because of a long poll or a durable write. */
-  leaderHoldMs: number
-}
-
 /**
  * Serves requests that only the leader may process: locally if this entry leads, otherwise by forwarding them.
  * Such requests are idempotent, so they are sent again if the leader does not respond.
