Bound the output of an item and of all runs in flight

What callers saw: when engines sent sound events without end, no item of the batch was completed any more, and the leader kept every event.

Cause: heads, bodies and single events were bounded, the number of events of an item was not, and each event counted as progress.

Change: a run ends at 4 MB of output, and the largest one when all together exceed 32 MB. Its engine counts as failed and its item starts again. ResponseBudget becomes SharedBudget, for bodies and runs.

--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -224,7 +224,7 @@
     this._enginesByGroup.set(state.item.group, groupEngines.add(engineId))
     state.status = 'running'
     const remainingMs = Math.max(1, Math.round(batch.spec.submittedAtMs + route.batchRetentionMs - Date.now()))
-    const run = new ItemRun({ batch, state, engine, route, service, remainingMs }, this._transport)
+    const run = new ItemRun({ batch, state, engine, route, service, remainingMs, outputBudget: this._runs.outputBudget }, this._transport)
     this._runs.add(run)
     run.execute()
       .then(outcome => this._onRunEnded(run, outcome))
--- a/src/common/batch/run/ItemRun.test.ts
+++ b/src/common/batch/run/ItemRun.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { FleetUpstream } from '../../fleet/FleetUpstream.js'
+import { SharedBudget } from '../../kernel/SharedBudget.js'
 import { VirtualTime } from '../../log/test/VirtualTime.test.js'
 import { Batch } from '../Batch.js'
 import type { EngineRunOutcome } from './EngineRunOutcome.js'
@@ -12,15 +13,19 @@
 
 type Listener = Parameters<IEngineTransport['run']>[2]
 
+const BUDGET_BYTES = 8_000_000
+
 describe('ItemRun', () => {
   let time: VirtualTime
   let listener: Listener
   let resolveRun: (outcome: EngineRunOutcome) => void
   let run: ItemRun
   let outcome: Promise<EngineRunOutcome>
+  let budget: SharedBudget
 
   beforeEach(() => {
     time = new VirtualTime()
+    budget = new SharedBudget(BUDGET_BYTES)
     const engine = new FleetUpstream({ id: 'e', startedAtMs: 0, service: 's', address: '', failureDomain: 'd', slots: 8, isDraining: false, versions: new Map() })
     const batch = new Batch(createSpec({ minVersion: 3 }), [createItem('i', 'g')])
     const [state] = batch.items
@@ -32,7 +37,7 @@
         signal.addEventListener('abort', () => resolve({ kind: 'broken', reason: 'cancelled' }))
       })
     }
-    run = new ItemRun({ batch, state, engine, route: createRoute(), service: 's', remainingMs: 1000 }, transport)
+    run = new ItemRun({ batch, state, engine, route: createRoute(), service: 's', remainingMs: 1000, outputBudget: budget }, transport)
     outcome = run.execute()
   })
   afterEach(() => time.restore())
@@ -56,6 +61,28 @@
     expect(run.state.progress.events).toEqual(['a'])
   })
 
+  // Guards against a process that runs out of memory, because an engine sends sound events without end.
+  it('ends with an engine that sends events without end, and keeps none of them', async () => {
+    const data = 'x'.repeat(10_000)
+    listener.onVersion(3)
+    let id = 0
+    while (!run.isCancelled && id < 10_000) listener.onEvent(++id, data)
+    expect((await outcome).kind).toEqual('broken')
+    expect(id * data.length).toBeLessThan(5_000_000)
+    expect(run.state.progress.events).toEqual([])
+    expect(run.engine.isExcluded).toEqual(true)
+  })
+
+  it('ends when it has the largest output of all runs and these exceed their memory', async () => {
+    const others = { fail () {} }
+    listener.onVersion(3)
+    listener.onEvent(1, 'x'.repeat(3_000_000))
+    budget.add(others, 2_500_000)
+    budget.add({ fail () {} }, 2_600_000)
+    expect((await outcome).kind).toEqual('broken')
+    expect(run.state.progress.events).toEqual([])
+  })
+
   it('is not complete after a cancel, because later events are dropped', async () => {
     listener.onVersion(3)
     listener.onEvent(1, 'a')
--- a/src/common/batch/run/RunSupervisor.test.ts
+++ b/src/common/batch/run/RunSupervisor.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl'
 import { FleetTable } from '../../fleet/FleetTable.js'
 import { testServices } from '../../log/test/testServices.js'
+import { SharedBudget } from '../../kernel/SharedBudget.js'
 import { VirtualTime } from '../../log/test/VirtualTime.test.js'
 import { RouteTable } from '../../routing/RouteTable.js'
 import { Batch } from '../Batch.js'
@@ -17,6 +18,8 @@
 const { logger } = testServices()
 const CHECK_INTERVAL_MS = 100
 
+const BUDGET_BYTES = 1_500_000
+
 describe('RunSupervisor', () => {
   let time: VirtualTime
   let fleet: FleetTable
@@ -41,7 +44,7 @@
         signal.addEventListener('abort', () => resolve({ kind: 'broken', reason: 'cancelled' }))
       })
     }
-    run = new ItemRun({ batch, state, engine, route: createRoute(), service: 's', remainingMs: 60_000 }, transport)
+    run = new ItemRun({ batch, state, engine, route: createRoute(), service: 's', remainingMs: 60_000, outputBudget: new SharedBudget(BUDGET_BYTES) }, transport)
     run.execute().catch(() => undefined)
     checks = setInterval(() => supervisor.check(new Map([[state, run]])), CHECK_INTERVAL_MS)
   })
--- a/src/common/batch/run/RunTable.ts
+++ b/src/common/batch/run/RunTable.ts
@@ -1,8 +1,14 @@
+import { SharedBudget } from '../../kernel/SharedBudget.js'
 import type { ItemState } from '../record/ItemState.js'
 import type { ItemRun } from './ItemRun.js'
 
+/** Leaves most of the memory of a small host to items and results. */
+const MAX_OUTPUT_BYTES = 32_000_000
+
 /** The runs in flight, at most one of each item. */
 export class RunTable {
+  /** Memory that the output of all runs shares. */
+  readonly outputBudget = new SharedBudget(MAX_OUTPUT_BYTES)
   private readonly _byState = new Map<ItemState, ItemRun>()
 
   get byState (): ReadonlyMap<ItemState, ItemRun> {
--- a/src/node/upstream/BufferedResponseSink.ts
+++ b/src/node/upstream/BufferedResponseSink.ts
@@ -2,7 +2,7 @@
 import type { UpstreamResponse } from '../../common/upstream/client/UpstreamResponse.js'
 import type { UpstreamError } from '../../common/upstream/client/UpstreamError.js'
 import type { IExchangeSink } from './IExchangeSink.js'
-import type { ResponseBudget } from './ResponseBudget.js'
+import type { SharedBudget } from '../../common/kernel/SharedBudget.js'
 
 /** Buffers a complete response, with limits on its body and on all bodies of the client. */
 export class BufferedResponseSink implements IExchangeSink {
@@ -13,14 +13,14 @@
 
   constructor (
     private readonly _maxBodyBytes: number,
-    private readonly _budget: ResponseBudget,
+    private readonly _budget: SharedBudget,
     private readonly _settle: (result: Result<UpstreamResponse, UpstreamError>) => void,
     private readonly _fail: (error: UpstreamError) => void
   ) {}
 
   /** Fails the response, which releases its bytes. */
   fail (message: string): void {
-    this._fail({ kind: 'truncated', message, sent: true })
+    this._fail({ kind: 'truncated', message: `response bodies: ${message}`, sent: true })
   }
 
   onHead (status: number, headers: Record<string, string>): UpstreamError | undefined {
--- a/src/node/upstream/HttpUpstreamClient.ts
+++ b/src/node/upstream/HttpUpstreamClient.ts
@@ -17,7 +17,7 @@
 import { toRequestHeaders } from './toRequestHeaders.js'
 import type { UpstreamProtocol } from './UpstreamProtocol.js'
 import { BufferedResponseSink } from './BufferedResponseSink.js'
-import { ResponseBudget } from './ResponseBudget.js'
+import { SharedBudget } from '../../common/kernel/SharedBudget.js'
 
 /** Long enough for one retransmission of a lost SYN, which the kernel sends after 1 s. */
 const CONNECT_TIMEOUT_MS = 1_500
@@ -30,14 +30,14 @@
 /** IUpstreamClient on undici, using its dispatch interface, which neither retries requests nor consumes bodies. */
 export class HttpUpstreamClient extends Disposable implements IUpstreamClient {
   private readonly _agent: Agent
-  private readonly _budget: ResponseBudget
+  private readonly _budget: SharedBudget
 
   constructor (
     @entrySettingsId private readonly _settings: Pick<EntrySettings, 'maxBodyBytes' | 'maxHeaderBytes'>,
     private readonly _protocol: UpstreamProtocol = defaultUpstreamProtocol
   ) {
     super()
-    this._budget = new ResponseBudget(MAX_BUFFERED_BODIES * this._settings.maxBodyBytes)
+    this._budget = new SharedBudget(MAX_BUFFERED_BODIES * this._settings.maxBodyBytes)
     this._agent = new Agent({
       // One request at a time per connection, with an unlimited number of connections.
       pipelining: 1,
