--- a/src/common/batch/Batch.ts
+++ b/src/common/batch/Batch.ts
@@ -69,6 +69,12 @@
     return !this.isEnded && this.positionsAllocated < this.items.length
   }
 
+  /** Durable results by position, up to the first position whose result is not durable. */
+  listedResults (): BatchResult[] {
+    const gap = this.results.findIndex(result => result === undefined)
+    return gap < 0 ? [...this.results] : this.results.slice(0, gap)
+  }
+
   addResult (position: number, result: BatchResult): void {
     this.results[position] = result
     this.positionsAllocated = Math.max(this.positionsAllocated, position + 1)
--- a/src/common/batch/BatchRecordCodec.test.ts
+++ b/src/common/batch/BatchRecordCodec.test.ts
@@ -36,7 +36,7 @@
     const submission = codec.encodeSubmission(batch.spec, batch.items.map(state => state.item))
     scored.progress = { events: ['a'], lastEventId: 1, versions: [1], isComplete: true }
     const progress = codec.encodeProgress('batch-1', scored)
-    const restored = codec.restore([...submission, progress]).get('batch-1')?.batch
+    const restored = codec.restore([...submission, ...progress]).get('batch-1')?.batch
     expect(restored?.items.map(({ item, progress, hasUnsavedProgress }) => [item.rewardCall, progress.isComplete, hasUnsavedProgress]))
       .toEqual([[rewardCall, true, false], [undefined, false, false]])
     const result = codec.encodeResult('batch-1', 0, { itemId: 'i', state: 'completed', text: 'a', versions: [1], score: 's' })
@@ -64,7 +64,7 @@
       state.progress.events.push(...events)
       state.progress.lastEventId += events.length
       state.progress.versions = [2]
-      records.push(codec.encodeProgress('batch-1', state))
+      records.push(...codec.encodeProgress('batch-1', state))
       state.savedEventId = state.progress.lastEventId
       state.savedParts += 1
     }
@@ -77,6 +77,45 @@
     expect(restored()).toEqual({ events: ['x'], lastEventId: 1, versions: [2], isComplete: false })
   })
 
+  it('splits every record that is too large for the store, whatever it contains', () => {
+    const item = { ...createItem('i', 'g'), bodyBase64: 'é'.repeat(300_000) }
+    const batch = new Batch(createSpec(), [item])
+    const [state] = batch.items
+    if (state === undefined) throw new Error('item is missing')
+    const submission = codec.encodeSubmission(batch.spec, [item])
+    state.progress = { events: ['x'.repeat(300_000), 'y'], lastEventId: 2, versions: [1], isComplete: false }
+    const records = [...submission, ...codec.encodeProgress('batch-1', state)]
+    expect(Math.max(...records.map(({ value }) => value?.length ?? 0))).toBeLessThan(262_144 - 255)
+    const restored = codec.restore(records).get('batch-1')?.batch.items[0]
+    expect([restored?.item, restored?.progress]).toEqual([item, state.progress])
+  })
+
+  // Guards against a batch that the next leader drops, because a result was not durable when it ended (review/1).
+  it('restores an ended batch up to the first result that is missing, also from records of earlier versions', () => {
+    const batch = new Batch(createSpec({ itemCount: 3 }), [createItem('i', 'g'), createItem('j', 'g'), createItem('k', 'g')])
+    const results = ['i', 'j', 'k'].map(itemId => ({ itemId, state: 'completed' as const, text: itemId, versions: [1] }))
+    const submission = codec.encodeSubmission(batch.spec, batch.items.map(state => state.item))
+    for (const position of [0, 2]) batch.addResult(position, results[position] as typeof results[number])
+    const later = results.flatMap((result, position) => position === 0 ? [] : codec.encodeResult('batch-1', position, result))
+    const ended = codec.encodeEnd(batch, later.map(record => record.key), 0)
+    const listed = (records: Parameters<typeof codec.restore>[0]): unknown => codec.restore(records).get('batch-1')?.batch.listedResults().map(result => result.itemId)
+    expect(listed([...submission, ...ended])).toEqual(['i'])
+    expect(ended.filter(record => record.value === undefined)).toEqual([])
+    expect(listed([...submission, ...ended, ...later])).toEqual(['i', 'j', 'k'])
+    const older = new TextEncoder().encode(JSON.stringify({ endedAtMs: 0, incompleteGroups: [], results: [{ itemId: 'i', state: 'completed', versions: [1] }, null] }))
+    expect(listed([...submission, { key: 'end/batch-1', value: older }])).toEqual(['i'])
+  })
+
+  it('tells accepted batches that cannot be read from submissions that were not completed', () => {
+    const spec = createSpec({ itemCount: 1 })
+    const records = codec.encodeSubmission(spec, [createItem('i', 'g')])
+    const unreadable = records.map(record => record.key.startsWith('items/') ? { ...record, value: new Uint8Array([1]) } : record)
+    const incomplete = records.filter(record => record.key.startsWith('items/'))
+    expect(codec.findUnrestored(records, codec.restore(records))).toEqual({ unreadableIds: new Set(), abandonedKeys: [] })
+    expect(codec.findUnrestored(unreadable, codec.restore(unreadable))).toEqual({ unreadableIds: new Set([spec.id]), abandonedKeys: [] })
+    expect(codec.findUnrestored(incomplete, codec.restore(incomplete))).toEqual({ unreadableIds: new Set(), abandonedKeys: ['items/batch-1/000000'] })
+  })
+
   it('keeps the parameters, the results and the incomplete groups of an ended batch', () => {
     const items = [createItem('a', 'whole'), createItem('b', 'open')]
     const batch = new Batch(createSpec({ itemCount: 2 }), items)
--- a/src/common/batch/BatchRecordCodec.ts
+++ b/src/common/batch/BatchRecordCodec.ts
@@ -1,5 +1,7 @@
 import { z } from 'zod'
 import type { ILogger } from '../metrics/ILogger.js'
+import { joinRecord } from '../store/joinRecord.js'
+import { splitRecord } from '../store/splitRecord.js'
 import { Batch } from './Batch.js'
 import type { BatchItem } from './record/BatchItem.js'
 import { batchItemSchema } from './record/batchItemSchema.js'
@@ -11,22 +13,23 @@
 import type { ProgressPart } from './record/ProgressPart.js'
 import { progressPartSchema } from './record/progressPartSchema.js'
 
-/** Below the store's record size limit, to leave space for the key. */
+/** Items are collected into records of about this size, and texts are split into such records. */
 const MAX_RECORD_BYTES = 200_000
 
 const endSchema = z.object({
   endedAtMs: z.number(),
   /** A later batch may resubmit these groups. */
   incompleteGroups: z.array(z.string()),
-  /** Results that were durable at the end, by position. */
-  results: z.array(batchResultSchema)
+  /** Results that were durable at the end, by position up to the first gap; `null` at a gap in records of earlier versions. */
+  results: z.array(batchResultSchema.nullable())
 })
 
 interface EncodedRecord { key: string, value?: Uint8Array }
 
 /**
  * Encodes batches and the times of version orders as store records and decodes them. Keys: `batch/ID`,
- * `items/ID/N`, `result/ID/POSITION`, `text/ID/POSITION/N`, `progress/ID/INDEX/N`, `end/ID` and `order/ENGINE`.
+ * `items/ID/N`, `result/ID/POSITION`, `text/ID/POSITION/N`, `progress/ID/INDEX/N`, `end/ID` and `order/ENGINE`. A record that is too
+ * large for the store has further pieces under its key with a number behind it.
  */
 export class BatchRecordCodec {
   private readonly _encoder = new TextEncoder()
@@ -38,7 +41,7 @@
     const chunks: BatchItem[][] = [[]]
     let bytes = 0
     for (const item of items) {
-      const size = JSON.stringify(item).length
+      const size = this._encoder.encode(JSON.stringify(item)).length
       if (bytes + size > MAX_RECORD_BYTES && bytes > 0) {
         chunks.push([])
         bytes = 0
@@ -46,8 +49,9 @@
       chunks.at(-1)?.push(item)
       bytes += size
     }
-    const records = chunks.map((chunk, index) => this._encodeJson(`items/${spec.id}/${pad(index)}`, chunk))
-    return [...records, this._encodeJson(`batch/${spec.id}`, spec)]
+    const records = chunks.flatMap((chunk, index) => this._encodeJson(`items/${spec.id}/${pad(index)}`, chunk))
+    // The last record makes the batch exist, since a large submission does not become durable at once.
+    return [...records, ...this._encodeJson(`batch/${spec.id}`, spec)]
   }
 
   encodeResult (batchId: string, position: number, result: BatchResult): EncodedRecord[] {
@@ -57,28 +61,31 @@
     for (let start = 0; start < bytes.length; start += MAX_RECORD_BYTES) {
       records.push({ key: `text/${batchId}/${pad(position)}/${pad(records.length)}`, value: bytes.subarray(start, start + MAX_RECORD_BYTES) })
     }
-    return [...records, this._encodeJson(`result/${batchId}/${pad(position)}`, head)]
+    return [...records, ...this._encodeJson(`result/${batchId}/${pad(position)}`, head)]
   }
 
   /** Encodes the events of an item that were not saved yet. */
-  encodeProgress (batchId: string, state: ItemState): EncodedRecord {
+  encodeProgress (batchId: string, state: ItemState): EncodedRecord[] {
     const { events, versions, isComplete } = state.progress
     const part: ProgressPart = { firstEventId: state.savedEventId + 1, events: events.slice(state.savedEventId), versions, isComplete: isComplete || undefined }
     return this._encodeJson(`progress/${batchId}/${pad(state.index)}/${pad(state.savedParts)}`, part)
   }
 
   /**
-   * Encodes the end of a batch. The end record contains the results without their texts. Besides it, only the
-   * parameters and the texts of the batch are kept; other records are removed.
+   * Encodes the end of a batch. The end record contains the results without their texts, up to the first position
+   * whose result is not durable yet. Besides it, only the parameters, the texts and the results after that position
+   * are kept; other records are removed.
    */
   encodeEnd (batch: Batch, keys: readonly string[], endedAtMs: number): EncodedRecord[] {
-    const obsolete = keys.filter(key => key.startsWith('items/') || key.startsWith('progress/') || key.startsWith('result/'))
-    const results = batch.results.map(({ itemId, state, versions, score }) => ({ itemId, state, versions, score }))
+    const listed = batch.listedResults()
+    const isListed = new Set(listed.map((_, position) => `result/${batch.spec.id}/${pad(position)}`))
+    const obsolete = keys.filter(key => key.startsWith('items/') || key.startsWith('progress/') || isListed.has(key))
+    const results = listed.map(({ itemId, state, versions, score }) => ({ itemId, state, versions, score }))
     const end: z.infer<typeof endSchema> = { endedAtMs, incompleteGroups: batch.incompleteGroups(), results }
-    return [this._encodeJson(`end/${batch.spec.id}`, end), ...this.encodeRemoval(obsolete)]
+    return [...this._encodeJson(`end/${batch.spec.id}`, end), ...this.encodeRemoval(obsolete)]
   }
 
-  encodeOrder (engineId: string, orderedAtMs: number): EncodedRecord {
+  encodeOrder (engineId: string, orderedAtMs: number): EncodedRecord[] {
     return this._encodeJson(`order/${engineId}`, { orderedAtMs })
   }
 
@@ -87,7 +94,7 @@
     const orders = new Map<string, number>()
     for (const { key, value } of records) {
       if (!key.startsWith('order/')) continue
-      const order = this._decodeJson(key, value, z.object({ orderedAtMs: z.number() }))
+      const order = this._parse(key, value, z.object({ orderedAtMs: z.number() }))
       if (order !== undefined) orders.set(key.slice('order/'.length), order.orderedAtMs)
     }
     return orders
@@ -115,6 +122,23 @@
     return restored
   }
 
+  /**
+   * Tells what `restored` lacks. A batch whose records cannot be read may have been accepted. Items without their
+   * batch are left by a submission that was not completed.
+   */
+  findUnrestored (records: ReadonlyArray<{ key: string, value?: Uint8Array }>, restored: ReadonlyMap<string, unknown>): { unreadableIds: Set<string>, abandonedKeys: string[] } {
+    const unreadableIds = new Set<string>()
+    const abandonedKeys: string[] = []
+    for (const { key, value } of records) {
+      const id = key.split('/')[1]
+      if (id === undefined || value === undefined || restored.has(id)) continue
+      if (key.startsWith('order/') || key.startsWith(BatchRecordCodec.firstTextKey)) continue
+      if (key.startsWith('items/')) abandonedKeys.push(key)
+      else unreadableIds.add(id)
+    }
+    return { unreadableIds, abandonedKeys: abandonedKeys.filter(key => !unreadableIds.has(key.split('/')[1] ?? '')) }
+  }
+
   /** Sets the result texts of a batch from its text records. */
   restoreTexts (batch: Batch, records: ReadonlyArray<{ key: string, value?: Uint8Array }>): void {
     const values = new Map(records.flatMap(({ key, value }) => value === undefined ? [] : [[key, value] as const]))
@@ -134,26 +158,28 @@
   }
 
   private _restoreBatch (id: string, values: ReadonlyMap<string, Uint8Array>): Batch | undefined {
-    const spec = this._decodeJson(`batch/${id}`, values.get(`batch/${id}`), batchSpecSchema)
+    const spec = this._decodeJson(`batch/${id}`, values, batchSpecSchema)
     if (spec === undefined) return undefined
     const items: BatchItem[] = []
-    const end = values.has(`end/${id}`) ? this._decodeJson(`end/${id}`, values.get(`end/${id}`), endSchema) : undefined
+    const end = this._decodeJson(`end/${id}`, values, endSchema)
     for (let index = 0; items.length < spec.itemCount; index++) {
       const key = `items/${id}/${pad(index)}`
       // The items of an ended batch have been removed.
       if (end !== undefined && !values.has(key)) break
-      const chunk = this._decodeJson(key, values.get(key), z.array(batchItemSchema))
+      const chunk = this._decodeJson(key, values, z.array(batchItemSchema))
       if (chunk === undefined) return undefined
       items.push(...chunk)
     }
     const batch = new Batch(spec, items)
     if (end !== undefined) batch.end(end.incompleteGroups)
-    for (const [position, head] of (end?.results ?? []).entries()) batch.addResult(position, { ...head, text: '' })
+    for (const [position, head] of (end?.results ?? []).entries()) {
+      if (head === null) break
+      batch.addResult(position, { ...head, text: '' })
+    }
     // Results in flight when the batch ended have later positions than those stored with its end.
-    for (let position = batch.results.length; values.has(`result/${id}/${pad(position)}`); position++) {
-      const key = `result/${id}/${pad(position)}`
-      const head = this._decodeJson(key, values.get(key), batchResultSchema)
-      if (head === undefined) return undefined
+    for (let position = batch.results.length; ; position++) {
+      const head = this._decodeJson(`result/${id}/${pad(position)}`, values, batchResultSchema)
+      if (head === undefined) break
       batch.addResult(position, { ...head, text: '' })
     }
     batch.unloadedTextCount = batch.results.length
@@ -167,9 +193,10 @@
     for (let index = 0; ; index++) {
       const key = `progress/${id}/${pad(state.index)}/${pad(index)}`
       if (!values.has(key)) return
-      const part = this._decodeJson(key, values.get(key), progressPartSchema)
-      if (part === undefined) return
       state.savedParts = index + 1
+      const part = this._decodeJson(key, values, progressPartSchema)
+      // A part whose pieces are not all durable was written again by the next leader.
+      if (part === undefined) continue
       // A part that begins at the first event contains the whole output so far, and replaces the earlier parts.
       if (part.firstEventId === 1) state.restart()
       if (part.firstEventId !== state.progress.lastEventId + 1) return
@@ -192,11 +219,17 @@
     }
   }
 
-  private _encodeJson (key: string, value: unknown): { key: string, value: Uint8Array } {
-    return { key, value: this._encoder.encode(JSON.stringify(value)) }
+  private _encodeJson (key: string, value: unknown): Array<{ key: string, value: Uint8Array }> {
+    return splitRecord(key, this._encoder.encode(JSON.stringify(value)))
+  }
+
+  /** Decodes a record from its pieces; undefined if it is missing or unreadable. */
+  private _decodeJson<T extends z.ZodType> (key: string, values: ReadonlyMap<string, Uint8Array>, schema: T): z.output<T> | undefined {
+    const bytes = joinRecord(key, values)
+    return bytes === undefined ? undefined : this._parse(key, bytes, schema)
   }
 
-  private _decodeJson<T extends z.ZodType> (key: string, bytes: Uint8Array | undefined, schema: T): z.output<T> | undefined {
+  private _parse<T extends z.ZodType> (key: string, bytes: Uint8Array | undefined, schema: T): z.output<T> | undefined {
     try {
       if (bytes === undefined) throw new Error('record is missing')
       return schema.parse(JSON.parse(this._decoder.decode(bytes)))
--- a/src/common/batch/BatchService.test.ts
+++ b/src/common/batch/BatchService.test.ts
@@ -184,6 +184,20 @@
     expect(await textsOf(service)).toEqual([engines.textOf('a'), engines.textOf('b')])
   })
 
+  // Guards against 404 for a batch that was accepted and whose records cannot be read (review/1).
+  it('does not report a batch as absent whose records it cannot read', async () => {
+    const first = await leadWithBatch(20)
+    first.service.dispose()
+    store.write('keyed.batches', 'items/batch-1/000000', 'damaged')
+    const { service } = await lead(2)
+    expect(await textsOf(service)).toEqual('unavailable')
+    expect(service.findItem('batch-1', 'a').kind).toEqual('unavailable')
+    const repeated = service.submit(spec(), items)
+    await time.advance(20)
+    expect(await repeated).toEqual('refused')
+    expect(service.findItem('batch-9', 'a').kind).toEqual('absent')
+  })
+
   // One item crashes each engine that starts it.
   it('retries an item that breaks before its first event with a growing back-off, while others continue', async () => {
     engines.eventCounts = { a: 5, b: 5 }
--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -74,6 +74,7 @@
     const store = this._readyStore()
     if (store === undefined) return 'refused'
     if (store.find(spec.id) !== undefined) return 'accepted'
+    if (store.isUnreadable(spec.id)) return 'refused'
     if (store.failingForMs() > STORE_DOWN_MS) return 'refused'
     const outcome = await this._withTimeout(store.submit(spec, items))
     this._logger.info({ batch: spec.id, model: spec.model, step: spec.step, min_version: spec.minVersion, items: items.length, outcome }, 'batch_submitted')
@@ -84,7 +85,7 @@
   async read (id: string, fromPosition: number, waitMs: number): Promise<BatchReadOutcome> {
     const store = this._readyStore()
     const batch = store?.find(id)
-    if (store === undefined || batch === undefined) return this._absentOrUnavailable(store !== undefined)
+    if (store === undefined || batch === undefined) return this._absentOrUnavailable(id, store)
     if (batch.results.length <= fromPosition && expectsMoreResults(batch)) await this._waitForResult(store, batch, fromPosition, waitMs)
     if (batch.unloadedTextCount > fromPosition) {
       const loaded = await store.loadTexts(batch)
@@ -111,7 +112,7 @@
   findItem (id: string, itemId: string): { kind: 'body', bodyBase64: string } | { kind: 'absent' | 'unavailable' } {
     const store = this._readyStore()
     const batch = store?.find(id)
-    if (batch === undefined) return this._absentOrUnavailable(store !== undefined)
+    if (batch === undefined) return this._absentOrUnavailable(id, store)
     const state = batch.isEnded ? undefined : batch.find(itemId)
     return state === undefined ? { kind: 'absent' } : { kind: 'body', bodyBase64: state.item.bodyBase64 }
   }
@@ -120,7 +121,7 @@
   async end (id: string): Promise<WriteOutcome | 'absent'> {
     const store = this._readyStore()
     const batch = store?.find(id)
-    if (store === undefined || batch === undefined) return this._absentOrUnavailable(store !== undefined).kind === 'absent' ? 'absent' : 'refused'
+    if (store === undefined || batch === undefined) return this._absentOrUnavailable(id, store).kind === 'absent' ? 'absent' : 'refused'
     if (batch.isEnded) return 'accepted'
     const outcome = await this._withTimeout(store.end(batch))
     this._logger.info({ batch: id, results: batch.results.length, items: batch.spec.itemCount, outcome }, 'batch_ended')
@@ -154,9 +155,9 @@
     return this._term?.isReady === true ? this._term.store : undefined
   }
 
-  /** Only a leader with a valid lease can tell that a batch does not exist. */
-  private _absentOrUnavailable (isReady: boolean): { kind: 'absent' | 'unavailable' } {
-    return { kind: isReady && this._leadership.validEpoch() !== undefined ? 'absent' : 'unavailable' }
+  /** Only a leader with a valid lease that could read all batches can tell that one does not exist. */
+  private _absentOrUnavailable (id: string, store: BatchStore | undefined): { kind: 'absent' | 'unavailable' } {
+    return { kind: store?.isUnreadable(id) === false && this._leadership.validEpoch() !== undefined ? 'absent' : 'unavailable' }
   }
 
   private async _startTerm (epoch: number): Promise<void> {
@@ -200,7 +201,7 @@
   private async _withTimeout (write: Promise<Result<unknown, StoreError>>): Promise<WriteOutcome> {
     let timer: NodeJS.Timeout | undefined
     const timeout = new Promise<'unknown'>(resolve => { timer = setTimeout(() => resolve('unknown'), WRITE_TIMEOUT_MS) })
-    const outcome = await Promise.race([timeout, write.then(result => result.isOk() ? 'accepted' as const : 'unknown' as const)])
+    const outcome = await Promise.race([timeout, write.then(toWriteOutcome)])
     clearTimeout(timer)
     return outcome
   }
@@ -209,3 +210,9 @@
 function expectsMoreResults (batch: Batch): boolean {
   return !batch.isEnded && batch.results.length < batch.spec.itemCount
 }
+
+/** A rejected write has had no effect that counts, since the record that makes it count comes last. */
+function toWriteOutcome (result: Result<unknown, StoreError>): WriteOutcome {
+  if (result.isOk()) return 'accepted'
+  return result.error.kind === 'rejected' ? 'refused' : 'unknown'
+}
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -23,6 +23,8 @@
 const TEXT_RETENTION_MS = 15_000
 /** Added to the guaranteed retention, because the clocks of readers may differ. */
 const RETENTION_MARGIN_MS = 30_000
+/** A result that the store rejects is written again, because it has its position. */
+const REJECTED_RETRY_MS = 500
 
 /** Batch store on a journal that only the leader of one epoch writes. */
 export class BatchStore extends Disposable implements IBatchStore, IVersionOrderStore {
@@ -34,6 +36,8 @@
   private readonly _batches = new Map<string, { batch: Batch, keys: string[] }>()
   /** Time of the last version order to each engine, in Unix milliseconds. */
   private readonly _orderTimes = new Map<string, number>()
+  /** Batches that were accepted, but whose records cannot be read. */
+  private _unreadableIds: ReadonlySet<string> = new Set()
   private readonly _textLoads = new Map<Batch, Promise<Result<void, StoreError>>>()
   private readonly _submissions = new Map<string, Promise<Result<Batch, StoreError>>>()
   private readonly _journal: Journal
@@ -54,6 +58,7 @@
     const snapshot = await readAllNewest(this._client, TOPIC, { untilKey: BatchRecordCodec.firstTextKey })
     if (snapshot.isErr()) return err(snapshot.error)
     for (const [id, restored] of this._codec.restore(snapshot.value.records)) this._batches.set(id, restored)
+    this._handleUnrestored(snapshot.value.records)
     for (const { batch } of this._batches.values()) this._markResubmittedGroups(batch)
     for (const [engineId, orderedAtMs] of this._codec.restoreOrders(snapshot.value.records)) this._orderTimes.set(engineId, orderedAtMs)
     this._logger.info({ batches: this._batches.size, records: snapshot.value.records.length, duration_ms: Math.round(performance.now() - startedAtMs) }, 'batches_restored')
@@ -64,6 +69,11 @@
     return this._batches.get(id)?.batch
   }
 
+  /** Whether records of a batch exist that cannot be read, so that nobody can tell what it contains. */
+  isUnreadable (id: string): boolean {
+    return this._unreadableIds.has(id)
+  }
+
   * all (): Iterable<Batch> {
     for (const { batch } of this._batches.values()) yield batch
   }
@@ -83,7 +93,11 @@
   async addResult (batch: Batch, result: BatchResult): Promise<Result<void, StoreError>> {
     const position = batch.positionsAllocated++
     const records = this._codec.encodeResult(batch.spec.id, position, result)
-    const written = await this._write(batch.spec.id, records)
+    let written = await this._write(batch.spec.id, records)
+    while (written.isErr() && written.error.kind === 'rejected') {
+      await new Promise(resolve => setTimeout(resolve, REJECTED_RETRY_MS))
+      written = await this._write(batch.spec.id, records)
+    }
     if (written.isErr()) return written
     batch.addResult(position, result)
     // The result holds the text now.
@@ -94,11 +108,14 @@
 
   async saveProgress (items: ReadonlyArray<{ batch: Batch, state: ItemState }>): Promise<Result<void, StoreError>> {
     const writes = items.map(async ({ batch, state }) => {
-      const record = this._codec.encodeProgress(batch.spec.id, state)
+      const records = this._codec.encodeProgress(batch.spec.id, state)
       state.savedEventId = state.progress.lastEventId
       state.isCompletionSaved = state.progress.isComplete
       state.savedParts += 1
-      return await this._write(batch.spec.id, [record])
+      const written = await this._write(batch.spec.id, records)
+      // Later parts would not follow on any stored one.
+      if (written.isErr()) state.markUnsaved()
+      return written
     })
     const results = await Promise.all(writes)
     return results.find(result => result.isErr()) ?? ok(undefined)
@@ -123,7 +140,7 @@
 
   async recordOrder (engineId: string, orderedAtMs: number): Promise<boolean> {
     this._orderTimes.set(engineId, orderedAtMs)
-    return (await this._journal.append([this._codec.encodeOrder(engineId, orderedAtMs)])).isOk()
+    return (await this._journal.append(this._codec.encodeOrder(engineId, orderedAtMs))).isOk()
   }
 
   /** Loads the texts of a batch that the restore left out or that were evicted since. */
@@ -157,6 +174,16 @@
     }
   }
 
+  private _handleUnrestored (records: readonly KeyedRecord[]): void {
+    const { unreadableIds, abandonedKeys } = this._codec.findUnrestored(records, this._batches)
+    this._unreadableIds = unreadableIds
+    for (const id of unreadableIds) this._logger.error({ batch: id }, 'batch_unreadable')
+    if (abandonedKeys.length === 0) return
+    this._logger.info({ records: abandonedKeys.length }, 'incomplete_submissions_removed')
+    this._journal.append(this._codec.encodeRemoval(abandonedKeys))
+      .catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'cleanup_fault'))
+  }
+
   private async _loadTexts (batch: Batch): Promise<Result<void, StoreError>> {
     const texts = await this._readTexts(batch.spec.id)
     if (texts.isErr()) return err(texts.error)
--- a/src/common/batch/record/ItemState.ts
+++ b/src/common/batch/record/ItemState.ts
@@ -44,6 +44,11 @@
    */
   resumeFrom (progress: ItemProgress): void {
     this.progress = progress
+    this.markUnsaved()
+  }
+
+  /** Makes the next save contain the whole output. */
+  markUnsaved (): void {
     this.savedEventId = 0
     this.isCompletionSaved = false
   }
--- a/src/common/store/Journal.test.ts
+++ b/src/common/store/Journal.test.ts
@@ -44,6 +44,29 @@
     expect(store.keys('topic')).toEqual(['a', 'b'])
   })
 
+  // Guards against results that are dropped because of another record in their call (review/1).
+  it('appends the others of a call when the store rejects one of them', async () => {
+    const journal = create(1)
+    await journal.open()
+    store.maxRecordBytes = 10
+    const keys = ['a', 'too large', 'b']
+    const results = Promise.all(keys.map(async key => await journal.append([{ key, value: new Uint8Array(key === 'too large' ? 20 : 1) }])))
+    await time.advance(50)
+    expect((await results).map(result => result.isOk())).toEqual([true, false, true])
+    expect(store.keys('topic')).toEqual(['a', 'b'])
+  })
+
+  it('sends an append that is too large for one call in several ones, in order', async () => {
+    const journal = create(1)
+    await journal.open()
+    store.maxCallBytes = 2_097_152
+    const keys = Array.from({ length: 40 }, (_, index) => `k${String(index).padStart(2, '0')}`)
+    const appended = journal.append(keys.map(key => ({ key, value: new Uint8Array(200_000) })))
+    await time.advance(50)
+    expect((await appended).isOk()).toEqual(true)
+    expect(store.keys('topic')).toEqual(keys)
+  })
+
   it('is refused once a writer with a higher epoch has opened, including an append that is executed late', async () => {
     const old = create(1)
     await old.open()
--- a/src/common/store/Journal.ts
+++ b/src/common/store/Journal.ts
@@ -38,10 +38,13 @@
     return await this._send([])
   }
 
-  /** Resolves once all records are durable, or with an error if the store refused them or this writer is closed. */
+  /**
+   * Resolves once all records are durable, or with an error if the store refused one or this writer is closed. Records
+   * that are too large for one call become durable in their order, not at once.
+   */
   async append (records: readonly JournalRecord[]): Promise<Result<void, StoreError>> {
     if (this._isClosed) return err(closedError())
-    const bytes = records.reduce((sum, record) => sum + RECORD_OVERHEAD_BYTES + record.key.length + (record.value?.length ?? 0), 0)
+    const bytes = records.reduce((sum, record) => sum + sizeOf(record), 0)
     return await new Promise(resolve => {
       this._queue.push({ records, bytes, resolve })
       if (!this._isSending) this._sendQueue().catch((fault: unknown) => this._logger.error({ topic: this._topic, reason: String(fault) }, 'journal_fault'))
@@ -68,12 +71,27 @@
     this._isSending = true
     while (this._queue.length > 0 && !this._isClosed) {
       const appends = this._takeQueued()
-      const result = await this._send(appends.flatMap(queued => queued.records))
-      for (const queued of appends) queued.resolve(result)
+      const result = await this._sendInCalls(appends)
+      // One append that the store rejects must not cost the others.
+      if (result.isErr() && result.error.kind === 'rejected' && appends.length > 1) await this._sendSeparately(appends)
+      else for (const queued of appends) queued.resolve(result)
     }
     this._isSending = false
   }
 
+  private async _sendSeparately (appends: readonly QueuedAppend[]): Promise<void> {
+    for (const queued of appends) queued.resolve(await this._sendInCalls([queued]))
+  }
+
+  /** Sends all records in order, in several calls if a single append is too large for one. */
+  private async _sendInCalls (appends: readonly QueuedAppend[]): Promise<Result<void, StoreError>> {
+    for (const records of splitIntoCalls(appends.flatMap(queued => queued.records))) {
+      const result = await this._send(records)
+      if (result.isErr()) return result
+    }
+    return ok(undefined)
+  }
+
   /** Takes the queued appends that fit into one call, and at least one. */
   private _takeQueued (): QueuedAppend[] {
     let count = 0
@@ -131,3 +149,22 @@
 function closedError (): StoreError {
   return { kind: 'fenced', message: 'journal is closed: its writer has been replaced', mayTakeEffect: false }
 }
+
+function sizeOf ({ key, value }: JournalRecord): number {
+  return RECORD_OVERHEAD_BYTES + key.length + (value?.length ?? 0)
+}
+
+function splitIntoCalls (records: readonly JournalRecord[]): JournalRecord[][] {
+  const calls: JournalRecord[][] = []
+  let bytes = Number.POSITIVE_INFINITY
+  for (const record of records) {
+    bytes += sizeOf(record)
+    if (bytes <= MAX_CALL_BYTES) {
+      calls.at(-1)?.push(record)
+      continue
+    }
+    calls.push([record])
+    bytes = sizeOf(record)
+  }
+  return calls
+}
--- a/src/common/store/test/MemoryStore.ts
+++ b/src/common/store/test/MemoryStore.ts
@@ -7,8 +7,8 @@
 import type { StorePage } from '../StorePage.js'
 import type { StoreSlice } from '../StoreSlice.js'
 
-/** Outcome of an append: executed, refused, or executed now or later with its response lost. */
-type AppendOutcome = 'ok' | 'refused' | 'answer_lost' | { lateMs: number }
+/** Outcome of an append: executed, refused for now or for good, or executed now or later with its response lost. */
+type AppendOutcome = 'ok' | 'refused' | 'rejected' | 'answer_lost' | { lateMs: number }
 
 interface Topic {
   records: KeyedRecord[]
@@ -23,6 +23,9 @@
 /** In-memory stand-in of the store, with conditional appends, writers with epochs, keyed topics and faults. */
 export class MemoryStore implements IStoreClient {
   isDown = false
+  /** Limits as of the platform's store; an append over one of them is rejected as a whole. */
+  maxRecordBytes = Number.POSITIVE_INFINITY
+  maxCallBytes = Number.POSITIVE_INFINITY
   /** Number of append calls. */
   appends = 0
   /** Decides the outcome of each append. */
@@ -69,8 +72,10 @@
   private async _append (request: StoreAppendRequest): Promise<Result<AppendedRange, StoreError>> {
     this.appends += 1
     if (this.isDown) return err(unavailable(false))
+    if (this._exceedsLimits(request)) return err({ kind: 'rejected', message: 'append is too large', mayTakeEffect: false })
     const outcome = this.appendOutcome(request)
     if (outcome === 'refused') return err(unavailable(false))
+    if (outcome === 'rejected') return err({ kind: 'rejected', message: 'append is rejected', mayTakeEffect: false })
     if (typeof outcome === 'object') {
       setTimeout(() => this._execute(request), outcome.lateMs)
       return err(unavailable(true))
@@ -79,6 +84,11 @@
     return outcome === 'answer_lost' ? err(unavailable(true)) : result
   }
 
+  private _exceedsLimits ({ records }: StoreAppendRequest): boolean {
+    const sizes = records.map(({ key, value }) => key.length + (value?.length ?? 0))
+    return sizes.some(size => size > this.maxRecordBytes) || sizes.reduce((sum, size) => sum + size, 0) > this.maxCallBytes
+  }
+
   private _execute (request: StoreAppendRequest): Result<AppendedRange, StoreError> {
     const topic = this._topic(request.topic)
     const endOffset = topic.firstOffset + topic.records.length
