Reuse no sequence number after an append that may have taken effect

Cause: an append without a response took effect, and its repetition was rejected.

Change: such an append is repeated up to five more times, and its number is not used again.

--- a/src/common/store/Journal.test.ts
+++ b/src/common/store/Journal.test.ts
@@ -56,6 +56,25 @@
     expect(store.keys('topic')).toEqual(['a', 'b'])
   })
 
+  // Guards against an append that is taken for the repetition of an earlier one, and lost.
+  it('repeats an append that is rejected after an attempt without a response, and reuses no sequence number', async () => {
+    const journal = create(1)
+    await journal.open()
+    const outcomes: Array<'answer_lost' | 'rejected'> = ['answer_lost', 'rejected']
+    store.appendOutcome = () => outcomes.shift() ?? 'ok'
+    const first = journal.append([{ key: 'a', value }])
+    await time.advance(2000)
+    expect((await first).isOk()).toEqual(true)
+    outcomes.push('answer_lost', ...Array<'rejected'>(6).fill('rejected'))
+    const second = journal.append([{ key: 'b', value }])
+    await time.advance(5000)
+    expect((await second).isErr()).toEqual(true)
+    const third = journal.append([{ key: 'c', value }])
+    await time.advance(2000)
+    expect((await third).isOk()).toEqual(true)
+    expect(store.keys('topic')).toEqual(['a', 'b', 'c'])
+  })
+
   it('sends an append that is too large for one call in several ones, in order', async () => {
     const journal = create(1)
     await journal.open()
--- a/src/common/store/Journal.ts
+++ b/src/common/store/Journal.ts
@@ -10,6 +10,8 @@
 const MAX_CALL_BYTES = 1_500_000
 const RECORD_OVERHEAD_BYTES = 64
 const MAX_BACKOFF_MS = 300
+/** Repetitions of an append that the store rejects after an attempt without a response, which may have taken effect. */
+const MAX_REJECTED_RETRIES = 5
 
 interface JournalRecord { key: string, value?: Uint8Array }
 interface QueuedAppend { records: readonly JournalRecord[], bytes: number, resolve: (result: Result<void, StoreError>) => void }
@@ -107,6 +109,7 @@
     const backoff = new Backoff(MAX_BACKOFF_MS)
     let sequence = this._sequence
     let mayHaveTakenEffect = false
+    let rejectedRetries = 0
     for (;;) {
       if (this._isClosed) return err(closedError())
       const result = await this._client.append({
@@ -126,10 +129,7 @@
         continue
       }
       const { error } = result
-      if (error.kind === 'fenced' || error.kind === 'rejected') {
-        this._logger.error({ topic: this._topic, epoch: this._epoch, sequence, reason: error.message, kind: error.kind }, 'journal_append_refused')
-        return err(error)
-      }
+      if (isFinal(error, mayHaveTakenEffect, rejectedRetries)) return this._onRefused(error, sequence, mayHaveTakenEffect)
       if (error.kind === 'out_of_sequence') {
         this._sequence = error.expectedSequence
         // If an append without a response took effect, the store expects the next sequence number.
@@ -138,12 +138,26 @@
         this._logger.warn({ topic: this._topic, epoch: this._epoch, sequence }, 'journal_sequence_adopted')
         continue
       }
+      if (error.kind === 'rejected') rejectedRetries += 1
       mayHaveTakenEffect ||= error.mayTakeEffect
       this._failingSinceMs ??= performance.now()
       this._logger.warn({ topic: this._topic, epoch: this._epoch, sequence, reason: error.message }, 'journal_append_retried')
       await new Promise(resolve => setTimeout(resolve, backoff.nextDelayMs()))
     }
   }
+
+  private _onRefused (error: StoreError, sequence: number, mayHaveTakenEffect: boolean): Result<void, StoreError> {
+    this._logger.error({ topic: this._topic, epoch: this._epoch, sequence, reason: error.message, kind: error.kind }, 'journal_append_refused')
+    // The next append must not be taken for a repetition of this one.
+    if (mayHaveTakenEffect) this._sequence = sequence + 1
+    return err(error)
+  }
+}
+
+/** Whether the journal does not repeat the append. */
+function isFinal (error: StoreError, mayHaveTakenEffect: boolean, rejectedRetries: number): boolean {
+  if (error.kind !== 'rejected') return error.kind === 'fenced'
+  return !mayHaveTakenEffect || rejectedRetries >= MAX_REJECTED_RETRIES
 }
 
 function closedError (): StoreError {
