--- a/src/common/batch/record/batchSpecSchema.ts
+++ b/src/common/batch/record/batchSpecSchema.ts
@@ -6,6 +6,10 @@
   host: z.string(),
   /** Path of the submission, which selects the route. */
   path: z.string(),
+  /** Organisation that submitted the batch; absent where none are configured. */
+  organisation: z.string().optional(),
+  /** Priority of that organisation, if it has one of its own; 0 is the highest. */
+  priority: z.number().optional(),
   model: z.string(),
   /** Training step; later steps of the model may resubmit incomplete groups of earlier ones. */
   step: z.number(),
--- a/src/common/call/Call.ts
+++ b/src/common/call/Call.ts
@@ -5,6 +5,8 @@
   requestId: string
   /** What the request asks for, see `fingerprintCall`; undefined for requests of this system, whose content is known to be sound. */
   fingerprint?: string
+  /** Organisation of the caller; undefined on public routes and where none are configured. */
+  organisation?: string
   route: Route
   service: string
   method: string
--- a/src/common/routing/Route.ts
+++ b/src/common/routing/Route.ts
@@ -26,4 +26,6 @@
   batchRetentionMs: number
   /** Batches only: whether all events of a result must come from one weight version. */
   isSingleVersion: boolean
+  /** Whether callers need no API key, also where organisations are configured. */
+  isPublic?: boolean
 }
--- a/src/common/routing/RoutingConfig.ts
+++ b/src/common/routing/RoutingConfig.ts
@@ -1,4 +1,5 @@
 import type { CallerLimits } from './CallerLimits.js'
+import type { OrganisationConfig } from './OrganisationConfig.js'
 import type { Route } from './Route.js'
 import type { ServiceConfig } from './ServiceConfig.js'
 
@@ -8,4 +9,6 @@
   routes: readonly Route[]
   services: ReadonlyMap<string, ServiceConfig>
   limits: CallerLimits
+  /** Undefined where callers need no API key. */
+  organisations?: readonly OrganisationConfig[]
 }
--- a/src/common/routing/ServiceConfig.ts
+++ b/src/common/routing/ServiceConfig.ts
@@ -1,4 +1,5 @@
 import type { EngineConfig } from './EngineConfig.js'
+import type { ScalingConfig } from './ScalingConfig.js'
 
 /** Configuration of a service. */
 export interface ServiceConfig {
@@ -8,4 +9,6 @@
   healthPath: string
   /** Undefined for plain services. */
   engine?: EngineConfig
+  /** Undefined if the number of upstreams is fixed. */
+  scaling?: ScalingConfig
 }
