Track up to which moment a keyed topic is proved current

Cause: to refuse a removed API key in time, an entry has to know how old its configuration may be. The arrival of a response says nothing about it, and a response may hold only a part of what was stored.

The wait time of the first read after a failed one can be set, since a wait of 1 s after a time-out of 2.2 s would use up most of a bound of 5 s.

--- a/src/common/store/KeyedTail.test.ts
+++ b/src/common/store/KeyedTail.test.ts
@@ -1,8 +1,10 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
+import { ok, ResultAsync } from 'neverthrow'
 import { testServices } from '../log/test/testServices.js'
 import { VirtualTime } from '../log/test/VirtualTime.test.js'
 import { KeyedTail } from './KeyedTail.js'
+import { FaultyStoreClient } from './test/FaultyStoreClient.js'
 import { MemoryStore } from './test/MemoryStore.js'
 
 describe('KeyedTail', () => {
@@ -59,4 +61,78 @@
     await time.advance(2000)
     expect(performance.now() - tail.reachableSinceMs < 2000).toEqual(true)
   })
+
+  describe('proves that its records are the newest', () => {
+    /** Age of the proof. */
+    const ageMs = (): number => performance.now() - tail.provedAtMs
+
+    // Guards against removed keys that are accepted for as long as a response takes, because its arrival counts.
+    it('up to the time at which a read was sent, and not at which its response arrived', async () => {
+      const sentAtMs: number[] = []
+      const delayed = new FaultyStoreClient(store, () => {
+        sentAtMs.push(performance.now())
+        return { requestDelayMs: 0, responseDelayMs: 300, isResponseLost: false }
+      })
+      tail.dispose()
+      tail = new KeyedTail(delayed, 'topic', testServices().logger)
+      for (const key of ['a', 'b', 'c', 'd', 'e']) store.write('topic', key, key)
+      expect(tail.provedAtMs).toEqual(Number.NEGATIVE_INFINITY)
+      tail.start()
+      await time.advance(700)
+      // Both pages of the snapshot have been read; the first was sent before the second.
+      expect([tail.isSynced, tail.provedAtMs === sentAtMs[0], (sentAtMs[1] ?? 0) > tail.provedAtMs]).toEqual([true, true, true])
+      await time.advance(1400)
+      expect(tail.provedAtMs).toEqual(sentAtMs[2] ?? 0)
+    })
+
+    it('also by reads that return nothing', async () => {
+      tail.start()
+      await time.advance(10_000)
+      // A read waits for a second, and the one before it was sent a second earlier.
+      expect(ageMs()).toBeLessThanOrEqual(2100)
+    })
+
+    // Guards against a proof from a response that ends before the record that removes a key.
+    it('only when it has read up to the end of the topic', async () => {
+      tail.start()
+      await time.advance(20)
+      store.isDown = true
+      await time.advance(1500)
+      for (let count = 0; count < 4; count++) store.write('topic', `key-${count}`, count)
+      const provedAtMs: number[] = []
+      tail.onRecord(() => provedAtMs.push(tail.provedAtMs))
+      const provedBeforeMs = tail.provedAtMs
+      store.maxReadRecords = 1
+      store.isDown = false
+      await time.advance(1000)
+      expect(provedAtMs).toEqual(Array(4).fill(provedBeforeMs))
+      expect(tail.provedAtMs > provedBeforeMs).toEqual(true)
+    })
+
+    it('no further while reads fail, and again soon after', async () => {
+      tail.dispose()
+      tail = new KeyedTail(store, 'topic', testServices().logger, 0, 0)
+      tail.start()
+      await time.advance(20)
+      store.isDown = true
+      await time.advance(6000)
+      expect(ageMs() >= 6000).toEqual(true)
+      store.isDown = false
+      await time.advance(500)
+      expect(ageMs()).toBeLessThanOrEqual(500)
+    })
+
+    it('not by a response whose end lies before the read position', async () => {
+      store.write('topic', 'a', 1)
+      tail.start()
+      await time.advance(20)
+      const { provedAtMs } = tail
+      store.read = (_topic, fromOffset) => new ResultAsync(new Promise(resolve => {
+        setTimeout(() => resolve(ok({ records: [], nextOffset: fromOffset, endOffset: 0 })), 10)
+      }))
+      await time.advance(3000)
+      // Only the read that was under way, with a sound response, proves anything.
+      expect([tail.provedAtMs - provedAtMs <= 1100, ageMs() >= 1800]).toEqual([true, true])
+    })
+  })
 })
--- a/src/common/store/KeyedTail.ts
+++ b/src/common/store/KeyedTail.ts
@@ -23,12 +23,16 @@
   private _isReachable = false
   private _reachableSinceMs = Number.NEGATIVE_INFINITY
   private _lastReadAtMs = Number.NEGATIVE_INFINITY
+  private _provedAtMs = Number.NEGATIVE_INFINITY
+  private _hasFailed = false
 
   constructor (
     private readonly _client: IStoreClient,
     private readonly _topic: string,
     private readonly _logger: ILogger,
-    private readonly _readDelayMs = 0
+    private readonly _readDelayMs = 0,
+    /** Wait time of the first read after a failed one. 0 shows soonest whether anything has been missed. */
+    private readonly _waitAfterFailureMs = READ_WAIT_MS
   ) {
     super()
   }
@@ -48,6 +52,15 @@
     return this._lastReadAtMs
   }
 
+  /**
+   * `performance.now()` up to which the records that were reported are proved to be the newest: when the latest read
+   * was sent whose response reached the end of the topic. The arrival of a response proves nothing, since records may
+   * have been appended while it was under way.
+   */
+  get provedAtMs (): number {
+    return this._provedAtMs
+  }
+
   /** `performance.now()` since which all reads have succeeded; infinity while they fail. */
   get reachableSinceMs (): number {
     return this._isReachable ? this._reachableSinceMs : Number.POSITIVE_INFINITY
@@ -74,6 +87,8 @@
   }
 
   private async _readSnapshot (): Promise<boolean> {
+    // Later pages may lack records that were appended after the first.
+    const sentAtMs = performance.now()
     const snapshot = await readAllNewest(this._client, this._topic)
     if (this._isStopped) return false
     if (snapshot.isErr()) return this._onReadFailed(snapshot.error.message)
@@ -85,12 +100,14 @@
       if (!presentKeys.has(key)) this._apply({ key, offset: snapshot.value.endOffset })
     }
     this._nextOffset = snapshot.value.endOffset
+    this._provedAtMs = sentAtMs
     this._onSynced.fire()
     return true
   }
 
   private async _readNext (fromOffset: number): Promise<boolean> {
-    const slice = await this._client.read(this._topic, fromOffset, READ_WAIT_MS)
+    const sentAtMs = performance.now()
+    const slice = await this._client.read(this._topic, fromOffset, this._hasFailed ? this._waitAfterFailureMs : READ_WAIT_MS)
     if (this._isStopped) return false
     if (slice.isErr()) {
       if (slice.error.kind !== 'expired') return this._onReadFailed(slice.error.message)
@@ -101,6 +118,8 @@
     this._onReadSucceeded()
     for (const record of slice.value.records) this._apply(record)
     this._nextOffset = Math.max(fromOffset, slice.value.nextOffset)
+    // An end before the read position contradicts earlier responses, so it proves nothing.
+    if (slice.value.endOffset === this._nextOffset) this._provedAtMs = sentAtMs
     return true
   }
 
@@ -114,6 +133,7 @@
 
   private _onReadSucceeded (): void {
     this._lastReadAtMs = performance.now()
+    this._hasFailed = false
     if (this._isReachable) return
     this._isReachable = true
     this._reachableSinceMs = this._lastReadAtMs
@@ -121,6 +141,7 @@
   }
 
   private _onReadFailed (reason: string): false {
+    this._hasFailed = true
     if (this._isReachable || this._lastReadAtMs === Number.NEGATIVE_INFINITY) {
       this._logger.warn({ topic: this._topic, offset: this._nextOffset, reason }, 'store_unreachable')
       // Any value above -Infinity shows that the failure of the first read has been logged.
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -1,4 +1,5 @@
 import { Backoff } from '../kernel/Backoff.js'
+import { ClockJumpDetector } from '../kernel/ClockJumpDetector.js'
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
 import { toDisposable } from '../kernel/toDisposable.js'
@@ -34,8 +35,6 @@
 const IMMEDIATE_CLAIM_DELAY_LIMIT_MS = 250
 /** An entry may claim only if its last successful read of the topic is more recent than this. */
 const MAX_READ_AGE_MS = 1500
-/** Change of the difference between wall clock and monotonic clock that shows that the host was suspended. */
-const CLOCK_JUMP_MS = 400
 
 interface ObservedRecord extends LeaderRecord { offset: number, receivedAtMs: number }
 
@@ -63,7 +62,7 @@
   private readonly _claimBackoff = new Backoff(MAX_CLAIM_BACKOFF_MS)
   /** Earliest time of the next claim after a failed one. */
   private _nextClaimAtMs = Number.NEGATIVE_INFINITY
-  private _clockOffsetMs = Date.now() - performance.now()
+  private readonly _clockJumps = new ClockJumpDetector()
 
   constructor (
     private readonly _client: IStoreClient,
@@ -118,11 +117,10 @@
 
   /** Ends the lease after a suspension of the host, in which the monotonic clock stops but the wall clock does not. */
   private _checkClockJump (): void {
-    const offsetMs = Date.now() - performance.now()
-    const differenceMs = offsetMs - this._clockOffsetMs
-    this._clockOffsetMs = offsetMs
-    if (differenceMs < CLOCK_JUMP_MS) return
-    this._logger.warn({ pause_ms: Math.round(differenceMs), leader: this.isLeader }, 'clock_jumped')
+    const jumpMs = this._clockJumps.check()
+    // A wall clock that steps back does not lengthen the lease.
+    if (jumpMs === undefined || jumpMs < 0) return
+    this._logger.warn({ pause_ms: Math.round(jumpMs), leader: this.isLeader }, 'clock_jumped')
     this._validUntilMs = Number.NEGATIVE_INFINITY
   }
 
--- a/src/common/store/StoreSlice.ts
+++ b/src/common/store/StoreSlice.ts
@@ -4,4 +4,6 @@
 export interface StoreSlice {
   records: KeyedRecord[]
   nextOffset: number
+  /** End of the topic when the store responded. Nothing else is stored if it equals `nextOffset`. */
+  endOffset: number
 }
--- a/src/common/store/test/MemoryStore.ts
+++ b/src/common/store/test/MemoryStore.ts
@@ -26,6 +26,8 @@
   /** Limits as of the platform's store; an append over one of them is rejected as a whole. */
   maxRecordBytes = Number.POSITIVE_INFINITY
   maxCallBytes = Number.POSITIVE_INFINITY
+  /** Maximum number of records that one read returns. */
+  maxReadRecords = Number.POSITIVE_INFINITY
   /** Number of append calls. */
   appends = 0
   /** Decides the outcome of each append. */
@@ -141,8 +143,9 @@
     }
     if (this.isDown) return err(unavailable(false))
     if (fromOffset < topic.firstOffset) return err({ kind: 'expired', message: 'expired', mayTakeEffect: false, firstOffset: topic.firstOffset })
-    const records = topic.records.slice(fromOffset - topic.firstOffset)
-    return ok({ records, nextOffset: fromOffset + records.length })
+    const start = fromOffset - topic.firstOffset
+    const records = topic.records.slice(start, start + this.maxReadRecords)
+    return ok({ records, nextOffset: fromOffset + records.length, endOffset: topic.firstOffset + topic.records.length })
   }
 
   private _topic (name: string): Topic {
