Authenticate callers by the API keys of organisations

Cause: deployments with organisations need each request to carry a key, and a removed key must not run later than a bound, also at entries that are frozen, suspended or cut off from the store.

Change: OrganisationTable finds the organisation of a key by digest, with DigestTable, which Authenticator now shares; IDigest moves to src/common/digest, since src/common/organisation must not import src/common/forward. ConfigFreshness tells whether the configuration is proved recent enough, and CallerAuthenticator decides, logs and counts. Nothing uses them yet.

--- a/src/common/forward/testing/ForwarderHarness.ts
+++ b/src/common/forward/testing/ForwarderHarness.ts
@@ -17,7 +17,11 @@
 import { Forwarder } from '../Forwarder.js'
 
 const silent = { info () {}, warn () {}, error () {}, debug () {}, count () {}, gauge () {}, duration () {} }
-const digest = { sha256Hex: (...parts: Array<string | Uint8Array>) => parts.map(String).join(' ') }
+const digest = {
+  sha256Hex: (...parts: Array<string | Uint8Array>) => parts.map(String).join(' '),
+  sha256: () => new Uint8Array(),
+  isEqual: () => false
+}
 
 interface SentRequest {
   address: string
--- /dev/null
+++ b/src/common/organisation/CallerAuthenticator.ts
@@ -0,0 +1,59 @@
+import { err, ok, type Result } from 'neverthrow'
+import type { ILogger } from '../metrics/ILogger.js'
+import type { IMetrics } from '../metrics/IMetrics.js'
+import type { Organisation } from './Organisation.js'
+
+/** Minimum time between two lines about refusals of one route for one reason, since unknown callers cause them. */
+const LOG_INTERVAL_MS = 1000
+
+type KeyError = 'unknown_key' | 'config_unproved'
+
+/** `config_missing` and `key_missing` tell operators more than the errors of which they are kinds. */
+type RefusalReason = KeyError | 'config_missing' | 'key_missing'
+
+interface IOrganisations {
+  readonly isConfigured: boolean
+  readonly isEnabled: boolean
+  find (apiKey: string): Organisation | undefined
+}
+
+/** Authenticates callers by API key. Keys are never logged and no part of a metric. */
+export class CallerAuthenticator {
+  private readonly _refusals = new Map<string, { loggedAtMs: number, unlogged: number }>()
+
+  constructor (
+    private readonly _organisations: IOrganisations,
+    private readonly _freshness: { isProved (): boolean },
+    private readonly _logger: ILogger,
+    private readonly _metrics: IMetrics
+  ) {}
+
+  /**
+   * Returns the organisation that holds the key; undefined on public routes and where callers need no key. An error
+   * `config_unproved` says nothing about the key: it also stands for a process without any configuration. `route` is
+   * the route's name, for logs and metrics.
+   */
+  authenticate (apiKey: string | undefined, isPublic: boolean, route = ''): Result<Organisation | undefined, KeyError> {
+    if (!this._organisations.isConfigured) return this._refuse('config_unproved', 'config_missing', route)
+    if (isPublic || !this._organisations.isEnabled) return ok(undefined)
+    // A key that this configuration lacks may be in a newer one, so its age is checked before the key.
+    if (!this._freshness.isProved()) return this._refuse('config_unproved', 'config_unproved', route)
+    if (apiKey === undefined || apiKey === '') return this._refuse('unknown_key', 'key_missing', route)
+    const organisation = this._organisations.find(apiKey)
+    return organisation === undefined ? this._refuse('unknown_key', 'unknown_key', route) : ok(organisation)
+  }
+
+  private _refuse (error: KeyError, reason: RefusalReason, route: string): Result<never, KeyError> {
+    this._metrics.count('keys_refused', { route, reason })
+    const key = `${reason} ${route}`
+    const refusals = this._refusals.get(key) ?? { loggedAtMs: Number.NEGATIVE_INFINITY, unlogged: 0 }
+    this._refusals.set(key, refusals)
+    refusals.unlogged += 1
+    if (performance.now() - refusals.loggedAtMs >= LOG_INTERVAL_MS) {
+      this._logger.warn({ route, reason, refused: refusals.unlogged }, 'key_refused')
+      refusals.loggedAtMs = performance.now()
+      refusals.unlogged = 0
+    }
+    return err(error)
+  }
+}
--- a/src/node/http/Authenticator.ts
+++ b/src/node/http/Authenticator.ts
@@ -1,32 +1,39 @@
-import { createHash, timingSafeEqual } from 'node:crypto'
 import { err, ok, type Result } from 'neverthrow'
 import type { Context } from 'hono'
 import type { ContractRevision } from '../../common/contract/ContractRevision.js'
 import type { IContractStore } from '../../common/contract/IContractStore.js'
 import { contractStoreId } from '../../common/contract/contractStoreId.js'
+import { DigestTable } from '../../common/digest/DigestTable.js'
 import type { EntrySettings } from '../../common/settings/EntrySettings.js'
 import { entrySettingsId } from '../../common/settings/entrySettingsId.js'
+import { Sha256Digest } from '../upstream/Sha256Digest.js'
 import type { ApiError } from './error/ApiError.js'
 import type { AppEnv } from './request/AppEnv.js'
 
+const digest = new Sha256Digest()
 const BEARER_PATTERN = /^Bearer +([\x21-\x7e]{1,1024}) *$/i
 
 /** Authenticates organisations and operators by bearer token; SHA-256 digests are compared in constant time. */
 export class Authenticator {
+  /** Names of the operators. */
+  private readonly _operators: DigestTable<string>
+
   constructor (
     @contractStoreId private readonly _contracts: IContractStore,
-    @entrySettingsId private readonly _settings: EntrySettings
-  ) {}
+    @entrySettingsId settings: EntrySettings
+  ) {
+    this._operators = new DigestTable(digest, [...settings.operatorsByTokenDigest].map(([known, name]) => [fromHex(known), name]))
+  }
 
   /** Returns the contract of the caller and sets organisation and revision for the access log. */
   authenticateOrganisation (context: Context<AppEnv>): Result<ContractRevision, ApiError> {
     if (this._contracts.all().length === 0) {
       return err({ status: 503, kind: 'not_ready', message: 'no contract is in force on this entry yet', outcome: 'not_run', retryAfterMs: 1000 })
     }
-    const digest = hashBearerToken(context)
-    const found = digest === undefined ? undefined : this._contracts.findByTokenDigest(digest)
+    const token = bearerToken(context)
+    const found = token === undefined ? undefined : this._contracts.findByTokenDigest(digest.sha256Hex(token))
     // The store looks contracts up in an index; this comparison verifies that the contract lists the full digest.
-    if (digest === undefined || found === undefined || !found.contract.access.token_sha256.some(known => isEqual(known, digest))) return err(UNAUTHENTICATED)
+    if (token === undefined || found === undefined || !isListed(found, token)) return err(UNAUTHENTICATED)
     const record = context.get('record')
     record.organisation = found.organisation
     record.revision = found.revision
@@ -35,12 +42,8 @@
 
   /** Returns the name of the operator and sets it for the access log. */
   authenticateOperator (context: Context<AppEnv>): Result<string, ApiError> {
-    const digest = hashBearerToken(context)
-    let name: string | undefined
-    // Compares with every operator, so that the duration does not depend on the position of the match.
-    for (const [known, operator] of this._settings.operatorsByTokenDigest) {
-      if (digest !== undefined && isEqual(known, digest)) name = operator
-    }
+    const token = bearerToken(context)
+    const name = token === undefined ? undefined : this._operators.find(token)
     if (name === undefined) return err(UNAUTHENTICATED)
     context.get('record').operator = name
     return ok(name)
@@ -51,11 +54,14 @@
   status: 401, kind: 'unauthenticated', message: 'the Authorization header contains no known bearer token', outcome: 'not_run'
 }
 
-function hashBearerToken (context: Context<AppEnv>): string | undefined {
-  const token = BEARER_PATTERN.exec(context.req.header('authorization') ?? '')?.[1]
-  return token === undefined ? undefined : createHash('sha256').update(token).digest('hex')
+function bearerToken (context: Context<AppEnv>): string | undefined {
+  return BEARER_PATTERN.exec(context.req.header('authorization') ?? '')?.[1]
+}
+
+function isListed ({ contract }: ContractRevision, token: string): boolean {
+  return new DigestTable(digest, contract.access.token_sha256.map(known => [fromHex(known), true])).find(token) === true
 }
 
-function isEqual (a: string, b: string): boolean {
-  return a.length === b.length && timingSafeEqual(Buffer.from(a), Buffer.from(b))
+function fromHex (text: string): Uint8Array {
+  return Buffer.from(text, 'hex')
 }
