Show a batch only to the organisation that submitted it

Cause: with organisations, a batch must not exist for callers of another one, and its items must reach engines with the organisation also after a retry or a change of the leader.

Change: BatchService takes the organisation of the caller and stores it with the batch. Others get what an unused id gets, and are refused when they submit the id of an existing batch, also at the same moment. ItemRun passes the organisation of the stored batch to the engine transport. The progress cache was keyed by item id alone, so an organisation that knew or guessed an item id of another could have got its output; it is keyed by organisation too now, as is the mark of resubmitted groups.

--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -34,7 +34,10 @@
 /** The time from gaining the leadership to losing it. */
 interface Term { epoch: number, store: BatchStore, runner?: BatchRunner, isReady: boolean }
 
-/** Accepts, runs and reads batches while this entry is the leader. */
+/**
+ * Accepts, runs and reads batches while this entry is the leader. For any organisation but the one that submitted it, a
+ * batch does not exist.
+ */
 export class BatchService extends Disposable {
   private readonly _onHandoffProgress = this._register(new Emitter<HandoffProgress>())
   /** Fires with the output that has no durable result when the leadership was lost. */
@@ -69,22 +72,29 @@
     return this._term?.runner
   }
 
-  /** Accepts a batch once its records are durable. */
-  async submit (spec: BatchSpec, items: readonly BatchItem[]): Promise<WriteOutcome> {
+  /**
+   * Accepts a batch of an organisation once its records are durable. An id that another organisation uses is refused,
+   * since its batch must not be reported as accepted.
+   */
+  async submit (spec: BatchSpec, items: readonly BatchItem[], organisation = spec.organisation): Promise<WriteOutcome> {
     const store = this._readyStore()
     if (store === undefined) return 'refused'
-    if (store.find(spec.id) !== undefined) return 'accepted'
+    const existing = store.find(spec.id)
+    if (existing !== undefined) return this._acceptRepeated(existing, organisation)
     if (store.isUnreadable(spec.id)) return 'refused'
     if (store.failingForMs() > STORE_DOWN_MS) return 'refused'
-    const outcome = await this._withTimeout(store.submit(spec, items))
-    this._logger.info({ batch: spec.id, model: spec.model, step: spec.step, min_version: spec.minVersion, items: items.length, outcome }, 'batch_submitted')
+    // Another organisation may have submitted the id at the same moment, so the batch that is stored decides.
+    const write = store.submit({ ...spec, organisation }, items)
+    let outcome = await this._withTimeout(write)
+    if (outcome === 'accepted') outcome = (await write).match(batch => this._acceptRepeated(batch, organisation), () => 'unknown')
+    this._logger.info({ batch: spec.id, organisation, model: spec.model, step: spec.step, min_version: spec.minVersion, items: items.length, outcome }, 'batch_submitted')
     return outcome
   }
 
   /** Reads results from a position on; waits up to `waitMs` if there are none yet. */
-  async read (id: string, fromPosition: number, waitMs: number): Promise<BatchReadOutcome> {
+  async read (id: string, fromPosition: number, waitMs: number, organisation?: string): Promise<BatchReadOutcome> {
     const store = this._readyStore()
-    const batch = store?.find(id)
+    const batch = findVisible(store, id, organisation)
     if (store === undefined || batch === undefined) return this._absentOrUnavailable(id, store)
     if (batch.results.length <= fromPosition && expectsMoreResults(batch)) await this._waitForResult(store, batch, fromPosition, waitMs)
     if (batch.unloadedTextCount > fromPosition) {
@@ -109,18 +119,18 @@
   }
 
   /** Returns the body of an item of a batch that has not ended. */
-  findItem (id: string, itemId: string): { kind: 'body', bodyBase64: string } | { kind: 'absent' | 'unavailable' } {
+  findItem (id: string, itemId: string, organisation?: string): { kind: 'body', bodyBase64: string } | { kind: 'absent' | 'unavailable' } {
     const store = this._readyStore()
-    const batch = store?.find(id)
+    const batch = findVisible(store, id, organisation)
     if (batch === undefined) return this._absentOrUnavailable(id, store)
     const state = batch.isEnded ? undefined : batch.find(itemId)
     return state === undefined ? { kind: 'absent' } : { kind: 'body', bodyBase64: state.item.bodyBase64 }
   }
 
   /** Ends a batch; idempotent. */
-  async end (id: string): Promise<WriteOutcome | 'absent'> {
+  async end (id: string, organisation?: string): Promise<WriteOutcome | 'absent'> {
     const store = this._readyStore()
-    const batch = store?.find(id)
+    const batch = findVisible(store, id, organisation)
     if (store === undefined || batch === undefined) return this._absentOrUnavailable(id, store).kind === 'absent' ? 'absent' : 'refused'
     if (batch.isEnded) return 'accepted'
     const outcome = await this._withTimeout(store.end(batch))
@@ -145,6 +155,12 @@
     return true
   }
 
+  private _acceptRepeated (batch: Batch, organisation: string | undefined): WriteOutcome {
+    if (isVisibleTo(batch, organisation)) return 'accepted'
+    this._logger.warn({ batch: batch.spec.id, organisation }, 'batch_id_of_another_organisation')
+    return 'refused'
+  }
+
   private _onLeadershipLost (): void {
     const progress = this._term?.runner?.handoffProgress() ?? []
     this._endTerm()
@@ -207,6 +223,16 @@
   }
 }
 
+/** A batch without an organisation comes from a public route, or from before organisations were configured. */
+function isVisibleTo ({ spec }: Batch, organisation: string | undefined): boolean {
+  return spec.organisation === undefined || spec.organisation === organisation
+}
+
+function findVisible (store: BatchStore | undefined, id: string, organisation: string | undefined): Batch | undefined {
+  const batch = store?.find(id)
+  return batch !== undefined && isVisibleTo(batch, organisation) ? batch : undefined
+}
+
 function expectsMoreResults (batch: Batch): boolean {
   return !batch.isEnded && batch.results.length < batch.spec.itemCount
 }
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -216,10 +216,10 @@
     return written
   }
 
-  /** A later batch of the model resubmits incomplete groups under the same ids. */
+  /** A later batch of the organisation and model resubmits incomplete groups under the same ids. */
   private _markResubmittedGroups (batch: Batch): void {
     for (const { batch: earlier } of this._batches.values()) {
-      if (earlier === batch || earlier.spec.model !== batch.spec.model || earlier.spec.step >= batch.spec.step) continue
+      if (earlier === batch || earlier.spec.organisation !== batch.spec.organisation || earlier.spec.model !== batch.spec.model || earlier.spec.step >= batch.spec.step) continue
       for (const group of batch.itemsByGroup.keys()) {
         if (earlier.mayBeResubmitted(group)) batch.resubmittedGroups.add(group)
       }
--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -211,7 +211,7 @@
 
   private _reuseProgress (batch: Batch, state: ItemState, route: Route): void {
     if (state.progress.events.length > 0 || state.progress.isComplete) return
-    const cached = this._progressCache.take(state.item.id, batch.spec.minVersion, route.isSingleVersion)
+    const cached = this._progressCache.take(batch.spec, state.item.id, route.isSingleVersion)
     if (cached === undefined) return
     state.progress = cached
     this._logger.info({ batch: batch.spec.id, item: state.item.id, events: cached.events.length, complete: cached.isComplete }, 'item_progress_reused')
@@ -237,7 +237,7 @@
     this._runs.remove(run)
     if (state.status === 'running') state.status = 'waiting'
     if ((outcome.kind !== 'complete' && run.cancelReason !== 'slow') || run.durationMs > LONG_RUN_MS) this._logger.info(describeRun(run, outcome), 'item_run_ended')
-    if (!batch.isOpen) return this._progressCache.put(state.item.id, state.progress)
+    if (!batch.isOpen) return this._progressCache.put(batch.spec, state.item.id, state.progress)
     this._applyOutcome(run, outcome)
     this._scheduleDispatch()
   }
@@ -285,7 +285,7 @@
     for (const state of batch.items) {
       const run = this._runs.of(state)
       if (run !== undefined) run.cancel('batch ended')
-      else if (state.status !== 'finished') this._progressCache.put(state.item.id, state.progress)
+      else if (state.status !== 'finished') this._progressCache.put(batch.spec, state.item.id, state.progress)
       this._enginesByGroup.delete(state.item.group)
     }
   }
--- a/src/common/batch/run/IEngineTransport.ts
+++ b/src/common/batch/run/IEngineTransport.ts
@@ -15,6 +15,8 @@
 interface EngineRunRequest {
   item: BatchItem
   host: string
+  /** Organisation of the batch; undefined if it has none. */
+  organisation?: string
   /** The run resumes after the event with this id; 0 starts from the beginning. */
   lastEventId: number
   /** Time until the retention of the batch ends, after which the engine may stop. */
--- a/src/common/batch/run/ItemRun.ts
+++ b/src/common/batch/run/ItemRun.ts
@@ -137,8 +137,9 @@
 
   private async _send (): Promise<EngineRunOutcome> {
     const { item, progress } = this.state
+    const { host, organisation } = this.batch.spec
     return await this._transport.run(
-      { item, host: this.batch.spec.host, lastEventId: progress.lastEventId, remainingMs: this._remainingMs },
+      { item, host, organisation, lastEventId: progress.lastEventId, remainingMs: this._remainingMs },
       this.engine,
       {
         onVersion: version => this._onVersion(version),
--- a/src/common/batch/test/BatchHarness.ts
+++ b/src/common/batch/test/BatchHarness.ts
@@ -52,9 +52,9 @@
     return { service, leadership }
   }
 
-  /** Results of the batch `batch-1` from a position on; the kind of the outcome if it cannot be read. */
-  async resultsOf (service: BatchService, fromPosition = 0): Promise<BatchResult[] | string> {
-    const reading = service.read('batch-1', fromPosition, 0)
+  /** Results of the batch `batch-1` from a position on, for an organisation; the kind of the outcome if it cannot be read. */
+  async resultsOf (service: BatchService, fromPosition = 0, organisation?: string): Promise<BatchResult[] | string> {
+    const reading = service.read('batch-1', fromPosition, 0, organisation)
     await this._time.advance(20)
     const outcome = await reading
     return outcome.kind === 'results' ? outcome.results : outcome.kind
--- a/src/common/batch/test/FakeEngines.ts
+++ b/src/common/batch/test/FakeEngines.ts
@@ -22,6 +22,8 @@
   versionFromEvent: Record<string, { eventId: number, version: number }> = {}
   /** All runs so far, as `ITEM ENGINE LAST_EVENT_ID`. */
   readonly runs: string[] = []
+  /** Organisation of each run. */
+  readonly organisations: Array<string | undefined> = []
   private readonly _resumedAt = new Map<string, number>()
 
   constructor (private readonly _eventIntervalMs: number) {}
@@ -39,6 +41,7 @@
   async run (request: RunParameters[0], engine: FleetUpstream, listener: RunParameters[2], signal: AbortSignal): Promise<EngineRunOutcome> {
     const { id } = request.item
     this.runs.push(`${id} ${engine.member.id} ${request.lastEventId}`)
+    this.organisations.push(request.organisation)
     this._resumedAt.set(id, request.lastEventId)
     if (this.throwing.delete(id)) throw new Error('fault of the transport')
     if (this.crashing.has(id)) return { kind: 'broken', reason: 'reset' }
