--- a/src/common/organisation/OrganisationTable.ts
+++ b/src/common/organisation/OrganisationTable.ts
@@ -37,6 +37,11 @@
     return apiKey === '' ? undefined : this._organisationsByKey.find(apiKey)
   }
 
+  /** Priority of an organisation by its name; undefined without one of its own. */
+  priorityOf (name: string): number | undefined {
+    return this._routes.config?.organisations?.find(organisation => organisation.name === name)?.priority
+  }
+
   private _build (config: RoutingConfig | undefined): DigestTable<Organisation> {
     // In order of name, so that a key of two organisations has the same one at all entries, however they are listed.
     const sorted = [...config?.organisations ?? []].sort((a, b) => a.name < b.name ? -1 : a.name > b.name ? 1 : 0)
--- a/src/node/front/LeaderGateway.ts
+++ b/src/node/front/LeaderGateway.ts
@@ -10,6 +10,8 @@
 const NOT_LEADER_HEADER = 'hyssopvalve-not-leader'
 /** Address of the entry that forwards a request. */
 const SENDER_HEADER = 'hyssopvalve-entry'
+/** Organisation of the caller, authenticated by the entry that forwards its request. */
+const ORGANISATION_HEADER = 'hyssopvalve-organisation'
 const RETRY_DELAY_MS = 80
 /** Time-out of one request to the leader, in addition to the time that the leader may hold it. */
 const FORWARD_TIMEOUT_MS = 1500
@@ -39,6 +41,11 @@
     return request.headers[SENDER_HEADER]
   }
 
+  /** A request as its sender has authenticated it. Only for requests from other entries. */
+  static fromPeer (request: ListenerRequest): ListenerRequest {
+    return { ...request, organisation: request.headers[ORGANISATION_HEADER] }
+  }
+
   /** Responds with 503 if no leader accepted the request in time, or 504 if a write may have been processed. */
   async serve (request: ListenerRequest, options: GatewayOptions, serveLocally: () => Promise<ListenerResponse>): Promise<ListenerResponse> {
     const retryUntilMs = performance.now() + options.retryForMs
@@ -70,11 +77,14 @@
 
   /** `not_sent`: the request has not been processed. `lost`: it may have been. */
   private async _forward (request: ListenerRequest, options: GatewayOptions, address: string): Promise<ListenerResponse | 'not_sent' | 'lost'> {
+    // A caller must not choose its organisation by sending the header of the hop.
+    const { [ORGANISATION_HEADER]: _claimed, ...headers } = request.headers
+    if (request.organisation !== undefined) headers[ORGANISATION_HEADER] = request.organisation
     const result = await this._client.call(address, {
       requestId: options.requestId,
       method: request.method,
       path: request.target,
-      headers: { ...request.headers, [SENDER_HEADER]: this._ownAddress },
+      headers: { ...headers, [SENDER_HEADER]: this._ownAddress },
       body: request.body.length > 0 ? request.body : undefined,
       deadlineAtMs: performance.now() + options.leaderHoldMs + FORWARD_TIMEOUT_MS
     }, request.signal)
@@ -82,9 +92,9 @@
       this._logger.warn({ request: options.requestId, leader: address, reason: result.error.message, sent: result.error.sent }, 'leader_hop_failed')
       return result.error.sent ? 'lost' : 'not_sent'
     }
-    const { status, headers, body } = result.value
-    if (headers[NOT_LEADER_HEADER] !== undefined) return 'not_sent'
-    delete headers['content-length']
-    return { status, headers, body }
+    const { status, body } = result.value
+    if (result.value.headers[NOT_LEADER_HEADER] !== undefined) return 'not_sent'
+    const { 'content-length': _length, ...responseHeaders } = result.value.headers
+    return { status, headers: responseHeaders, body }
   }
 }
--- a/src/node/front/ListenerRequest.ts
+++ b/src/node/front/ListenerRequest.ts
@@ -11,6 +11,8 @@
   /** Header names are in lowercase. */
   headers: Record<string, string>
   body: Buffer
+  /** Organisation of the authenticated caller; undefined on public routes and where none are configured. */
+  organisation?: string
   /** `performance.now()` when the header section had been received. */
   arrivedAtMs: number
   /** Aborted when the caller disconnects. */
