--- a/src/common/call/CallRun.test.ts
+++ b/src/common/call/CallRun.test.ts
@@ -5,6 +5,7 @@
 import { VirtualTime } from '../log/test/VirtualTime.test.js'
 import type { Route } from '../routing/Route.js'
 import type { RunEnd } from '../suspect/RunEnd.js'
+import { CallStart } from '../usage/CallStart.js'
 import type { Call } from './Call.js'
 import type { CallAttemptOutcome } from './CallAttemptOutcome.js'
 import type { CallOutcome } from './CallOutcome.js'
@@ -22,12 +23,14 @@
   let sentTo: string[]
   let cancelled: string[]
   let caller: AbortController
+  let countedAtMs: number[]
 
   beforeEach(() => {
     time = new VirtualTime()
     sentTo = []
     cancelled = []
     caller = new AbortController()
+    countedAtMs = []
   })
   afterEach(() => time.restore())
 
@@ -57,7 +60,8 @@
         return await new Promise(resolve => setTimeout(() => resolve(outcome), afterMs))
       }
     }
-    return new CallRun(call, () => upstreams, transport, guard, testServices().logger).run()
+    const start = new CallStart({ recordStart: (_organisation, atUnixMs) => countedAtMs.push(atUnixMs) }, 'org')
+    return new CallRun(call, () => upstreams, transport, guard, testServices().logger, start).run()
   }
 
   it('tries other upstreams when one is full, without using up one of the attempts of the route', async () => {
@@ -178,4 +182,24 @@
     expect((await disconnected).kind).toEqual('cancelled')
     expect(cancelled).toEqual(['a', 'a'])
   })
+
+  // Guards against usage reports that count hedges, or requests that all upstreams declined.
+  it('counts a call at the first attempt that may have run, also when a hedge responds first, and none that was declined', async () => {
+    const sentAtMs = Date.now()
+    const hedged = start({ a: { afterMs: 5000, outcome: answer() }, b: { afterMs: 10, outcome: answer() } })
+    await time.advance(100)
+    await hedged
+    await time.advance(6000, 50)
+    expect(countedAtMs).toEqual([sentAtMs])
+    countedAtMs = []
+    const declined = start({ a: { afterMs: 1, outcome: full }, b: { afterMs: 1, outcome: full } })
+    await time.advance(3000, 50)
+    await declined
+    expect(countedAtMs).toEqual([])
+    const failedAtMs = Date.now()
+    const failed = start({ a: { afterMs: 5, outcome: full }, b: { afterMs: 5, outcome: answer(500) }, c: { afterMs: 5, outcome: answer() } })
+    await time.advance(100)
+    await failed
+    expect(countedAtMs).toEqual([failedAtMs + 5])
+  })
 })
--- a/src/common/call/CallRun.ts
+++ b/src/common/call/CallRun.ts
@@ -2,6 +2,7 @@
 import type { FleetUpstream } from '../fleet/FleetUpstream.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { RunEnd } from '../suspect/RunEnd.js'
+import type { CallStart } from '../usage/CallStart.js'
 import type { Call } from './Call.js'
 import type { CallAttemptOutcome } from './CallAttemptOutcome.js'
 import type { CallOutcome } from './CallOutcome.js'
@@ -43,7 +44,9 @@
     private readonly _listCandidates: () => FleetUpstream[],
     private readonly _transport: ICallTransport,
     private readonly _guard: IAttemptGuard,
-    private readonly _logger: ILogger
+    private readonly _logger: ILogger,
+    /** Counts the call for its organisation; undefined for calls that are not counted. */
+    private readonly _start?: CallStart
   ) {}
 
   /** Resolves with the outcome after aborting all attempts that are still running. */
@@ -111,8 +114,10 @@
     const { upstream } = attempt
     const startedAtMs = performance.now()
     upstream.outstanding += 1
+    const onSettled = this._start?.onSent()
     const outcome = await this._transport.send(this._call, upstream, attempt.controller.signal)
     upstream.outstanding -= 1
+    onSettled?.(outcome.kind !== 'not_run')
     if (outcome.load !== undefined) upstream.recordLoad(outcome.load)
     if (outcome.isLeaving === true) upstream.recordLeaving()
     if (isFromUpstream(outcome)) upstream.recordAnswer(startedAtMs)
--- a/src/common/call/CallService.test.ts
+++ b/src/common/call/CallService.test.ts
@@ -12,9 +12,11 @@
 
 describe('CallService', () => {
   let sendings = 0
+  let counted: string[] = []
 
-  async function run (admission: SuspectAdmission): Promise<unknown> {
+  async function run (admission: SuspectAdmission, organisation?: string): Promise<unknown> {
     sendings = 0
+    counted = []
     const fleet = new FleetTable(logger)
     for (const id of ['a', 'b', 'c']) fleet.apply({ id, startedAtMs: 0, service: 's', address: id, failureDomain: 'd', slots: 8, isDraining: false, versions: new Map() })
     const transport = {
@@ -27,6 +29,7 @@
     const call = {
       requestId: 'r',
       fingerprint: 'f',
+      organisation,
       route: { kind: 'idempotent', maxAttempts: 3, targetLatencyMs: 100 } as Route,
       service: 's',
       method: 'POST',
@@ -36,7 +39,7 @@
       deadlineAtMs: performance.now() + 1000,
       signal: new AbortController().signal
     } satisfies Call
-    return await new CallService(fleet, transport, suspects, logger, metrics).run(call)
+    return await new CallService(fleet, transport, suspects, logger, metrics, { recordStart: name => { counted.push(name) } }).run(call)
   }
 
   // Guards against a caller that is told 502 although its request was not sent.
@@ -52,4 +55,14 @@
     await run({ kind: 'admitted' })
     expect(sendings).toEqual(3)
   })
+
+  // Guards against counts of public calls, of refused ones, and of each attempt.
+  it('counts a call of an organisation once if it was sent', async () => {
+    await run({ kind: 'admitted' }, 'org')
+    expect([sendings, counted]).toEqual([3, ['org']])
+    await run({ kind: 'admitted' })
+    expect([sendings, counted]).toEqual([3, []])
+    await run({ kind: 'refused', retryAfterMs: RETRY_AFTER_MS }, 'org')
+    expect(counted).toEqual([])
+  })
 })
--- a/src/common/call/CallService.ts
+++ b/src/common/call/CallService.ts
@@ -4,6 +4,8 @@
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IMetrics } from '../metrics/IMetrics.js'
 import type { ICallSuspects } from '../suspect/ICallSuspects.js'
+import { CallStart } from '../usage/CallStart.js'
+import type { IUsageMeter } from '../usage/IUsageMeter.js'
 import type { Call } from './Call.js'
 import { CallRun } from './CallRun.js'
 import type { CallOutcome } from './CallOutcome.js'
@@ -20,7 +22,9 @@
     private readonly _transport: ICallTransport,
     private readonly _suspects: ICallSuspects,
     private readonly _logger: ILogger,
-    private readonly _metrics: IMetrics
+    private readonly _metrics: IMetrics,
+    /** Counts the requests of organisations; undefined without usage reports. */
+    private readonly _meter?: IUsageMeter
   ) {}
 
   async run (call: Call): Promise<CallOutcome> {
@@ -28,7 +32,8 @@
     const guard = await this._admit(call)
     if (guard.isErr()) return this._onEnded(call, guard.error, startedAtMs, [])
     const candidates = (): FleetUpstream[] => this._fleet.listAvailable(call.service)
-    const run = new CallRun(call, candidates, this._transport, guard.value, this._logger)
+    const start = this._meter === undefined || call.organisation === undefined ? undefined : new CallStart(this._meter, call.organisation)
+    const run = new CallRun(call, candidates, this._transport, guard.value, this._logger, start)
     return this._onEnded(call, await run.run(), startedAtMs, run.attemptedUpstreamIds)
   }
 
--- /dev/null
+++ b/src/common/usage/IUsageMeter.ts
@@ -0,0 +1,5 @@
+/** Counts the requests of each organisation that began to run. */
+export interface IUsageMeter {
+  /** `atUnixMs`: this entry's wall clock when it sent the first attempt that has run or may have run. */
+  recordStart (organisation: string, atUnixMs: number): void
+}
