Collect, commit and send usage reports at the leader

Cause: the platform wants one report for each window from one holder, and never two with different counts. Change: entries count by window and send their counts to the leader, which commits the sums to keyed.usage under its epoch before the first call, sends them with its epoch as the fencing token and records what was accepted. The holder's time is the median of the entries' clocks.

--- /dev/null
+++ b/src/common/usage/UsageClock.test.ts
@@ -0,0 +1,47 @@
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import { expect } from 'earl'
+import { VirtualTime } from '../log/test/VirtualTime.test.js'
+import { UsageClock } from './UsageClock.js'
+import { UsageTimes } from './UsageTimes.js'
+
+const HOUR_MS = 3_600_000
+
+describe('UsageClock', () => {
+  let time: VirtualTime
+  let ownErrorMs: number
+  let clock: UsageClock
+  /** In this test, `performance.now` is true time and `Date.now` is this entry's wall clock. */
+  const trueMs = (): number => performance.now()
+
+  beforeEach(() => {
+    time = new VirtualTime()
+    const now = Date.now
+    mock.method(performance, 'now', () => now.call(Date))
+    ownErrorMs = 0
+    mock.method(Date, 'now', () => now.call(Date) + ownErrorMs)
+    clock = new UsageClock(new UsageTimes({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 }))
+  })
+  afterEach(() => time.restore())
+
+  // Guards against reports of wrong windows because of one wrong clock, of another entry or the holder's.
+  it('follows the majority of the clocks', async () => {
+    clock.observe('b', trueMs() + HOUR_MS)
+    expect(clock.nowUnixMs()).toEqual(trueMs())
+    clock.observe('c', trueMs())
+    expect(clock.nowUnixMs()).toEqual(trueMs())
+    ownErrorMs = -HOUR_MS
+    expect(clock.isSettled()).toEqual(false)
+    clock.observe('c', trueMs())
+    clock.observe('d', trueMs())
+    await time.advance(2500, 100)
+    expect(clock.isSettled()).toEqual(true)
+    expect(clock.nowUnixMs()).toEqual(trueMs())
+  })
+
+  it('uses its own clock when the others have been silent for a minute', async () => {
+    for (const entry of ['b', 'c', 'd']) clock.observe(entry, trueMs() + HOUR_MS)
+    expect(clock.nowUnixMs()).toEqual(trueMs() + HOUR_MS)
+    await time.advance(61_000, 1000)
+    expect(clock.nowUnixMs()).toEqual(trueMs())
+  })
+})
--- /dev/null
+++ b/src/common/usage/UsageClock.ts
@@ -0,0 +1,57 @@
+import type { UsageTimes } from './UsageTimes.js'
+
+/** Change of the difference between wall clock and monotonic clock that shows a suspension or a step of the wall clock. */
+const CLOCK_JUMP_MS = 400
+/** With fewer clocks, nobody can tell which one is wrong. */
+const MIN_CLOCKS = 3
+const MAX_CLOCKS = 1000
+/** Entries that have been silent for this long say nothing about the present. */
+const MAX_READING_AGE_MS = 60_000
+
+/** Estimates true time at the holder as the median of the clocks of the entries, so that a single wrong one has no effect. */
+export class UsageClock {
+  /** Differences between the wall clocks of other entries and this process's monotonic clock. */
+  private readonly _readings = new Map<string, { offsetMs: number, atMs: number }>()
+  private _ownOffsetMs = ownOffsetMs()
+  private _jumpedAtMs = Number.NEGATIVE_INFINITY
+
+  constructor (private readonly _times: UsageTimes) {}
+
+  /** Records the wall clock of another entry. */
+  observe (entry: string, unixMs: number): void {
+    const atMs = performance.now()
+    this._readings.delete(entry)
+    const [oldest] = this._readings.keys()
+    if (this._readings.size >= MAX_CLOCKS && oldest !== undefined) this._readings.delete(oldest)
+    this._readings.set(entry, { offsetMs: unixMs - atMs, atMs })
+  }
+
+  nowUnixMs (): number {
+    this._checkJump()
+    const nowMs = performance.now()
+    for (const [entry, { atMs }] of this._readings) if (nowMs - atMs > MAX_READING_AGE_MS) this._readings.delete(entry)
+    const offsets = [this._ownOffsetMs, ...[...this._readings.values()].map(({ offsetMs }) => offsetMs)].sort((a, b) => a - b)
+    const median = offsets[Math.floor((offsets.length - 1) / 2)] ?? this._ownOffsetMs
+    return nowMs + (offsets.length < MIN_CLOCKS ? this._ownOffsetMs : median)
+  }
+
+  /** Whether the entries had time to tell their clocks since this one jumped. */
+  isSettled (): boolean {
+    this._checkJump()
+    return performance.now() - this._jumpedAtMs >= this._times.gatherMs
+  }
+
+  /** After a jump, the readings refer to a monotonic clock that may have stopped for a time. */
+  private _checkJump (): void {
+    const offsetMs = ownOffsetMs()
+    if (Math.abs(offsetMs - this._ownOffsetMs) >= CLOCK_JUMP_MS) {
+      this._readings.clear()
+      this._jumpedAtMs = performance.now()
+    }
+    this._ownOffsetMs = offsetMs
+  }
+}
+
+function ownOffsetMs (): number {
+  return Date.now() - performance.now()
+}
--- /dev/null
+++ b/src/common/usage/UsageContributor.test.ts
@@ -0,0 +1,129 @@
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import { testServices } from '../log/test/testServices.js'
+import { VirtualTime } from '../log/test/VirtualTime.test.js'
+import { FakeLeadership } from '../store/test/FakeLeadership.js'
+import type { UsageContribution } from './UsageContribution.js'
+import { UsageContributor } from './UsageContributor.js'
+import { UsageMeter } from './UsageMeter.js'
+import type { UsageReceipt } from './UsageReceipt.js'
+import { UsageTimes } from './UsageTimes.js'
+
+/** The virtual clock starts at the begin of this window. */
+const WINDOW = 200
+
+describe('UsageContributor', () => {
+  let time: VirtualTime
+  let meter: UsageMeter
+  let leadership: FakeLeadership
+  let contributor: UsageContributor
+  let sent: UsageContribution[]
+  let committed: number[]
+  let respond: (contribution: UsageContribution) => Partial<UsageReceipt> | undefined
+  let ticker: NodeJS.Timeout
+
+  const windowsSent = (): number[][] => sent.map(({ windows }) => windows.map(({ window }) => window))
+
+  beforeEach(() => {
+    time = new VirtualTime()
+    const times = new UsageTimes({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 })
+    const { logger } = testServices()
+    meter = new UsageMeter(times, logger)
+    leadership = new FakeLeadership()
+    leadership.latestKnownEpoch = 1
+    sent = []
+    committed = []
+    respond = ({ windows }) => ({ taken: windows.map(({ window }) => window) })
+    contributor = new UsageContributor('a', meter, times, leadership, {
+      send: async contribution => {
+        sent.push(contribution)
+        const receipt = respond(contribution)
+        return receipt === undefined ? undefined : { epoch: leadership.latestKnownEpoch ?? 0, unixMs: Date.now(), taken: [], refused: [], committed, ...receipt }
+      }
+    }, logger)
+    ticker = setInterval(() => contributor.tick(), 200)
+  })
+  afterEach(() => {
+    clearInterval(ticker)
+    time.restore()
+  })
+
+  it('sends one message for each window that had requests, after its pending attempts were decided', async () => {
+    meter.recordStart('x', Date.now())
+    meter.recordStart('y', Date.now())
+    await time.advance(7000, 50)
+    expect(sent.length).toEqual(0)
+    await time.advance(13_000, 50)
+    expect(windowsSent()).toEqual([[WINDOW]])
+    expect(sent[0]?.windows[0]?.counts).toEqual({ x: 1, y: 1 })
+    meter.recordStart('x', Date.now())
+    await time.advance(20_000, 50)
+    expect(windowsSent()).toEqual([[WINDOW], [WINDOW + 4]])
+    expect(sent[1]?.unconfirmed).toEqual([WINDOW])
+  })
+
+  // Guards against counts that are lost with the holder that had taken them.
+  it('keeps a window until it is committed, and sends it again only after a failure or to a new leader', async () => {
+    meter.recordStart('x', Date.now())
+    respond = () => undefined
+    await time.advance(10_000, 50)
+    expect(sent.length > 1).toEqual(true)
+    respond = ({ windows }) => ({ taken: windows.map(({ window }) => window) })
+    await time.advance(3000, 50)
+    const count = sent.length
+    await time.advance(20_000, 50)
+    expect(sent.length).toEqual(count)
+    leadership.latestKnownEpoch = 2
+    await time.advance(3000, 50)
+    expect(sent.length).toEqual(count + 1)
+    committed = [WINDOW]
+    meter.recordStart('x', Date.now())
+    await time.advance(13_000, 50)
+    leadership.latestKnownEpoch = 3
+    await time.advance(3000, 50)
+    expect(windowsSent().at(-1)?.includes(WINDOW)).toEqual(false)
+    expect(meter.find(WINDOW)).toEqual(undefined)
+  })
+
+  // Guards against messages without end for a window that the holder does not take.
+  it('sends a refused window again only to a new leader, and a grown one again', async () => {
+    const startMs = Date.now()
+    meter.recordStart('x', startMs)
+    await time.advance(9000, 50)
+    meter.recordStart('x', startMs)
+    await time.advance(1000, 50)
+    expect(sent.map(({ windows }) => windows[0]?.counts)).toEqual([{ x: 1 }, { x: 2 }])
+    respond = ({ windows }) => ({ refused: windows.map(({ window }) => window) })
+    meter.recordStart('x', startMs)
+    await time.advance(10_000, 50)
+    expect(sent.length).toEqual(3)
+    leadership.latestKnownEpoch = 2
+    await time.advance(2000, 50)
+    expect(sent.length).toEqual(4)
+  })
+
+  // Guards against memory that grows, and messages that do not end, without a holder.
+  it('gives a window up when it can no longer be reported', async () => {
+    meter.recordStart('x', Date.now())
+    respond = () => undefined
+    await time.advance(310_000, 200)
+    expect(meter.windows()).toEqual([])
+    const count = sent.length
+    await time.advance(10_000, 200)
+    expect(sent.length).toEqual(count)
+  })
+
+  it('adopts the time of the holder', async () => {
+    meter.recordStart('x', Date.now())
+    respond = ({ windows }) => ({ unixMs: Date.now() - 60_000, refused: windows.map(({ window }) => window) })
+    await time.advance(9000, 50)
+    expect(meter.nowUnixMs()).toEqual(Date.now() - 60_000)
+  })
+
+  // Guards against counts that a planned stop of an entry loses.
+  it('sends the present window, too, before a planned stop ends', async () => {
+    meter.recordStart('x', Date.now())
+    await contributor.flush()
+    expect(windowsSent()).toEqual([[WINDOW]])
+  })
+})
--- /dev/null
+++ b/src/common/usage/UsageContributor.ts
@@ -0,0 +1,135 @@
+import { Backoff } from '../kernel/Backoff.js'
+import type { ILogger } from '../metrics/ILogger.js'
+import type { ILeadership } from '../store/ILeadership.js'
+import type { IUsageSender } from './IUsageSender.js'
+import type { UsageContribution } from './UsageContribution.js'
+import type { UsageMeter } from './UsageMeter.js'
+import type { UsageReceipt } from './UsageReceipt.js'
+import type { UsageTimes } from './UsageTimes.js'
+
+const MAX_BACKOFF_MS = 2000
+/** Bounds a message; further windows follow with the next one. */
+const MAX_WINDOWS_PER_PUSH = 12
+const FLUSH_ATTEMPTS = 3
+const FLUSH_RETRY_MS = 200
+/** A receipt that took longer says too little about the holder's time. */
+const MAX_ROUND_TRIP_MS = 500
+
+interface SentWindow {
+  /** Term of the holder that took or refused the counts. */
+  epoch: number
+  isRefused: boolean
+  /** Revision of the counts that this holder took last; 0 if it took none. */
+  takenRevision: number
+}
+
+/** Sends the counts of this entry to the holder of the usage reports until they are committed. */
+export class UsageContributor {
+  private readonly _sent = new Map<number, SentWindow>()
+  private readonly _backoff = new Backoff(MAX_BACKOFF_MS)
+  private readonly _process = `${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 10)}`
+  private readonly _jitterMs: number
+  private _nextPushAtMs = Number.NEGATIVE_INFINITY
+  private _knownEpoch?: number
+  private _isPushing = false
+
+  constructor (
+    private readonly _entryId: string,
+    private readonly _meter: UsageMeter,
+    private readonly _times: UsageTimes,
+    private readonly _leadership: ILeadership,
+    private readonly _sender: IUsageSender,
+    private readonly _logger: ILogger
+  ) {
+    this._jitterMs = Math.random() * _times.maxPushJitterMs
+  }
+
+  /** Has to be called several times per second. */
+  tick (): void {
+    this._meter.dropExpired()
+    for (const window of this._sent.keys()) if (this._meter.find(window) === undefined) this._sent.delete(window)
+    this._observeEpoch()
+    if (this._isPushing || performance.now() < this._nextPushAtMs) return
+    const endedBeforeMs = this._meter.nowUnixMs() - this._times.pushDelayMs - this._jitterMs
+    this._push(window => this._times.endOf(window) <= endedBeforeMs)
+      .catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'usage_push_fault'))
+  }
+
+  /** Sends all counts, also those of the present window, in a few attempts; before the process ends. */
+  async flush (): Promise<void> {
+    for (let attempt = 1; attempt <= FLUSH_ATTEMPTS; attempt++) {
+      await this._push(() => true)
+      if (!this._meter.windows().some(({ window, revision }) => this._isDue(window, revision))) return
+      await new Promise(resolve => setTimeout(resolve, FLUSH_RETRY_MS))
+    }
+  }
+
+  /** After a change of the leader, the entries send again what is not committed, spread over some time. */
+  private _observeEpoch (): void {
+    const epoch = this._leadership.latestKnownEpoch
+    if (epoch === this._knownEpoch) return
+    this._knownEpoch = epoch
+    this._backoff.reset()
+    this._nextPushAtMs = performance.now() + this._jitterMs
+  }
+
+  private async _push (mayBeSent: (window: number) => boolean): Promise<void> {
+    const due = this._meter.windows().filter(({ window, revision }) => mayBeSent(window) && this._isDue(window, revision)).slice(-MAX_WINDOWS_PER_PUSH)
+    if (due.length === 0) return
+    this._isPushing = true
+    const revisions = new Map(due.map(({ window, revision }) => [window, revision]))
+    const sentAtUnixMs = Date.now()
+    const contribution: UsageContribution = {
+      entry: this._entryId,
+      process: this._process,
+      sentAtUnixMs,
+      windows: due.map(({ window, counts }) => ({ window, counts: Object.fromEntries(counts) })),
+      unconfirmed: [...this._sent.keys()].filter(window => !revisions.has(window))
+    }
+    try {
+      const receipt = await this._sender.send(contribution)
+      if (receipt === undefined) this._onFailed(due.length)
+      else this._onReceipt(receipt, revisions, sentAtUnixMs)
+    } finally {
+      this._isPushing = false
+    }
+  }
+
+  private _isDue (window: number, revision: number): boolean {
+    const sent = this._sent.get(window)
+    return sent === undefined || (!sent.isRefused && sent.takenRevision !== revision) || sent.epoch < (this._leadership.latestKnownEpoch ?? Number.NEGATIVE_INFINITY)
+  }
+
+  private _onFailed (windows: number): void {
+    const delayMs = this._backoff.nextDelayMs()
+    this._nextPushAtMs = performance.now() + delayMs
+    this._logger.warn({ leader: this._leadership.leaderAddress(), windows, retry_in_ms: Math.round(delayMs) }, 'usage_push_failed')
+  }
+
+  private _onReceipt (receipt: UsageReceipt, revisions: ReadonlyMap<number, number>, sentAtUnixMs: number): void {
+    const roundTripMs = Date.now() - sentAtUnixMs
+    if (roundTripMs >= 0 && roundTripMs <= MAX_ROUND_TRIP_MS) this._meter.adoptTime(receipt.unixMs + roundTripMs / 2)
+    const answered = new Set([...receipt.taken, ...receipt.refused, ...receipt.committed])
+    for (const [window, revision] of revisions) {
+      const earlier = this._sent.get(window)
+      if (receipt.taken.includes(window)) this._sent.set(window, { epoch: receipt.epoch, isRefused: false, takenRevision: revision })
+      if (receipt.refused.includes(window)) this._sent.set(window, { epoch: receipt.epoch, isRefused: true, takenRevision: earlier?.epoch === receipt.epoch ? earlier.takenRevision : 0 })
+    }
+    for (const window of receipt.committed) this._onCommitted(window, receipt.epoch)
+    const unanswered = [...revisions.keys()].filter(window => !answered.has(window)).length
+    if (unanswered > 0) this._onFailed(unanswered)
+    else this._backoff.reset()
+  }
+
+  private _onCommitted (window: number, epoch: number): void {
+    const counted = this._meter.find(window)
+    const sent = this._sent.get(window)
+    // What the report lacks is logged, so that a report that is too low can be explained.
+    const takenRevision = sent?.takenRevision ?? 0
+    if (counted !== undefined && counted.revision !== takenRevision) {
+      this._logger.warn({ window, epoch, requests: counted.revision, requests_taken: takenRevision }, 'usage_counts_late')
+    }
+    this._sent.delete(window)
+    this._meter.remove(window)
+  }
+}
--- /dev/null
+++ b/src/common/usage/UsageTimes.ts
@@ -0,0 +1,50 @@
+import type { UsageOptions } from './UsageOptions.js'
+
+/** The platform takes no report of a window that is older. */
+const MAX_AGE_MS = 300_000
+/** Shares of the time until a report is due. An attempt is decided after 2 s, the first share of 10 s. */
+const PUSH_SHARE = 0.22
+/** Spreads the contributions of many entries. */
+const PUSH_JITTER_SHARE = 0.08
+/** Leaves time for a change of the holder, whose successor waits for the lease time, before the report is due. */
+const COMMIT_SHARE = 0.5
+/** Time in which entries learn of a new holder and send it what they have kept. */
+const GATHER_SHARE = 0.25
+
+/** When windows end, and when what becomes of them. */
+export class UsageTimes {
+  readonly maxAgeMs = MAX_AGE_MS
+  readonly windowMs: number
+  readonly lateMs: number
+  readonly pushDelayMs: number
+  readonly maxPushJitterMs: number
+  readonly commitDelayMs: number
+  readonly gatherMs: number
+
+  constructor ({ windowMs, lateMs }: UsageOptions) {
+    this.windowMs = windowMs
+    this.lateMs = lateMs
+    this.pushDelayMs = PUSH_SHARE * lateMs
+    this.maxPushJitterMs = PUSH_JITTER_SHARE * lateMs
+    this.commitDelayMs = COMMIT_SHARE * lateMs
+    this.gatherMs = GATHER_SHARE * lateMs
+  }
+
+  windowAt (unixMs: number): number {
+    return Math.floor(unixMs / this.windowMs)
+  }
+
+  endOf (window: number): number {
+    return (window + 1) * this.windowMs
+  }
+
+  /** The oldest window that may still be reported. */
+  oldestAt (unixMs: number): number {
+    return this.windowAt(unixMs - this.maxAgeMs)
+  }
+
+  /** The oldest window whose report is not due yet. */
+  oldestInTimeAt (unixMs: number): number {
+    return this.windowAt(unixMs - this.lateMs)
+  }
+}
--- /dev/null
+++ b/src/node/front/UsageRelay.ts
@@ -0,0 +1,64 @@
+import type { ILogger } from '../../common/metrics/ILogger.js'
+import type { ILeadership } from '../../common/store/ILeadership.js'
+import type { IUpstreamClient } from '../../common/upstream/client/IUpstreamClient.js'
+import type { IUsageSender } from '../../common/usage/IUsageSender.js'
+import type { UsageContribution } from '../../common/usage/UsageContribution.js'
+import { usageContributionSchema } from '../../common/usage/usageContributionSchema.js'
+import type { UsageReceipt } from '../../common/usage/UsageReceipt.js'
+import { usageReceiptSchema } from '../../common/usage/usageReceiptSchema.js'
+import type { ListenerRequest } from './ListenerRequest.js'
+import type { ListenerResponse } from './ListenerResponse.js'
+
+const USAGE_PATH = '/usage'
+const SEND_TIMEOUT_MS = 800
+
+/** Sends the counts of an entry to the leader over the peer listener, and serves them there. */
+export class UsageRelay implements IUsageSender {
+  private _sentCount = 0
+
+  constructor (
+    private readonly _leadership: ILeadership,
+    private readonly _ownAddress: string,
+    private readonly _client: IUpstreamClient,
+    private readonly _logger: ILogger
+  ) {}
+
+  static isUsagePath (path: string): boolean {
+    return path === USAGE_PATH
+  }
+
+  /** Responds to a contribution; `accept` returns undefined at an entry that does not lead. */
+  static serve (request: ListenerRequest, accept: (contribution: UsageContribution) => UsageReceipt | undefined, logger: ILogger): ListenerResponse {
+    const contribution = usageContributionSchema.safeParse(parseJson(request.body))
+    if (!contribution.success) {
+      logger.error({ reason: contribution.error.issues[0]?.message }, 'usage_contribution_malformed')
+      return { status: 400 }
+    }
+    const receipt = accept(contribution.data)
+    return receipt === undefined ? { status: 503 } : { status: 200, headers: { 'content-type': 'application/json' }, body: JSON.stringify(receipt) }
+  }
+
+  async send (contribution: UsageContribution): Promise<UsageReceipt | undefined> {
+    const address = this._leadership.leaderAddress()
+    if (address === undefined || address === this._ownAddress) return undefined
+    const body = Buffer.from(JSON.stringify(contribution))
+    // Unique, so that a second copy of an earlier receipt on the connection is not taken for this one's.
+    const requestId = `usage-${++this._sentCount}`
+    const request = { requestId, method: 'POST', path: USAGE_PATH, headers: {}, body, deadlineAtMs: performance.now() + SEND_TIMEOUT_MS }
+    const result = await this._client.call(address, request, new AbortController().signal)
+    if (result.isErr() || result.value.status !== 200) {
+      this._logger.info({ leader: address, status: result.isOk() ? result.value.status : undefined, reason: result.isErr() ? result.error.kind : undefined }, 'usage_not_passed_on')
+      return undefined
+    }
+    const receipt = usageReceiptSchema.safeParse(parseJson(result.value.body))
+    return receipt.success ? receipt.data : undefined
+  }
+}
+
+function parseJson (bytes: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(bytes).toString())
+  } catch {
+    return undefined
+  }
+}
