Decide what time it is before a new holder takes counts

Cause: the first contribution to a holder with a wrong clock was refused, and its sender adopted the wrong time, because two clocks have no majority. Change: a holder takes counts once three clocks are known or entries had the time to tell theirs; the receipt names its contribution.

--- a/src/common/usage/UsageClock.ts
+++ b/src/common/usage/UsageClock.ts
@@ -13,7 +13,8 @@
   /** Differences between the wall clocks of other entries and this process's monotonic clock. */
   private readonly _readings = new Map<string, { offsetMs: number, atMs: number }>()
   private _ownOffsetMs = ownOffsetMs()
-  private _jumpedAtMs = Number.NEGATIVE_INFINITY
+  /** When the readings were discarded. */
+  private _clearedAtMs = performance.now()
 
   constructor (private readonly _times: UsageTimes) {}
 
@@ -35,20 +36,24 @@
     return nowMs + (offsets.length < MIN_CLOCKS ? this._ownOffsetMs : median)
   }
 
-  /** Whether the entries had time to tell their clocks since this one jumped. */
+  /** Discards what earlier contributions said, at the begin of a term. */
+  restart (): void {
+    this._readings.clear()
+    this._clearedAtMs = performance.now()
+    this._ownOffsetMs = ownOffsetMs()
+  }
+
+  /** Whether enough entries have told their clocks, or had the time to, since the readings were discarded. */
   isSettled (): boolean {
     this._checkJump()
-    return performance.now() - this._jumpedAtMs >= this._times.gatherMs
+    return this._readings.size + 1 >= MIN_CLOCKS || performance.now() - this._clearedAtMs >= this._times.settleMs
   }
 
   /** After a jump, the readings refer to a monotonic clock that may have stopped for a time. */
   private _checkJump (): void {
     const offsetMs = ownOffsetMs()
-    if (Math.abs(offsetMs - this._ownOffsetMs) >= CLOCK_JUMP_MS) {
-      this._readings.clear()
-      this._jumpedAtMs = performance.now()
-    }
-    this._ownOffsetMs = offsetMs
+    if (Math.abs(offsetMs - this._ownOffsetMs) >= CLOCK_JUMP_MS) this.restart()
+    else this._ownOffsetMs = offsetMs
   }
 }
 
--- a/src/common/usage/UsageReporter.ts
+++ b/src/common/usage/UsageReporter.ts
@@ -54,6 +54,7 @@
   ) {
     super()
     this._mayCloseAtMs = performance.now() + _times.gatherMs
+    _clock.restart()
     this._register(_ledger)
     this._register({ dispose: () => { this._isEnded = true } })
     this._restore().catch((fault: unknown) => this._logFault(fault))
@@ -63,11 +64,12 @@
     return this._identity.epoch
   }
 
-  /** Takes the counts of an entry, and tells it which of its windows are committed. */
-  accept (contribution: UsageContribution): UsageReceipt {
+  /** Takes the counts of an entry, and tells it which of its windows are committed; undefined while the time is unknown. */
+  accept (contribution: UsageContribution): UsageReceipt | undefined {
     if (contribution.entry !== this._identity.entryId) this._clock.observe(contribution.entry, contribution.sentAtUnixMs)
+    if (!this._clock.isSettled()) return undefined
     const unixMs = this._clock.nowUnixMs()
-    const receipt: UsageReceipt = { epoch: this.epoch, unixMs, taken: [], committed: [], refused: [] }
+    const receipt: UsageReceipt = { epoch: this.epoch, sentAtUnixMs: contribution.sentAtUnixMs, unixMs, taken: [], committed: [], refused: [] }
     for (const window of contribution.unconfirmed) if (this._ledger.isCommitted(window)) receipt.committed.push(window)
     for (const counts of contribution.windows) {
       const { window } = counts
@@ -90,6 +92,7 @@
     const nowMs = performance.now()
     // After a freeze, contributions that arrived meanwhile have not been processed yet.
     if (!isAccepting || nowMs - this._lastTickAtMs > MAX_TICK_GAP_MS) this._mayCloseAtMs = nowMs + this._times.gatherMs
+    if (!this._clock.isSettled()) this._mayCloseAtMs = Math.max(this._mayCloseAtMs, nowMs + this._times.settleMs)
     this._lastTickAtMs = nowMs
     if (this._isEnded || !this._isRestored) return
     const nowUnixMs = this._clock.nowUnixMs()
@@ -118,7 +121,7 @@
 
   /** Fixes the counts of the windows whose entries had time to send theirs. */
   private _closeDueWindows (nowUnixMs: number): void {
-    if (performance.now() < this._mayCloseAtMs || !this._clock.isSettled()) return
+    if (performance.now() < this._mayCloseAtMs) return
     const oldest = this._times.oldestAt(nowUnixMs)
     let window = this._nextWindow ?? this._selectFirstWindow(nowUnixMs)
     // The clock was corrected backwards, and the windows that it skipped have to be covered.
--- a/src/common/usage/UsageService.ts
+++ b/src/common/usage/UsageService.ts
@@ -67,7 +67,7 @@
     this._register(toDisposable(() => clearInterval(timer)))
   }
 
-  /** Takes the counts of an entry; undefined unless this entry leads. */
+  /** Takes the counts of an entry; undefined unless this entry leads and knows the time, so that they have to be sent again. */
   accept (contribution: UsageContribution): UsageReceipt | undefined {
     if (this._reporter === undefined || this._leadership.validEpoch() !== this._reporter.epoch) return undefined
     return this._reporter.accept(contribution)
--- a/src/common/usage/UsageTimes.ts
+++ b/src/common/usage/UsageTimes.ts
@@ -10,6 +10,8 @@
 const COMMIT_SHARE = 0.5
 /** Time in which entries learn of a new holder and send it what they have kept. */
 const GATHER_SHARE = 0.25
+/** Time in which entries tell a holder their clocks, by contributions that are spread over the jitter. */
+const SETTLE_SHARE = 0.12
 
 /** When windows end, and when what becomes of them. */
 export class UsageTimes {
@@ -20,6 +22,7 @@
   readonly maxPushJitterMs: number
   readonly commitDelayMs: number
   readonly gatherMs: number
+  readonly settleMs: number
 
   constructor ({ windowMs, lateMs }: UsageOptions) {
     this.windowMs = windowMs
@@ -28,6 +31,7 @@
     this.maxPushJitterMs = PUSH_JITTER_SHARE * lateMs
     this.commitDelayMs = COMMIT_SHARE * lateMs
     this.gatherMs = GATHER_SHARE * lateMs
+    this.settleMs = SETTLE_SHARE * lateMs
   }
 
   windowAt (unixMs: number): number {
--- a/src/common/usage/usageReceiptSchema.ts
+++ b/src/common/usage/usageReceiptSchema.ts
@@ -5,6 +5,8 @@
 /** Response of the holder to a contribution. Windows that it does not name have to be sent again later. */
 export const usageReceiptSchema = z.object({
   epoch: z.number(),
+  /** That of the contribution, which it identifies. */
+  sentAtUnixMs: z.number(),
   /** The holder's estimate of true time. */
   unixMs: z.number(),
   /** Windows whose counts the holder has, and will commit. */
--- a/src/node/front/UsageRelay.ts
+++ b/src/node/front/UsageRelay.ts
@@ -14,8 +14,6 @@
 
 /** Sends the counts of an entry to the leader over the peer listener, and serves them there. */
 export class UsageRelay implements IUsageSender {
-  private _sentCount = 0
-
   constructor (
     private readonly _leadership: ILeadership,
     private readonly _ownAddress: string,
@@ -42,16 +40,15 @@
     const address = this._leadership.leaderAddress()
     if (address === undefined || address === this._ownAddress) return undefined
     const body = Buffer.from(JSON.stringify(contribution))
-    // Unique, so that a second copy of an earlier receipt on the connection is not taken for this one's.
-    const requestId = `usage-${++this._sentCount}`
-    const request = { requestId, method: 'POST', path: USAGE_PATH, headers: {}, body, deadlineAtMs: performance.now() + SEND_TIMEOUT_MS }
+    const request = { requestId: 'usage', method: 'POST', path: USAGE_PATH, headers: {}, body, deadlineAtMs: performance.now() + SEND_TIMEOUT_MS }
     const result = await this._client.call(address, request, new AbortController().signal)
     if (result.isErr() || result.value.status !== 200) {
       this._logger.info({ leader: address, status: result.isOk() ? result.value.status : undefined, reason: result.isErr() ? result.error.kind : undefined }, 'usage_not_passed_on')
       return undefined
     }
     const receipt = usageReceiptSchema.safeParse(parseJson(result.value.body))
-    return receipt.success ? receipt.data : undefined
+    // A second copy of an earlier receipt may precede this one on the connection.
+    return receipt.success && receipt.data.sentAtUnixMs === contribution.sentAtUnixMs ? receipt.data : undefined
   }
 }
 
