Let entries send again before windows are closed after an outage, and retry less often

Cause: 370 entries that repeat their counts every 2 s while no entry leads would fill the link of the smallest host; reports were given up only while the holder could send. Change: pauses of up to 5 s between repetitions, and windows are closed only after the next one; old reports are given up in any case.

--- a/src/common/usage/UsageContributor.ts
+++ b/src/common/usage/UsageContributor.ts
@@ -7,7 +7,6 @@
 import type { UsageReceipt } from './UsageReceipt.js'
 import type { UsageTimes } from './UsageTimes.js'
 
-const MAX_BACKOFF_MS = 2000
 /** Bounds a message; further windows follow with the next one. */
 const MAX_WINDOWS_PER_PUSH = 12
 const FLUSH_ATTEMPTS = 3
@@ -26,7 +25,7 @@
 /** Sends the counts of this entry to the holder of the usage reports until they are committed. */
 export class UsageContributor {
   private readonly _sent = new Map<number, SentWindow>()
-  private readonly _backoff = new Backoff(MAX_BACKOFF_MS)
+  private readonly _backoff: Backoff
   private readonly _process = `${Date.now().toString(36)}-${Math.random().toString(36).slice(2, 10)}`
   private readonly _jitterMs: number
   private _nextPushAtMs = Number.NEGATIVE_INFINITY
@@ -41,6 +40,7 @@
     private readonly _sender: IUsageSender,
     private readonly _logger: ILogger
   ) {
+    this._backoff = new Backoff(_times.maxRetryMs)
     this._jitterMs = Math.random() * _times.maxPushJitterMs
   }
 
--- a/src/common/usage/UsageReporter.ts
+++ b/src/common/usage/UsageReporter.ts
@@ -33,6 +33,8 @@
   private readonly _sendBackoff = new Backoff(MAX_SEND_BACKOFF_MS)
   private _nextWindow?: number
   private _lastTickAtMs = performance.now()
+  /** Since when entries cannot send their counts to this one. */
+  private _outageSinceMs?: number
   /** Entries had time to send what they have kept for this holder once this time has come. */
   private _mayCloseAtMs: number
   private _nextSendAtMs = Number.NEGATIVE_INFINITY
@@ -90,19 +92,28 @@
   tick (isAccepting: boolean): void {
     const token = this._duty.holder.token()
     const nowMs = performance.now()
-    // After a freeze, contributions that arrived meanwhile have not been processed yet.
-    if (!isAccepting || nowMs - this._lastTickAtMs > MAX_TICK_GAP_MS) this._mayCloseAtMs = nowMs + this._times.gatherMs
-    if (!this._clock.isSettled()) this._mayCloseAtMs = Math.max(this._mayCloseAtMs, nowMs + this._times.settleMs)
-    this._lastTickAtMs = nowMs
+    this._observeOutages(nowMs, isAccepting)
     if (this._isEnded || !this._isRestored) return
     const nowUnixMs = this._clock.nowUnixMs()
     this._collector.removeExpired(nowUnixMs)
+    this._abandonExpired(nowUnixMs)
     this._closeDueWindows(nowUnixMs)
     this._commitClosed()
     if (token === this.epoch) this._sendNext(token, nowUnixMs)
     this._metrics.gauge('usage_reports_waiting', this._uncommitted.size + this._ledger.unsent().length)
   }
 
+  /** Delays the closing of windows until entries had time to send what they could not send before. */
+  private _observeOutages (nowMs: number, isAccepting: boolean): void {
+    // After a freeze, contributions that arrived meanwhile have not been processed yet.
+    const isReachable = isAccepting && nowMs - this._lastTickAtMs <= MAX_TICK_GAP_MS
+    this._outageSinceMs = isReachable ? undefined : this._outageSinceMs ?? this._lastTickAtMs
+    const outageDelayMs = this._outageSinceMs === undefined ? 0 : this._times.gatherMsAfter(nowMs - this._outageSinceMs)
+    const clockDelayMs = this._clock.isSettled() ? 0 : this._times.settleMs
+    this._mayCloseAtMs = Math.max(this._mayCloseAtMs, nowMs + outageDelayMs, nowMs + clockDelayMs)
+    this._lastTickAtMs = nowMs
+  }
+
   private async _restore (): Promise<void> {
     const backoff = new Backoff(MAX_RESTORE_BACKOFF_MS)
     while (!this._isEnded) {
@@ -177,16 +188,20 @@
       .finally(() => { this._isSending = false })
   }
 
-  /** A report that is not overdue comes before those that are; repeated ones do not hold up the others. */
-  private _selectReport (nowUnixMs: number): UsageReport | undefined {
+  private _abandonExpired (nowUnixMs: number): void {
     const oldest = this._times.oldestAt(nowUnixMs)
-    const reports = this._ledger.unsent().filter(({ window }) => {
-      // A holder whose clock was ahead may have committed windows that have not ended.
-      if (window >= oldest) return this._times.endOf(window) <= nowUnixMs
+    for (const { window } of this._ledger.unsent()) {
+      if (window >= oldest) break
       this._ledger.complete(window, 'abandoned')
       this._logOutcome(window, 'abandoned')
-      return false
-    })
+      this._sendAttempts.delete(window)
+    }
+  }
+
+  /** A report that is not overdue comes before those that are; repeated ones do not hold up the others. */
+  private _selectReport (nowUnixMs: number): UsageReport | undefined {
+    // A holder whose clock was ahead may have committed windows that have not ended.
+    const reports = this._ledger.unsent().filter(({ window }) => this._times.endOf(window) <= nowUnixMs)
     const isOverdue = ({ window }: UsageReport): number => this._times.endOf(window) + this._times.lateMs < nowUnixMs ? 1 : 0
     const attempts = ({ window }: UsageReport): number => this._sendAttempts.get(window) ?? 0
     return reports.sort((a, b) => isOverdue(a) - isOverdue(b) || attempts(a) - attempts(b) || a.window - b.window)[0]
@@ -225,7 +240,6 @@
   private _logOutcome (window: number, outcome: 'sent' | 'refused' | 'retried' | 'abandoned'): void {
     this._metrics.count(REPORTS_METRIC, { outcome })
     const fields = { window, token: this.epoch, attempts: this._sendAttempts.get(window) ?? 0, age_ms: this._ageMs(window) }
-    if (outcome === 'abandoned') this._sendAttempts.delete(window)
     if (outcome === 'sent') this._logger.info(fields, 'usage_report_sent')
     else this._logger.warn(fields, `usage_report_${outcome}`)
   }
--- a/src/common/usage/UsageTimes.ts
+++ b/src/common/usage/UsageTimes.ts
@@ -1,6 +1,6 @@
 import type { UsageOptions } from './UsageOptions.js'
 
-/** The platform takes no report of a window that is older. */
+/** Reports of older windows are given up. */
 const MAX_AGE_MS = 300_000
 /** Shares of the time until a report is due. An attempt is decided after 2 s, the first share of 10 s. */
 const PUSH_SHARE = 0.22
@@ -13,9 +13,16 @@
 /** Time in which entries tell a holder their clocks, by contributions that are spread over the jitter. */
 const SETTLE_SHARE = 0.12
 
-/** When windows end, and when what becomes of them. */
+/**
+ * Longest pause before an entry sends its counts again. 370 entries then make about 100 attempts per second while no
+ * entry leads, which the smallest host serves.
+ */
+const MAX_RETRY_MS = 5000
+
+/** When windows end, are sent to the holder, closed and reported. */
 export class UsageTimes {
   readonly maxAgeMs = MAX_AGE_MS
+  readonly maxRetryMs = MAX_RETRY_MS
   readonly windowMs: number
   readonly lateMs: number
   readonly pushDelayMs: number
@@ -34,6 +41,12 @@
     this.settleMs = SETTLE_SHARE * lateMs
   }
 
+  /** Time that entries need to send what they have kept, after the holder could not be reached for `outageMs`. */
+  gatherMsAfter (outageMs: number): number {
+    // The pause before the next attempt is at most as long as all attempts before.
+    return Math.max(this.gatherMs, Math.min(outageMs, this.maxRetryMs) + this.settleMs)
+  }
+
   windowAt (unixMs: number): number {
     return Math.floor(unixMs / this.windowMs)
   }
