--- a/src/common/usage/UsageReporter.test.ts
+++ b/src/common/usage/UsageReporter.test.ts
@@ -91,9 +91,9 @@
     await run(8000)
     expect(reportsOf(WINDOW)).toEqual([{ x: 1 }])
     await run(1000, false)
-    contribute('b', WINDOW + 1, { x: 2 })
+    contribute('b', WINDOW + 2, { x: 2 })
     await run(5000)
-    expect(reportsOf(WINDOW + 1)).toEqual([{ x: 2 }])
+    expect(reportsOf(WINDOW + 2)).toEqual([{ x: 2 }])
   })
 
   // Guards against reports of windows that have not ended, because of a wrong clock of the holder.
