--- a/src/common/usage/UsageContributor.test.ts
+++ b/src/common/usage/UsageContributor.test.ts
@@ -123,7 +123,21 @@
   // Guards against counts that a planned stop of an entry loses.
   it('sends the present window, too, before a planned stop ends', async () => {
     meter.recordStart('x', Date.now())
-    await contributor.flush()
-    expect(windowsSent()).toEqual([[WINDOW]])
+    respond = () => undefined
+    const flushed = contributor.flush(1000)
+    await time.advance(250, 50)
+    respond = ({ windows }) => ({ taken: windows.map(({ window }) => window) })
+    await time.advance(1500, 50)
+    await flushed
+    const count = sent.length
+    expect(count > 1 && windowsSent().every(windows => windows[0] === WINDOW)).toEqual(true)
+    await contributor.flush(1000)
+    expect(sent.length).toEqual(count)
+    // The end of the stop does not wait for a leader that does not respond.
+    meter.recordStart('x', Date.now())
+    respond = () => undefined
+    const failed = contributor.flush(1000)
+    await time.advance(1200, 50)
+    await failed
   })
 })
--- a/src/common/usage/UsageContributor.ts
+++ b/src/common/usage/UsageContributor.ts
@@ -9,8 +9,7 @@
 
 /** Bounds a message; further windows follow with the next one. */
 const MAX_WINDOWS_PER_PUSH = 12
-const FLUSH_ATTEMPTS = 3
-const FLUSH_RETRY_MS = 200
+const FLUSH_INTERVAL_MS = 100
 /** A receipt that took longer says too little about the holder's time. */
 const MAX_ROUND_TRIP_MS = 500
 
@@ -55,12 +54,13 @@
       .catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'usage_push_fault'))
   }
 
-  /** Sends all counts, also those of the present window, in a few attempts; before the process ends. */
-  async flush (): Promise<void> {
-    for (let attempt = 1; attempt <= FLUSH_ATTEMPTS; attempt++) {
-      await this._push(() => true)
-      if (!this._meter.windows().some(({ window, revision }) => this._isDue(window, revision))) return
-      await new Promise(resolve => setTimeout(resolve, FLUSH_RETRY_MS))
+  /** Sends all counts, also those of the present window, repeatedly until they are taken or the time has passed. */
+  async flush (timeoutMs: number): Promise<void> {
+    const untilMs = performance.now() + timeoutMs
+    const expired = new Promise<void>(resolve => setTimeout(resolve, timeoutMs))
+    while (performance.now() < untilMs && this._meter.windows().some(({ window, revision }) => this._isDue(window, revision))) {
+      await Promise.race([this._push(() => true), expired])
+      await new Promise(resolve => setTimeout(resolve, FLUSH_INTERVAL_MS))
     }
   }
 
--- a/src/common/usage/UsageReporter.ts
+++ b/src/common/usage/UsageReporter.ts
@@ -58,7 +58,7 @@
     this._mayCloseAtMs = performance.now() + _times.gatherMs
     _clock.restart()
     this._register(_ledger)
-    this._register({ dispose: () => { this._isEnded = true } })
+    this._register({ dispose: () => this._onEnded() })
     this._restore().catch((fault: unknown) => this._logFault(fault))
   }
 
@@ -114,6 +114,11 @@
     this._lastTickAtMs = nowMs
   }
 
+  private _onEnded (): void {
+    this._isEnded = true
+    this._metrics.gauge('usage_reports_waiting', 0)
+  }
+
   private async _restore (): Promise<void> {
     const backoff = new Backoff(MAX_RESTORE_BACKOFF_MS)
     while (!this._isEnded) {
--- a/src/common/usage/UsageService.ts
+++ b/src/common/usage/UsageService.ts
@@ -74,8 +74,8 @@
   }
 
   /** Sends all counts of this entry to the leader, also those of the present window; at the end of a planned stop. */
-  async flush (): Promise<void> {
-    await this._contributor.flush()
+  async flush (timeoutMs: number): Promise<void> {
+    await this._contributor.flush(timeoutMs)
   }
 
   private _onGained (epoch: number): void {
