--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,7 +8,7 @@
 /** Folders of `src/common` that only the own entry uses. Both entries use the interface of the HTTP client in `upstream/client`. */
 const ENTRY_FOLDERS = ['admission', 'claim', 'contract', 'crash', 'forward', 'generation', 'lease', 'log', 'peer', 'training', 'upstream/balance', 'weights']
 /** Folders of `src/common` that only the entry on the platform uses. */
-const PLATFORM_ENTRY_FOLDERS = ['batch', 'call', 'fleet', 'routing', 'store', 'suspect', 'version']
+const PLATFORM_ENTRY_FOLDERS = ['batch', 'call', 'fleet', 'routing', 'scaling', 'store', 'suspect', 'version']
 
 const foldersOfCommon = folders => folders.map(folder => `src/common/${folder}/**/*.ts`)
 const importsOf = folders => folders.map(folder => `**/../${folder}/**`)
--- a/src/common/fleet/FleetMember.ts
+++ b/src/common/fleet/FleetMember.ts
@@ -12,6 +12,8 @@
   /** Number of requests that the upstream runs at the same time; further ones wait or are refused. */
   slots: number
   isDraining: boolean
+  /** Whether the platform may reclaim the upstream at any time. */
+  isSpot?: boolean
   /** Newest loaded weight version of each model. */
   versions: ReadonlyMap<string, number>
 }
