--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -68,6 +68,11 @@
     return this._term?.isReady === true
   }
 
+  /** All batches of this leader; none at other entries. */
+  get batches (): Iterable<Batch> {
+    return this._readyStore()?.all() ?? []
+  }
+
   get runner (): BatchRunner | undefined {
     return this._term?.runner
   }
