Select upstreams in one module, with own requests weighted by the share of traffic

Cause: processes with the same load figures choose alike, and an own request that is newer than the figure weighed no more than one, although the other processes send about as many at the same moment. First attempts were refused while other servers were idle. Change: src/common/fleet/selection holds the knowledge, its age, the expected response time and the randomised choice as pure functions of the clock and the random source. An own request counts as often as all requests outnumber the own ones, at most the slots. A simulation of the module, tests and the metric call_first_attempts.

--- a/src/common/call/CallRun.ts
+++ b/src/common/call/CallRun.ts
@@ -1,5 +1,5 @@
-import { chooseUpstream } from '../fleet/chooseUpstream.js'
 import type { FleetUpstream } from '../fleet/FleetUpstream.js'
+import { chooseUpstream } from '../fleet/selection/chooseUpstream.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { RunEnd } from '../suspect/RunEnd.js'
 import type { Call } from './Call.js'
@@ -28,6 +28,8 @@
 export class CallRun {
   /** Ids of the upstreams in the order in which they were tried. */
   readonly attemptedUpstreamIds: string[] = []
+  /** Whether the upstream that was tried first refused the request as full. */
+  isFirstAttemptRefused = false
   private readonly _running = new Set<Attempt>()
   private readonly _attemptedIdSet = new Set<string>()
   /** Upstreams that refused the request as full and have not been asked again. */
@@ -83,7 +85,7 @@
 
   private _startAttempt (): boolean {
     const candidates = this._listCandidates()
-    const upstream = chooseUpstream(candidates.filter(({ member }) => !this._attemptedIdSet.has(member.id))) ?? this._chooseFullUpstream(candidates)
+    const upstream = choose(candidates.filter(({ member }) => !this._attemptedIdSet.has(member.id))) ?? this._chooseFullUpstream(candidates)
     if (upstream === undefined) return false
     this._fullIdSet.delete(upstream.member.id)
     if (this._running.size > 0) {
@@ -104,7 +106,7 @@
    */
   private _chooseFullUpstream (candidates: FleetUpstream[]): FleetUpstream | undefined {
     if (this._mayHaveRunCount === 0 || this._running.size > 0) return undefined
-    return chooseUpstream(candidates.filter(({ member }) => this._fullIdSet.has(member.id)))
+    return choose(candidates.filter(({ member }) => this._fullIdSet.has(member.id)))
   }
 
   private async _send (attempt: Attempt): Promise<SettledAttempt> {
@@ -180,6 +182,7 @@
     this._fullCount += 1
     const attemptCount = this.attemptedUpstreamIds.filter(id => id === upstreamId).length
     if (attemptCount === 1) this._fullIdSet.add(upstreamId)
+    if (upstreamId === this.attemptedUpstreamIds[0]) this.isFirstAttemptRefused = true
   }
 
   private _logFailedAttempt (upstream: string, reason: string): void {
@@ -202,6 +205,10 @@
   }
 }
 
+function choose (candidates: FleetUpstream[]): FleetUpstream | undefined {
+  return chooseUpstream(candidates, performance.now(), Math.random)
+}
+
 /** Whether the upstream to which the attempt was sent has responded, and so is running. */
 function isFromUpstream (outcome: CallAttemptOutcome): boolean {
   return outcome.kind === 'answer' || (outcome.kind === 'not_run' && outcome.reason === 'full')
--- a/src/common/call/CallService.test.ts
+++ b/src/common/call/CallService.test.ts
@@ -52,4 +52,23 @@
     await run({ kind: 'admitted' })
     expect(sendings).toEqual(3)
   })
+
+  // Guards against a spread of calls over upstreams that an operator cannot see.
+  it('counts the upstream that was tried first and whether it refused', async () => {
+    const counted: Array<Record<string, string> | undefined> = []
+    const counting = { count: (name: string, labels?: Record<string, string>) => { if (name === 'call_first_attempts') counted.push(labels) }, gauge: () => {}, duration: () => {} }
+    const fleet = new FleetTable(logger)
+    for (const id of ['a', 'b']) fleet.apply({ id, startedAtMs: 0, service: 's', address: id, failureDomain: 'd', slots: 8, isDraining: false, versions: new Map() })
+    fleet.find('b')!.averageMs = 1000
+    const transport = {
+      send: async (_call: Call, { member }: { member: { id: string } }) =>
+        member.id === 'a' ? { kind: 'not_run', reason: 'full' } as const : { kind: 'answer', answer: { status: 200, headers: {}, body: new Uint8Array() } } as const
+    }
+    const suspects = { admit: async () => ({ kind: 'admitted' }) as const, mayStartAttempt: () => true, recordRun: () => {} }
+    const call = { requestId: 'r', route: { kind: 'idempotent', maxAttempts: 2, targetLatencyMs: 100 } as Route, service: 's', method: 'POST', path: '/', headers: {}, body: new Uint8Array(), deadlineAtMs: performance.now() + 1000, signal: new AbortController().signal }
+    await new CallService(fleet, transport, suspects, logger, counting).run(call)
+    fleet.find('b')!.averageMs = 1
+    await new CallService(fleet, transport, suspects, logger, counting).run(call)
+    expect(counted).toEqual([{ service: 's', upstream: 'a', refused: 'true' }, { service: 's', upstream: 'b', refused: 'false' }])
+  })
 })
--- a/src/common/call/CallService.ts
+++ b/src/common/call/CallService.ts
@@ -29,7 +29,9 @@
     if (guard.isErr()) return this._onEnded(call, guard.error, startedAtMs, [])
     const candidates = (): FleetUpstream[] => this._fleet.listAvailable(call.service)
     const run = new CallRun(call, candidates, this._transport, guard.value, this._logger)
-    return this._onEnded(call, await run.run(), startedAtMs, run.attemptedUpstreamIds)
+    const outcome = await run.run()
+    this._countFirstAttempt(call, run)
+    return this._onEnded(call, outcome, startedAtMs, run.attemptedUpstreamIds)
   }
 
   /** Returns the guard of the call's attempts, or the outcome of a call that must not be sent. */
@@ -43,6 +45,13 @@
     }
   }
 
+  /** Counts the first choice, so that the spread of calls over upstreams and the refused share are visible. */
+  private _countFirstAttempt (call: Call, run: CallRun): void {
+    const upstream = run.attemptedUpstreamIds[0]
+    if (upstream === undefined) return
+    this._metrics.count('call_first_attempts', { service: call.service, upstream, refused: String(run.isFirstAttemptRefused) })
+  }
+
   /** Logs and counts the outcome of a call, and returns it. */
   private _onEnded (call: Call, outcome: CallOutcome, startedAtMs: number, attemptedUpstreamIds: readonly string[]): CallOutcome {
     const durationMs = performance.now() - startedAtMs
--- a/src/common/fleet/FleetUpstream.ts
+++ b/src/common/fleet/FleetUpstream.ts
@@ -1,6 +1,9 @@
 import { Emitter } from '../kernel/Emitter.js'
 import type { FleetMember } from './FleetMember.js'
 import type { LoadReading } from './LoadReading.js'
+import type { LoadAverages } from './selection/LoadAverages.js'
+import { updateLoadAverages } from './selection/updateLoadAverages.js'
+import type { UpstreamKnowledge } from './selection/UpstreamKnowledge.js'
 
 /** Weight of a new observation in the moving average of response times. */
 const RESPONSE_TIME_WEIGHT = 0.3
@@ -11,13 +14,6 @@
 const MAX_EVENT_INTERVAL_FACTOR = 8
 const MIN_EXCLUSION_MS = 150
 const MAX_EXCLUSION_MS = 3000
-/** Age beyond which the requests in a load reading are ignored, since it says little about the upstream by then. */
-const LOAD_MAX_AGE_MS = 1500
-/**
- * Age beyond which a slowdown reading is ignored. The slowdown changes many times per second, so a reading has lost
- * half of its effect by then.
- */
-const SLOWDOWN_MAX_AGE_MS = 300
 
 /** One incarnation of an upstream, with the load, latency and failures that this process has observed. */
 export class FleetUpstream {
@@ -29,6 +25,7 @@
   heartbeatAtMs = 0
   private _lastAnsweredSentAtMs = Number.NEGATIVE_INFINITY
   private _load?: LoadReading & { atMs: number }
+  private _loadAverages: LoadAverages = { total: 0, own: 0 }
   private _consecutiveFailures = 0
   private _excludedUntilMs = 0
   private _versions = new Map<string, number>()
@@ -37,14 +34,15 @@
   /** Fires when the upstream has said in a response that it leaves. */
   readonly onLeaving = this._onLeaving.event
 
-  constructor (public member: FleetMember) {
+  /** `now` is the monotonic clock, in milliseconds. */
+  constructor (public member: FleetMember, private readonly _now: () => number = () => performance.now()) {
     this.update(member)
   }
 
   /** Versions never decrease within one incarnation, so a late record does not replace one from a newer response. */
   update (member: FleetMember): void {
     this.member = member
-    this.heartbeatAtMs = performance.now()
+    this.heartbeatAtMs = this._now()
     for (const [model, version] of member.versions) this.recordVersion(model, version)
   }
 
@@ -69,8 +67,10 @@
     return this._versions.get(model) ?? 0
   }
 
-  recordLoad (load: LoadReading): void {
-    this._load = { ...load, atMs: performance.now() }
+  /** Call it after `outstanding` no longer contains the request whose response had the reading. */
+  recordLoad (load: LoadReading, atMs = this._now()): void {
+    this._load = { ...load, atMs }
+    this._loadAverages = updateLoadAverages(this._loadAverages, load, this.outstanding)
   }
 
   /** Records that this incarnation has responded to a request that was sent at `sentAtMs`, in terms of `performance.now()`. */
@@ -106,7 +106,7 @@
   recordFailure (): void {
     // Several requests that fail at the same moment count as one failure.
     if (this.isExcluded) return
-    this._excludedUntilMs = performance.now() + Math.min(MAX_EXCLUSION_MS, MIN_EXCLUSION_MS * 2 ** this._consecutiveFailures)
+    this._excludedUntilMs = this._now() + Math.min(MAX_EXCLUSION_MS, MIN_EXCLUSION_MS * 2 ** this._consecutiveFailures)
     this._consecutiveFailures += 1
   }
 
@@ -116,19 +116,18 @@
 
   /** Whether the upstream is temporarily excluded from selection. */
   get isExcluded (): boolean {
-    return performance.now() < this._excludedUntilMs
-  }
-
-  /** Requests of other processes at the upstream according to the last load reading; 0 if it is outdated. */
-  get outstandingFromOthers (): number {
-    if (this._load === undefined || performance.now() - this._load.atMs > LOAD_MAX_AGE_MS) return 0
-    return Math.max(0, this._load.running + this._load.waiting - this.outstanding)
-  }
-
-  /** Slowdown factor of the last load reading; 1 if it is outdated. */
-  get slowdownFactor (): number {
-    if (this._load === undefined) return 1
-    const isFresh = performance.now() - this._load.atMs <= SLOWDOWN_MAX_AGE_MS
-    return isFresh ? this._load.slowdownFactor : 1
+    return this._now() < this._excludedUntilMs
+  }
+
+  /** What the selection of an upstream uses, in terms of this object's clock. */
+  get knowledge (): UpstreamKnowledge {
+    return {
+      slots: this.member.slots,
+      outstanding: this.outstanding,
+      averageMs: this.averageMs,
+      load: this._load,
+      loadAverages: this._loadAverages,
+      excludedUntilMs: this._excludedUntilMs
+    }
   }
 }
--- /dev/null
+++ b/src/common/fleet/selection/updateLoadAverages.ts
@@ -0,0 +1,20 @@
+import type { LoadReading } from '../LoadReading.js'
+import type { LoadAverages } from './LoadAverages.js'
+
+/**
+ * Weight of a new reading. The averages give a ratio of traffic, which changes slowly; with a weight of 0.3 in the
+ * simulation a burst of own requests raised the average of the own ones and hid the other processes.
+ */
+const READING_WEIGHT = 0.05
+
+/**
+ * Averages after a further load reading, which arrived while `outstanding` other own requests were in flight. The answered
+ * request counts as an own one: servers differ in whether their readings contain it, and the ratio must not exceed 1 for
+ * the only process in either case.
+ */
+export function updateLoadAverages (previous: LoadAverages, load: LoadReading, outstanding: number): LoadAverages {
+  return {
+    total: previous.total + READING_WEIGHT * (load.running + load.waiting - previous.total),
+    own: previous.own + READING_WEIGHT * (outstanding + 1 - previous.own)
+  }
+}
