--- a/src/common/usage/UsageClock.test.ts
+++ b/src/common/usage/UsageClock.test.ts
@@ -31,6 +31,7 @@
     expect(clock.nowUnixMs()).toEqual(trueMs())
     ownErrorMs = -HOUR_MS
     expect(clock.isSettled()).toEqual(false)
+    await time.advance(300, 100)
     clock.observe('c', trueMs())
     expect(clock.isSettled()).toEqual(false)
     clock.observe('d', trueMs())
@@ -38,6 +39,20 @@
     expect(clock.nowUnixMs()).toEqual(trueMs())
   })
 
+  // Guards against wrong windows after messages were delayed, for example by a freeze of the holder.
+  it('ignores the delay of messages', async () => {
+    for (const entry of ['b', 'c']) clock.observe(entry, trueMs() - 900)
+    expect(clock.nowUnixMs()).toEqual(trueMs())
+    for (const entry of ['b', 'c']) clock.observe(entry, trueMs() - 10)
+    for (const entry of ['b', 'c']) clock.observe(entry, trueMs() - 4000)
+    expect(clock.nowUnixMs()).toEqual(trueMs())
+    // Messages that were waiting when the suspension ended.
+    ownErrorMs = 5000
+    for (const entry of ['b', 'c', 'd']) clock.observe(entry, trueMs())
+    expect(clock.nowUnixMs()).toEqual(trueMs() + 5000)
+    expect(clock.isSettled()).toEqual(false)
+  })
+
   // Guards against a fleet with two entries, or none with requests, that waits for ever.
   it('is settled after some time although few entries have told their clocks', async () => {
     clock.restart()
--- a/src/common/usage/UsageClock.ts
+++ b/src/common/usage/UsageClock.ts
@@ -8,6 +8,11 @@
 /** Entries that have been silent for this long say nothing about the present. */
 const MAX_READING_AGE_MS = 60_000
 
+/** A difference that delays of messages may explain; the holder's own clock counts then. */
+const TOLERANCE_MS = 1000
+/** After a suspension, messages that arrived meanwhile are read within this time; they say nothing about the present. */
+const STALE_MESSAGES_MS = 250
+
 /** Estimates true time at the holder as the median of the clocks of the entries, so that a single wrong one has no effect. */
 export class UsageClock {
   /** Differences between the wall clocks of other entries and this process's monotonic clock. */
@@ -15,16 +20,23 @@
   private _ownOffsetMs = ownOffsetMs()
   /** When the readings were discarded. */
   private _clearedAtMs = performance.now()
+  private _ignoresUntilMs = Number.NEGATIVE_INFINITY
 
   constructor (private readonly _times: UsageTimes) {}
 
   /** Records the wall clock of another entry. */
   observe (entry: string, unixMs: number): void {
+    this._checkJump()
     const atMs = performance.now()
+    if (atMs < this._ignoresUntilMs) return
+    const offsetMs = unixMs - atMs
+    const earlier = this._readings.get(entry)
+    // The delay of a message makes a clock appear behind, so the reading with the smallest delay counts.
+    if (earlier !== undefined && earlier.offsetMs > offsetMs && atMs - earlier.atMs <= MAX_READING_AGE_MS) return
     this._readings.delete(entry)
     const [oldest] = this._readings.keys()
     if (this._readings.size >= MAX_CLOCKS && oldest !== undefined) this._readings.delete(oldest)
-    this._readings.set(entry, { offsetMs: unixMs - atMs, atMs })
+    this._readings.set(entry, { offsetMs, atMs })
   }
 
   nowUnixMs (): number {
@@ -32,8 +44,9 @@
     const nowMs = performance.now()
     for (const [entry, { atMs }] of this._readings) if (nowMs - atMs > MAX_READING_AGE_MS) this._readings.delete(entry)
     const offsets = [this._ownOffsetMs, ...[...this._readings.values()].map(({ offsetMs }) => offsetMs)].sort((a, b) => a - b)
-    const median = offsets[Math.floor((offsets.length - 1) / 2)] ?? this._ownOffsetMs
-    return nowMs + (offsets.length < MIN_CLOCKS ? this._ownOffsetMs : median)
+    const median = offsets[Math.floor(offsets.length / 2)] ?? this._ownOffsetMs
+    const isOwnRight = offsets.length < MIN_CLOCKS || Math.abs(median - this._ownOffsetMs) <= TOLERANCE_MS
+    return nowMs + (isOwnRight ? this._ownOffsetMs : median)
   }
 
   /** Discards what earlier contributions said, at the begin of a term. */
@@ -52,8 +65,12 @@
   /** After a jump, the readings refer to a monotonic clock that may have stopped for a time. */
   private _checkJump (): void {
     const offsetMs = ownOffsetMs()
-    if (Math.abs(offsetMs - this._ownOffsetMs) >= CLOCK_JUMP_MS) this.restart()
-    else this._ownOffsetMs = offsetMs
+    if (Math.abs(offsetMs - this._ownOffsetMs) >= CLOCK_JUMP_MS) {
+      this.restart()
+      this._ignoresUntilMs = performance.now() + STALE_MESSAGES_MS
+    } else {
+      this._ownOffsetMs = offsetMs
+    }
   }
 }
 
