Estimate the demand of a model in one unit

The demand of a batch added length hints of some items to prompt plus maximum output of others, so a trainer without hints got most engines and the others missed their deadlines.

Run: node tests of src/common/batch/policy, src/common/version and platform/BatchApi.test.ts (31 pass); lint of the changed folders.

--- a/src/common/batch/policy/LengthEstimator.ts
+++ b/src/common/batch/policy/LengthEstimator.ts
@@ -20,10 +20,14 @@
     this._eventsPerToken += SMOOTHING_FACTOR * (events / hintTokens - this._eventsPerToken)
   }
 
+  /** Expected number of events of a whole item; without a hint, the mean. */
+  expectedEvents (hintTokens: number | undefined): number {
+    return hintTokens === undefined ? this._meanEvents : hintTokens * this._eventsPerToken
+  }
+
   remainingEvents (state: ItemState): number {
     if (state.status === 'finished' || state.status === 'scoring') return 0
-    const hint = state.item.lengthHintTokens
-    const expected = hint === undefined ? this._meanEvents : hint * this._eventsPerToken
+    const expected = this.expectedEvents(state.item.lengthHintTokens)
     const done = state.progress.events.length
     return Math.max(expected - done, 1 + done * OVERRUN_SHARE * Number(done >= expected), 1)
   }
--- a/src/common/version/ModelAssignments.ts
+++ b/src/common/version/ModelAssignments.ts
@@ -8,17 +8,17 @@
 
 /** Assigns the engines of a service to models; an engine loads new versions of its model only. */
 export class ModelAssignments {
-  /** Average demand of each model, in tokens per batch. */
+  /** Average demand of each model, in events per batch. */
   private readonly _demand = new Map<string, number>()
   /** Model of each engine, by service and engine id. */
   private readonly _assignments = new Map<string, Map<string, string>>()
 
   constructor (private readonly _fleet: IFleet, private readonly _announced: AnnouncedVersions) {}
 
-  /** Updates the average demand of a model with that of a new batch, in tokens. */
-  recordDemand (model: string, tokens: number): void {
+  /** Updates the average demand of a model with that of a new batch, in events. */
+  recordDemand (model: string, events: number): void {
     const known = this._demand.get(model)
-    this._demand.set(model, known === undefined ? tokens : known + DEMAND_WEIGHT * (tokens - known))
+    this._demand.set(model, known === undefined ? events : known + DEMAND_WEIGHT * (events - known))
   }
 
   /** Ids of the engines assigned to a model; undefined if the service has a single model, which uses all engines. */
@@ -32,7 +32,7 @@
 
   private _assign (service: string, engines: readonly FleetUpstream[], models: readonly string[]): Map<string, string> {
     const demands = [...this._demand.values()]
-    const meanDemand = demands.length === 0 ? 1 : demands.reduce((sum, tokens) => sum + tokens, 0) / demands.length
+    const meanDemand = demands.length === 0 ? 1 : demands.reduce((sum, events) => sum + events, 0) / demands.length
     const assignments = assignEngines(
       engines.map(engine => ({ id: engine.member.id, capacity: engine.member.slots / (engine.averageMs ?? 1) })),
       models.map(model => ({ model, demand: this._demand.get(model) ?? meanDemand })),
