Assign engines to models also by the work that open steps have left

Engines were assigned by the average demand of submitted batches alone, so a model whose step was late got no more engines than one whose trainer was training. The expected remaining events of its open batches now add to the average. BatchRunner reports them; what an item starts from moves to ItemPreparer, unchanged.

--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -22,6 +22,7 @@
 import type { IBatchStore } from '../IBatchStore.js'
 import type { IBatchWorkload } from './IBatchWorkload.js'
 import type { IEngineTransport } from './IEngineTransport.js'
+import { ItemPreparer } from './ItemPreparer.js'
 import { ItemRun } from './ItemRun.js'
 import type { ItemState } from '../record/ItemState.js'
 import type { IRewardClient } from '../reward/IRewardClient.js'
@@ -30,8 +31,8 @@
 import { hasMixedVersions } from '../policy/hasMixedVersions.js'
 import { hasNoCompatibleEngine } from '../policy/hasNoCompatibleEngine.js'
 import { LengthEstimator } from '../policy/LengthEstimator.js'
-import { ProgressCache } from '../ProgressCache.js'
 import { ProgressSaver } from './ProgressSaver.js'
+import { sumRemainingEvents } from '../policy/sumRemainingEvents.js'
 import { rankItems } from '../policy/rankItems.js'
 import { ResultWriter } from './ResultWriter.js'
 import { RunSupervisor } from './RunSupervisor.js'
@@ -46,7 +47,7 @@
 export class BatchRunner extends Disposable implements IBatchWorkload {
   private readonly _runs = new RunTable()
   private readonly _estimator = new LengthEstimator()
-  private readonly _progressCache = new ProgressCache()
+  private readonly _preparer: ItemPreparer
   private readonly _supervisor: RunSupervisor
   private readonly _saver: ProgressSaver
   private readonly _statusReporter: BatchStatusReporter
@@ -69,6 +70,7 @@
     private readonly _metrics: IMetrics
   ) {
     super()
+    this._preparer = new ItemPreparer(_logger)
     this._supervisor = new RunSupervisor(_tracker, this._estimator, _logger)
     this._saver = new ProgressSaver(_batches, _logger)
     this._statusReporter = new BatchStatusReporter(_batches, _fleet, _tracker, _logger, _metrics)
@@ -102,6 +104,10 @@
     return countWaitingItems(this._batches.all(), model)
   }
 
+  remainingEvents (model: string): number {
+    return sumRemainingEvents(this._batches.all(), model, this._estimator)
+  }
+
   setLoading (engineId: string, model: string, timeoutMs: number, expectedMs: number): void {
     this._tracker.setLoading(engineId, model, timeoutMs, expectedMs)
     this._scheduleDispatch()
@@ -178,8 +184,7 @@
     const nowMs = performance.now()
     for (const { state } of rankItems(batch, this._estimator)) {
       if (nowMs < state.notBeforeMs) continue
-      this._reuseProgress(batch, state, route)
-      if (hasMixedVersions(state, route)) this._restartItem(state)
+      this._preparer.prepare(batch, state, route)
       if (state.progress.isComplete) {
         this._completeItem(batch, state, route)
         continue
@@ -194,7 +199,7 @@
         withCachedPrefix: this._enginesByGroup.get(state.item.group) ?? new Set()
       })
       if (engine === undefined) {
-        if (route.isSingleVersion && hasNoCompatibleEngine(state, engines)) this._restartItem(state)
+        if (route.isSingleVersion && hasNoCompatibleEngine(state, engines)) this._preparer.restart(state)
         continue
       }
       engine.freeSlots -= 1
@@ -204,19 +209,6 @@
     }
   }
 
-  private _restartItem (state: ItemState): void {
-    this._logger.info({ item: state.item.id, versions: state.progress.versions.join(','), events: state.progress.events.length }, 'item_restarted')
-    state.restart()
-  }
-
-  private _reuseProgress (batch: Batch, state: ItemState, route: Route): void {
-    if (state.progress.events.length > 0 || state.progress.isComplete) return
-    const cached = this._progressCache.take(state.item.id, batch.spec.minVersion, route.isSingleVersion)
-    if (cached === undefined) return
-    state.progress = cached
-    this._logger.info({ batch: batch.spec.id, item: state.item.id, events: cached.events.length, complete: cached.isComplete }, 'item_progress_reused')
-  }
-
   private _startRun (batch: Batch, state: ItemState, route: Route, service: string, engineId: string): void {
     const engine = this._fleet.find(engineId)
     if (engine === undefined) return
@@ -237,7 +229,7 @@
     this._runs.remove(run)
     if (state.status === 'running') state.status = 'waiting'
     if ((outcome.kind !== 'complete' && run.cancelReason !== 'slow') || run.durationMs > LONG_RUN_MS) this._logger.info(describeRun(run, outcome), 'item_run_ended')
-    if (!batch.isOpen) return this._progressCache.put(state.item.id, state.progress)
+    if (!batch.isOpen) return this._preparer.keep(state)
     this._applyOutcome(run, outcome)
     this._scheduleDispatch()
   }
@@ -264,7 +256,7 @@
   }
 
   private _completeItem (batch: Batch, state: ItemState, route: Route): void {
-    if (hasMixedVersions(state, route)) return this._restartItem(state)
+    if (hasMixedVersions(state, route)) return this._preparer.restart(state)
     const { rewardCall } = state.item
     if (rewardCall === undefined) return this._results.complete(batch, state)
     state.status = 'scoring'
@@ -285,7 +277,7 @@
     for (const state of batch.items) {
       const run = this._runs.of(state)
       if (run !== undefined) run.cancel('batch ended')
-      else if (state.status !== 'finished') this._progressCache.put(state.item.id, state.progress)
+      else if (state.status !== 'finished') this._preparer.keep(state)
       this._enginesByGroup.delete(state.item.group)
     }
   }
--- a/src/common/version/ModelAssignments.ts
+++ b/src/common/version/ModelAssignments.ts
@@ -10,6 +10,8 @@
 export class ModelAssignments {
   /** Average demand of each model, in events per batch. */
   private readonly _demand = new Map<string, number>()
+  /** Events that the open batches of each model have yet to generate. */
+  private readonly _remainingEvents = new Map<string, number>()
   /** Model of each engine, by service and engine id. */
   private readonly _assignments = new Map<string, Map<string, string>>()
 
@@ -21,6 +23,11 @@
     this._demand.set(model, known === undefined ? events : known + DEMAND_WEIGHT * (events - known))
   }
 
+  /** Sets the number of events that the open batches of a model have yet to generate; it adds to the average demand. */
+  setRemainingEvents (model: string, events: number): void {
+    this._remainingEvents.set(model, events)
+  }
+
   /** Ids of the engines assigned to a model; undefined if the service has a single model, which uses all engines. */
   enginesOf (service: string, model: string): ReadonlySet<string> | undefined {
     const engines = this._fleet.listAvailable(service).filter(engine => engine.member.versions.size > 0)
@@ -35,7 +42,7 @@
     const meanDemand = demands.length === 0 ? 1 : demands.reduce((sum, events) => sum + events, 0) / demands.length
     const assignments = assignEngines(
       engines.map(engine => ({ id: engine.member.id, capacity: engine.member.slots / (engine.averageMs ?? 1) })),
-      models.map(model => ({ model, demand: this._demand.get(model) ?? meanDemand })),
+      models.map(model => ({ model, demand: (this._demand.get(model) ?? meanDemand) + (this._remainingEvents.get(model) ?? 0) })),
       this._assignments.get(service) ?? this._inferAssignments(engines)
     )
     this._assignments.set(service, assignments)
