Order the items of all steps together, needed groups and deadlines first

Open batches were dispatched by submission alone, so the spare groups of one step went ahead of groups that another trainer waits for, a late step ahead of one in time, and an organisation with many batches ahead of others. orderItems now ranks the items of all steps: by priority (of the batch, then of the route), needed before spare groups, steps in time before late ones (for 4.5 s), fair shares of organisations, deadline. The views of all models count a started run, because one pass now interleaves models that share engines.

Run: tests of orderItems, BatchService and singleVersion (24 pass); lint of the changed folders.

--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -33,7 +33,9 @@
 import { LengthEstimator } from '../policy/LengthEstimator.js'
 import { ProgressSaver } from './ProgressSaver.js'
 import { sumRemainingEvents } from '../policy/sumRemainingEvents.js'
-import { rankItems } from '../policy/rankItems.js'
+import { orderItems } from '../policy/orderItems.js'
+import { reserveSlot } from '../policy/reserveSlot.js'
+import type { StepView } from '../policy/StepView.js'
 import { ResultWriter } from './ResultWriter.js'
 import { RunSupervisor } from './RunSupervisor.js'
 import { RunTable } from './RunTable.js'
@@ -43,6 +45,9 @@
 /** Longer runs are logged when they complete; shorter ones are only counted. */
 const LONG_RUN_MS = 3000
 
+/** An open step with the engines that may run its items. */
+interface DispatchedStep extends StepView { route: Route, service: string, engines: EngineView[] }
+
 /** Dispatches the items of all open batches to engines and stores their output as results. */
 export class BatchRunner extends Disposable implements IBatchWorkload {
   private readonly _runs = new RunTable()
@@ -157,11 +162,10 @@
   }
 
   private _dispatch (): void {
-    const nowMs = Date.now()
-    const openBatches = [...this._batches.all()].filter(batch => batch.isOpen)
-    openBatches.sort((a, b) => a.spec.submittedAtMs - b.spec.submittedAtMs)
     const viewsByKey = new Map<string, EngineView[]>()
-    for (const batch of openBatches) {
+    const steps: DispatchedStep[] = []
+    for (const batch of this._batches.all()) {
+      if (!batch.isOpen) continue
       const route = this._routes.find(batch.spec.host, batch.spec.path)
       const service = route === undefined ? undefined : chooseService(route, 0)
       if (route === undefined || service === undefined || route.kind !== 'batch') {
@@ -169,44 +173,35 @@
         continue
       }
       this._unrouted.clear(batch)
-      if (nowMs > batch.spec.submittedAtMs + route.batchRetentionMs) {
+      const { submittedAtMs, model, priority } = batch.spec
+      if (Date.now() > submittedAtMs + route.batchRetentionMs) {
         this._abandonBatch(batch)
         continue
       }
-      const key = `${service} ${batch.spec.model}`
-      const engines = viewsByKey.get(key) ?? this._tracker.views(service, batch.spec.model, this._runs.all(), this._estimator)
+      const key = `${service} ${model}`
+      const engines = viewsByKey.get(key) ?? this._tracker.views(service, model, this._runs.all(), this._estimator)
       viewsByKey.set(key, engines)
-      this._dispatchBatch(batch, route, service, engines)
+      steps.push({ batch, route, service, engines, priority: priority ?? route.priority, deadlineAtMs: submittedAtMs + route.batchDeadlineMs })
     }
+    for (const { step, state } of orderItems(steps, this._estimator, Date.now())) this._dispatchItem(step, state, viewsByKey)
   }
 
-  private _dispatchBatch (batch: Batch, route: Route, service: string, engines: EngineView[]): void {
-    const nowMs = performance.now()
-    for (const { state } of rankItems(batch, this._estimator)) {
-      if (nowMs < state.notBeforeMs) continue
-      this._preparer.prepare(batch, state, route)
-      if (state.progress.isComplete) {
-        this._completeItem(batch, state, route)
-        continue
-      }
-      const version = state.progress.versions.at(-1)
-      const kvTokens = this._tracker.estimateKvTokens(service, state, this._estimator)
-      const engine = chooseEngine(engines, {
-        kvTokens,
-        minVersion: batch.spec.minVersion,
-        requiredVersion: route.isSingleVersion ? version : undefined,
-        deprioritised: state.deprioritisedUpstreams,
-        withCachedPrefix: this._enginesByGroup.get(state.item.group) ?? new Set()
-      })
-      if (engine === undefined) {
-        if (route.isSingleVersion && hasNoCompatibleEngine(state, engines)) this._preparer.restart(state)
-        continue
-      }
-      engine.freeSlots -= 1
-      engine.running += 1
-      engine.kvFreeTokens -= kvTokens
+  private _dispatchItem ({ batch, route, service, engines }: DispatchedStep, state: ItemState, viewsByKey: ReadonlyMap<string, EngineView[]>): void {
+    if (performance.now() < state.notBeforeMs || state.status !== 'waiting') return
+    this._preparer.prepare(batch, state, route)
+    if (state.progress.isComplete) return this._completeItem(batch, state, route)
+    const kvTokens = this._tracker.estimateKvTokens(service, state, this._estimator)
+    const engine = chooseEngine(engines, {
+      kvTokens,
+      minVersion: batch.spec.minVersion,
+      requiredVersion: route.isSingleVersion ? state.progress.versions.at(-1) : undefined,
+      deprioritised: state.deprioritisedUpstreams,
+      withCachedPrefix: this._enginesByGroup.get(state.item.group) ?? new Set()
+    })
+    if (engine !== undefined) {
+      reserveSlot(viewsByKey.values(), engine.id, kvTokens)
       this._startRun(batch, state, route, service, engine.id)
-    }
+    } else if (route.isSingleVersion && hasNoCompatibleEngine(state, engines)) this._preparer.restart(state)
   }
 
   private _startRun (batch: Batch, state: ItemState, route: Route, service: string, engineId: string): void {
