--- a/src/common/version/planVersionLoads.test.ts
+++ b/src/common/version/planVersionLoads.test.ts
@@ -60,4 +60,27 @@
     const moved = [...after].filter(([id, model]) => before.get(id) !== model)
     expect(moved.length <= 1).toEqual(true)
   })
+
+  // Engines of speeds 1.0 and 2.0. Guards against an assignment by count, which gives one model half of the capacity
+  // that it needs once the other has kept the fast engines.
+  it('assigns engines by capacity and not by count', () => {
+    const uneven = engines(2, 2, 1, 1, 1, 1)
+    const previous = new Map([['e0', 'a'], ['e1', 'a'], ['e2', 'a'], ['e3', 'b'], ['e4', 'b'], ['e5', 'b']])
+    const assignments = assignEngines(uneven, [{ model: 'a', demand: 1 }, { model: 'b', demand: 1 }], previous)
+    const capacityOf = (model: string): number => uneven.filter(({ id }) => assignments.get(id) === model).reduce((sum, { capacity }) => sum + capacity, 0)
+    expect([capacityOf('a'), capacityOf('b')]).toEqual([4, 4])
+  })
+
+  // Demand varies from step to step. Guards against engines that change their model, and load, for a small difference.
+  it('keeps the assignment when the demand changes by less than half an engine', () => {
+    const before = assignEngines(engines(1, 1, 1, 1, 1, 1), [{ model: 'a', demand: 10 }, { model: 'b', demand: 10 }], new Map())
+    expect(assignEngines(engines(1, 1, 1, 1, 1, 1), [{ model: 'a', demand: 11 }, { model: 'b', demand: 9.5 }], before)).toEqual(before)
+  })
+
+  // A third trainer joins with little demand. Guards against a model without any engine, whose items would wait for good.
+  it('gives an engine to a model that has none, also when the others are within their targets', () => {
+    const previous = new Map([['e0', 'a'], ['e1', 'a'], ['e2', 'b'], ['e3', 'b']])
+    const models = [{ model: 'a', demand: 50 }, { model: 'b', demand: 50 }, { model: 'c', demand: 1 }]
+    expect(counts(assignEngines(engines(1, 1, 1, 1), models, previous)).c).toEqual(1)
+  })
 })
