Log and measure why a step is late

Operators saw results per batch only. batch_step_status gives, once a second for each open step, its waiting and running items, remaining events, usable slots, expected time against the time until its deadline, and whether it yields; batch_step_late says it once when the deadline has passed. Metrics: batch_items_waiting, batch_steps_yielding, batch_steps_late. The order of groups moves to rankGroups, unchanged.

--- a/src/common/batch/policy/orderItems.ts
+++ b/src/common/batch/policy/orderItems.ts
@@ -1,14 +1,9 @@
 import type { ItemState } from '../record/ItemState.js'
 import type { LengthEstimator } from './LengthEstimator.js'
+import { isYielding } from './isYielding.js'
 import { rankItems } from './rankItems.js'
 import type { StepView } from './StepView.js'
 
-/**
- * Time after its deadline for which a step yields; trainers give up 4.5 s after it. From then on it is ordered by its
- * deadline again, and so comes first: accepted work is owed.
- */
-const MAX_YIELD_MS = 4500
-
 interface OrderedItem<T extends StepView> { step: T, state: ItemState, urgency: number, organisation: string }
 
 const NEEDED_IN_TIME = 0
@@ -32,11 +27,6 @@
   return running.size < 2 ? items : shareFairly(items, running)
 }
 
-/** Whether a step is late and gives way to those in time. */
-function isYielding ({ deadlineAtMs }: StepView, nowMs: number): boolean {
-  return nowMs > deadlineAtMs && nowMs <= deadlineAtMs + MAX_YIELD_MS
-}
-
 function countRunning (steps: readonly StepView[]): Map<string, number> {
   const running = new Map<string, number>()
   for (const { batch } of steps) {
--- a/src/common/batch/policy/rankItems.ts
+++ b/src/common/batch/policy/rankItems.ts
@@ -1,6 +1,7 @@
 import type { Batch } from '../Batch.js'
 import type { ItemState } from '../record/ItemState.js'
 import type { LengthEstimator } from './LengthEstimator.js'
+import { rankGroups } from './rankGroups.js'
 
 /** A waiting item in dispatch order. */
 interface RankedItem {
@@ -11,31 +12,18 @@
   isNeeded: boolean
 }
 
-interface RankedGroup { items: ItemState[], isResubmitted: boolean, maxRemainingEvents: number, totalRemainingEvents: number }
-
 /**
  * Returns the waiting items of one batch in dispatch order. A trainer continues once enough groups are complete,
  * so resubmitted groups and then those that can complete first are needed; the others are spare. Needed items are
  * ordered by remaining length, longest first, because the last one to complete determines when the trainer continues.
  */
 export function rankItems (batch: Batch, estimator: LengthEstimator): RankedItem[] {
-  const groups = [...batch.itemsByGroup.values()].map(items => rankGroup(batch, items, estimator))
-  groups.sort((a, b) => Number(b.isResubmitted) - Number(a.isResubmitted) || a.maxRemainingEvents - b.maxRemainingEvents || a.totalRemainingEvents - b.totalRemainingEvents)
+  const groups = rankGroups(batch, estimator)
   const needed = groups.slice(0, batch.spec.groupsWanted)
   const spare = groups.slice(batch.spec.groupsWanted)
-  const collect = (part: RankedGroup[], isNeeded: boolean): RankedItem[] => part.flatMap(group => group.items
+  const collect = (part: ReturnType<typeof rankGroups>, isNeeded: boolean): RankedItem[] => part.flatMap(group => group.items
     .filter(state => state.status === 'waiting')
     .map(state => ({ batch, state, remainingEvents: estimator.remainingEvents(state), isNeeded })))
   const neededItems = collect(needed, true).sort((a, b) => b.remainingEvents - a.remainingEvents)
   return [...neededItems, ...collect(spare, false)]
 }
-
-function rankGroup (batch: Batch, items: ItemState[], estimator: LengthEstimator): RankedGroup {
-  const remaining = items.map(state => estimator.remainingEvents(state))
-  return {
-    items,
-    isResubmitted: batch.resubmittedGroups.has(items[0]?.item.group ?? ''),
-    maxRemainingEvents: Math.max(...remaining),
-    totalRemainingEvents: remaining.reduce((sum, events) => sum + events, 0)
-  }
-}
--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -14,6 +14,7 @@
 import { collectHandoffProgress } from '../collectHandoffProgress.js'
 import { countWaitingItems } from '../policy/countWaitingItems.js'
 import { BatchStatusReporter } from '../BatchStatusReporter.js'
+import { StepReporter } from '../StepReporter.js'
 import { deferItem } from './deferItem.js'
 import { describeRun } from './describeRun.js'
 import type { EngineTracker } from './EngineTracker.js'
@@ -56,6 +57,7 @@
   private readonly _supervisor: RunSupervisor
   private readonly _saver: ProgressSaver
   private readonly _statusReporter: BatchStatusReporter
+  private readonly _stepReporter: StepReporter
   private readonly _results: ResultWriter
   private readonly _rewards: RewardRunner
   private readonly _unrouted: UnroutedBatches
@@ -79,6 +81,7 @@
     this._supervisor = new RunSupervisor(_tracker, this._estimator, _logger)
     this._saver = new ProgressSaver(_batches, _logger)
     this._statusReporter = new BatchStatusReporter(_batches, _fleet, _tracker, _logger, _metrics)
+    this._stepReporter = new StepReporter(this._estimator, _logger, _metrics)
     this._results = new ResultWriter(_batches, _logger, _metrics)
     this._unrouted = new UnroutedBatches(this._results)
     this._rewards = this._register(new RewardRunner(rewardClient, _fleet, (batch, state, score) => this._results.finishScored(batch, state, score), _logger, _metrics))
@@ -183,6 +186,7 @@
       viewsByKey.set(key, engines)
       steps.push({ batch, route, service, engines, priority: priority ?? route.priority, deadlineAtMs: submittedAtMs + route.batchDeadlineMs })
     }
+    this._stepReporter.reportIfDue(steps, Date.now())
     for (const { step, state } of orderItems(steps, this._estimator, Date.now())) this._dispatchItem(step, state, viewsByKey)
   }
 
