Weigh work that is due now twice when engines are assigned

The average demand of a model is due with its next step, the remaining work of open steps now; added one to one, a late step drew few engines.

--- a/src/common/version/ModelAssignments.ts
+++ b/src/common/version/ModelAssignments.ts
@@ -2,6 +2,7 @@
 import type { IFleet } from '../fleet/IFleet.js'
 import type { AnnouncedVersions } from './AnnouncedVersions.js'
 import { assignEngines } from './assignEngines.js'
+import { combineDemand } from './combineDemand.js'
 
 /** Weight of a new batch in the exponential moving average of the demand. */
 const DEMAND_WEIGHT = 0.4
@@ -42,7 +43,7 @@
     const meanDemand = demands.length === 0 ? 1 : demands.reduce((sum, events) => sum + events, 0) / demands.length
     const assignments = assignEngines(
       engines.map(engine => ({ id: engine.member.id, capacity: engine.member.slots / (engine.averageMs ?? 1) })),
-      models.map(model => ({ model, demand: (this._demand.get(model) ?? meanDemand) + (this._remainingEvents.get(model) ?? 0) })),
+      models.map(model => ({ model, demand: combineDemand(this._demand.get(model) ?? meanDemand, this._remainingEvents.get(model) ?? 0) })),
       this._assignments.get(service) ?? this._inferAssignments(engines)
     )
     this._assignments.set(service, assignments)
