--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -14,6 +14,7 @@
 import { collectHandoffProgress } from '../collectHandoffProgress.js'
 import { countWaitingItems } from '../policy/countWaitingItems.js'
 import { BatchStatusReporter } from '../BatchStatusReporter.js'
+import { StepReporter } from '../StepReporter.js'
 import { deferItem } from './deferItem.js'
 import { describeRun } from './describeRun.js'
 import type { EngineTracker } from './EngineTracker.js'
@@ -22,6 +23,7 @@
 import type { IBatchStore } from '../IBatchStore.js'
 import type { IBatchWorkload } from './IBatchWorkload.js'
 import type { IEngineTransport } from './IEngineTransport.js'
+import { ItemPreparer } from './ItemPreparer.js'
 import { ItemRun } from './ItemRun.js'
 import type { ItemState } from '../record/ItemState.js'
 import type { IRewardClient } from '../reward/IRewardClient.js'
@@ -30,9 +32,11 @@
 import { hasMixedVersions } from '../policy/hasMixedVersions.js'
 import { hasNoCompatibleEngine } from '../policy/hasNoCompatibleEngine.js'
 import { LengthEstimator } from '../policy/LengthEstimator.js'
-import { ProgressCache } from '../ProgressCache.js'
 import { ProgressSaver } from './ProgressSaver.js'
-import { rankItems } from '../policy/rankItems.js'
+import { sumRemainingEvents } from '../policy/sumRemainingEvents.js'
+import { orderItems } from '../policy/orderItems.js'
+import { reserveSlot } from '../policy/reserveSlot.js'
+import type { StepView } from '../policy/StepView.js'
 import { ResultWriter } from './ResultWriter.js'
 import { RunSupervisor } from './RunSupervisor.js'
 import { RunTable } from './RunTable.js'
@@ -42,14 +46,18 @@
 /** Longer runs are logged when they complete; shorter ones are only counted. */
 const LONG_RUN_MS = 3000
 
+/** An open step with the engines that may run its items. */
+interface DispatchedStep extends StepView { route: Route, service: string, engines: EngineView[] }
+
 /** Dispatches the items of all open batches to engines and stores their output as results. */
 export class BatchRunner extends Disposable implements IBatchWorkload {
   private readonly _runs = new RunTable()
   private readonly _estimator = new LengthEstimator()
-  private readonly _progressCache = new ProgressCache()
+  private readonly _preparer: ItemPreparer
   private readonly _supervisor: RunSupervisor
   private readonly _saver: ProgressSaver
   private readonly _statusReporter: BatchStatusReporter
+  private readonly _stepReporter: StepReporter
   private readonly _results: ResultWriter
   private readonly _rewards: RewardRunner
   private readonly _unrouted: UnroutedBatches
@@ -69,9 +77,11 @@
     private readonly _metrics: IMetrics
   ) {
     super()
+    this._preparer = new ItemPreparer(_logger)
     this._supervisor = new RunSupervisor(_tracker, this._estimator, _logger)
     this._saver = new ProgressSaver(_batches, _logger)
     this._statusReporter = new BatchStatusReporter(_batches, _fleet, _tracker, _logger, _metrics)
+    this._stepReporter = new StepReporter(this._estimator, _logger, _metrics)
     this._results = new ResultWriter(_batches, _logger, _metrics)
     this._unrouted = new UnroutedBatches(this._results)
     this._rewards = this._register(new RewardRunner(rewardClient, _fleet, (batch, state, score) => this._results.finishScored(batch, state, score), _logger, _metrics))
@@ -102,6 +112,10 @@
     return countWaitingItems(this._batches.all(), model)
   }
 
+  remainingEvents (model: string): number {
+    return sumRemainingEvents(this._batches.all(), model, this._estimator)
+  }
+
   setLoading (engineId: string, model: string, timeoutMs: number, expectedMs: number): void {
     this._tracker.setLoading(engineId, model, timeoutMs, expectedMs)
     this._scheduleDispatch()
@@ -151,11 +165,10 @@
   }
 
   private _dispatch (): void {
-    const nowMs = Date.now()
-    const openBatches = [...this._batches.all()].filter(batch => batch.isOpen)
-    openBatches.sort((a, b) => a.spec.submittedAtMs - b.spec.submittedAtMs)
     const viewsByKey = new Map<string, EngineView[]>()
-    for (const batch of openBatches) {
+    const steps: DispatchedStep[] = []
+    for (const batch of this._batches.all()) {
+      if (!batch.isOpen) continue
       const route = this._routes.find(batch.spec.host, batch.spec.path)
       const service = route === undefined ? undefined : chooseService(route, 0)
       if (route === undefined || service === undefined || route.kind !== 'batch') {
@@ -163,58 +176,36 @@
         continue
       }
       this._unrouted.clear(batch)
-      if (nowMs > batch.spec.submittedAtMs + route.batchRetentionMs) {
+      const { submittedAtMs, model, priority } = batch.spec
+      if (Date.now() > submittedAtMs + route.batchRetentionMs) {
         this._abandonBatch(batch)
         continue
       }
-      const key = `${service} ${batch.spec.model}`
-      const engines = viewsByKey.get(key) ?? this._tracker.views(service, batch.spec.model, this._runs.all(), this._estimator)
+      const key = `${service} ${model}`
+      const engines = viewsByKey.get(key) ?? this._tracker.views(service, model, this._runs.all(), this._estimator)
       viewsByKey.set(key, engines)
-      this._dispatchBatch(batch, route, service, engines)
+      steps.push({ batch, route, service, engines, priority: priority ?? route.priority, deadlineAtMs: submittedAtMs + route.batchDeadlineMs })
     }
+    this._stepReporter.reportIfDue(steps, Date.now())
+    for (const { step, state } of orderItems(steps, this._estimator, Date.now())) this._dispatchItem(step, state, viewsByKey)
   }
 
-  private _dispatchBatch (batch: Batch, route: Route, service: string, engines: EngineView[]): void {
-    const nowMs = performance.now()
-    for (const { state } of rankItems(batch, this._estimator)) {
-      if (nowMs < state.notBeforeMs) continue
-      this._reuseProgress(batch, state, route)
-      if (hasMixedVersions(state, route)) this._restartItem(state)
-      if (state.progress.isComplete) {
-        this._completeItem(batch, state, route)
-        continue
-      }
-      const version = state.progress.versions.at(-1)
-      const kvTokens = this._tracker.estimateKvTokens(service, state, this._estimator)
-      const engine = chooseEngine(engines, {
-        kvTokens,
-        minVersion: batch.spec.minVersion,
-        requiredVersion: route.isSingleVersion ? version : undefined,
-        deprioritised: state.deprioritisedUpstreams,
-        withCachedPrefix: this._enginesByGroup.get(state.item.group) ?? new Set()
-      })
-      if (engine === undefined) {
-        if (route.isSingleVersion && hasNoCompatibleEngine(state, engines)) this._restartItem(state)
-        continue
-      }
-      engine.freeSlots -= 1
-      engine.running += 1
-      engine.kvFreeTokens -= kvTokens
+  private _dispatchItem ({ batch, route, service, engines }: DispatchedStep, state: ItemState, viewsByKey: ReadonlyMap<string, EngineView[]>): void {
+    if (performance.now() < state.notBeforeMs || state.status !== 'waiting') return
+    this._preparer.prepare(batch, state, route)
+    if (state.progress.isComplete) return this._completeItem(batch, state, route)
+    const kvTokens = this._tracker.estimateKvTokens(service, state, this._estimator)
+    const engine = chooseEngine(engines, {
+      kvTokens,
+      minVersion: batch.spec.minVersion,
+      requiredVersion: route.isSingleVersion ? state.progress.versions.at(-1) : undefined,
+      deprioritised: state.deprioritisedUpstreams,
+      withCachedPrefix: this._enginesByGroup.get(state.item.group) ?? new Set()
+    })
+    if (engine !== undefined) {
+      reserveSlot(viewsByKey.values(), engine.id, kvTokens)
       this._startRun(batch, state, route, service, engine.id)
-    }
-  }
-
-  private _restartItem (state: ItemState): void {
-    this._logger.info({ item: state.item.id, versions: state.progress.versions.join(','), events: state.progress.events.length }, 'item_restarted')
-    state.restart()
-  }
-
-  private _reuseProgress (batch: Batch, state: ItemState, route: Route): void {
-    if (state.progress.events.length > 0 || state.progress.isComplete) return
-    const cached = this._progressCache.take(batch.spec, state.item.id, route.isSingleVersion)
-    if (cached === undefined) return
-    state.progress = cached
-    this._logger.info({ batch: batch.spec.id, item: state.item.id, events: cached.events.length, complete: cached.isComplete }, 'item_progress_reused')
+    } else if (route.isSingleVersion && hasNoCompatibleEngine(state, engines)) this._preparer.restart(state)
   }
 
   private _startRun (batch: Batch, state: ItemState, route: Route, service: string, engineId: string): void {
@@ -237,7 +228,7 @@
     this._runs.remove(run)
     if (state.status === 'running') state.status = 'waiting'
     if ((outcome.kind !== 'complete' && run.cancelReason !== 'slow') || run.durationMs > LONG_RUN_MS) this._logger.info(describeRun(run, outcome), 'item_run_ended')
-    if (!batch.isOpen) return this._progressCache.put(batch.spec, state.item.id, state.progress)
+    if (!batch.isOpen) return this._preparer.keep(batch, state)
     this._applyOutcome(run, outcome)
     this._scheduleDispatch()
   }
@@ -264,7 +255,7 @@
   }
 
   private _completeItem (batch: Batch, state: ItemState, route: Route): void {
-    if (hasMixedVersions(state, route)) return this._restartItem(state)
+    if (hasMixedVersions(state, route)) return this._preparer.restart(state)
     const { rewardCall } = state.item
     if (rewardCall === undefined) return this._results.complete(batch, state)
     state.status = 'scoring'
@@ -285,7 +276,7 @@
     for (const state of batch.items) {
       const run = this._runs.of(state)
       if (run !== undefined) run.cancel('batch ended')
-      else if (state.status !== 'finished') this._progressCache.put(batch.spec, state.item.id, state.progress)
+      else if (state.status !== 'finished') this._preparer.keep(batch, state)
       this._enginesByGroup.delete(state.item.group)
     }
   }
--- a/src/common/version/ModelAssignments.ts
+++ b/src/common/version/ModelAssignments.ts
@@ -2,23 +2,31 @@
 import type { IFleet } from '../fleet/IFleet.js'
 import type { AnnouncedVersions } from './AnnouncedVersions.js'
 import { assignEngines } from './assignEngines.js'
+import { combineDemand } from './combineDemand.js'
 
 /** Weight of a new batch in the exponential moving average of the demand. */
 const DEMAND_WEIGHT = 0.4
 
 /** Assigns the engines of a service to models; an engine loads new versions of its model only. */
 export class ModelAssignments {
-  /** Average demand of each model, in tokens per batch. */
+  /** Average demand of each model, in events per batch. */
   private readonly _demand = new Map<string, number>()
+  /** Events that the open batches of each model have yet to generate. */
+  private readonly _remainingEvents = new Map<string, number>()
   /** Model of each engine, by service and engine id. */
   private readonly _assignments = new Map<string, Map<string, string>>()
 
   constructor (private readonly _fleet: IFleet, private readonly _announced: AnnouncedVersions) {}
 
-  /** Updates the average demand of a model with that of a new batch, in tokens. */
-  recordDemand (model: string, tokens: number): void {
+  /** Updates the average demand of a model with that of a new batch, in events. */
+  recordDemand (model: string, events: number): void {
     const known = this._demand.get(model)
-    this._demand.set(model, known === undefined ? tokens : known + DEMAND_WEIGHT * (tokens - known))
+    this._demand.set(model, known === undefined ? events : known + DEMAND_WEIGHT * (events - known))
+  }
+
+  /** Sets the number of events that the open batches of a model have yet to generate; it adds to the average demand. */
+  setRemainingEvents (model: string, events: number): void {
+    this._remainingEvents.set(model, events)
   }
 
   /** Ids of the engines assigned to a model; undefined if the service has a single model, which uses all engines. */
@@ -32,10 +40,10 @@
 
   private _assign (service: string, engines: readonly FleetUpstream[], models: readonly string[]): Map<string, string> {
     const demands = [...this._demand.values()]
-    const meanDemand = demands.length === 0 ? 1 : demands.reduce((sum, tokens) => sum + tokens, 0) / demands.length
+    const meanDemand = demands.length === 0 ? 1 : demands.reduce((sum, events) => sum + events, 0) / demands.length
     const assignments = assignEngines(
       engines.map(engine => ({ id: engine.member.id, capacity: engine.member.slots / (engine.averageMs ?? 1) })),
-      models.map(model => ({ model, demand: this._demand.get(model) ?? meanDemand })),
+      models.map(model => ({ model, demand: combineDemand(this._demand.get(model) ?? meanDemand, this._remainingEvents.get(model) ?? 0) })),
       this._assignments.get(service) ?? this._inferAssignments(engines)
     )
     this._assignments.set(service, assignments)
