--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -33,7 +33,6 @@
 import { hasNoCompatibleEngine } from '../policy/hasNoCompatibleEngine.js'
 import { LengthEstimator } from '../policy/LengthEstimator.js'
 import { ProgressSaver } from './ProgressSaver.js'
-import { sumRemainingEvents } from '../policy/sumRemainingEvents.js'
 import { orderItems } from '../policy/orderItems.js'
 import { reserveSlot } from '../policy/reserveSlot.js'
 import type { StepView } from '../policy/StepView.js'
@@ -112,10 +111,6 @@
     return countWaitingItems(this._batches.all(), model)
   }
 
-  remainingEvents (model: string): number {
-    return sumRemainingEvents(this._batches.all(), model, this._estimator)
-  }
-
   setLoading (engineId: string, model: string, timeoutMs: number, expectedMs: number): void {
     this._tracker.setLoading(engineId, model, timeoutMs, expectedMs)
     this._scheduleDispatch()
--- a/src/common/batch/run/IBatchWorkload.ts
+++ b/src/common/batch/run/IBatchWorkload.ts
@@ -6,8 +6,6 @@
   countSingleVersionRunsOn (engineId: string, model: string): number
   /** Number of items of a model that wait for an engine, and the highest minimum version of its open batches. */
   countWaitingItems (model: string): { count: number, minVersion: number | undefined }
-  /** Number of events that the open batches of a model are expected to generate yet. */
-  remainingEvents (model: string): number
   /**
    * Starts no new runs of a model at an engine for at most `timeoutMs`, and expects its runs to pause for
    * `expectedMs`; a `timeoutMs` of 0 lifts both.
--- a/src/common/version/ModelAssignments.ts
+++ b/src/common/version/ModelAssignments.ts
@@ -2,7 +2,6 @@
 import type { IFleet } from '../fleet/IFleet.js'
 import type { AnnouncedVersions } from './AnnouncedVersions.js'
 import { assignEngines } from './assignEngines.js'
-import { combineDemand } from './combineDemand.js'
 
 /** Weight of a new batch in the exponential moving average of the demand. */
 const DEMAND_WEIGHT = 0.4
@@ -11,8 +10,6 @@
 export class ModelAssignments {
   /** Average demand of each model, in events per batch. */
   private readonly _demand = new Map<string, number>()
-  /** Events that the open batches of each model have yet to generate. */
-  private readonly _remainingEvents = new Map<string, number>()
   /** Model of each engine, by service and engine id. */
   private readonly _assignments = new Map<string, Map<string, string>>()
 
@@ -24,11 +21,6 @@
     this._demand.set(model, known === undefined ? events : known + DEMAND_WEIGHT * (events - known))
   }
 
-  /** Sets the number of events that the open batches of a model have yet to generate; it adds to the average demand. */
-  setRemainingEvents (model: string, events: number): void {
-    this._remainingEvents.set(model, events)
-  }
-
   /** Ids of the engines assigned to a model; undefined if the service has a single model, which uses all engines. */
   enginesOf (service: string, model: string): ReadonlySet<string> | undefined {
     const engines = this._fleet.listAvailable(service).filter(engine => engine.member.versions.size > 0)
@@ -43,7 +35,7 @@
     const meanDemand = demands.length === 0 ? 1 : demands.reduce((sum, events) => sum + events, 0) / demands.length
     const assignments = assignEngines(
       engines.map(engine => ({ id: engine.member.id, capacity: engine.member.slots / (engine.averageMs ?? 1) })),
-      models.map(model => ({ model, demand: combineDemand(this._demand.get(model) ?? meanDemand, this._remainingEvents.get(model) ?? 0) })),
+      models.map(model => ({ model, demand: this._demand.get(model) ?? meanDemand })),
       this._assignments.get(service) ?? this._inferAssignments(engines)
     )
     this._assignments.set(service, assignments)
--- a/src/common/version/VersionRollout.ts
+++ b/src/common/version/VersionRollout.ts
@@ -80,7 +80,6 @@
   private _tickService (service: string, engines: FleetUpstream[]): void {
     for (const engine of engines) this._checkLoad(engine)
     const maxLoads = Math.max(MIN_CONCURRENT_LOADS, Math.floor(engines.length * CONCURRENT_LOAD_SHARE))
-    for (const model of this._announced.all().keys()) this._assignments.setRemainingEvents(model, this._options.workload.remainingEvents(model))
     let freeLoadSlots = maxLoads - engines.filter(engine => this._isPending(engine)).length
     for (const [model, announced] of this._announced.all()) {
       const assigned = this._assignments.enginesOf(service, model)
