Bound the memory and descriptors that clients use by the limits of the host

Clients ended an entry: each chunk of a body was a buffer of its own, bodies and slowly read responses never timed out, responses that waited for their readers were not counted, and up to 3,000 connections were taken on hosts with 2,212 descriptors.

One budget (ClientBudget) is derived from memory_mb and max_fds and used by the three listeners. It counts incomplete header sections, requests, bodies and responses, keeps a part for each listener and for ordinary requests, and sheds the clients that made no progress for the longest time, then the largest. Connections are bounded by descriptors and memory; a new one takes the place of the one without progress for the longest time, never that of a running request or of a caller that may still use an idle connection. Bodies, header sections (also empty lines after a response) and responses without progress time out.

A body is collected in one buffer that grows in place, and its memory is freed as soon as nobody reads it. The hash of a body copied it into memory that the WebAssembly module never frees; it now reads parts of 64 KB. Responses of upstreams are collected in the same way instead of being copied twice.

Run: unit tests of src/node/front, src/node/upstream, src/common/kernel and src/common/hash, platform/soak/plannedStop, and the client tests, once each.

--- a/src/common/hash/XxHash.ts
+++ b/src/common/hash/XxHash.ts
@@ -2,6 +2,9 @@
 import type { XXHashAPI } from 'xxhash-wasm'
 import type { IByteHash } from './IByteHash.js'
 
+/** Larger inputs are hashed in parts of this size, because the module copies its input into memory that it never frees. */
+const MAX_PART_BYTES = 65_536
+
 /** XXH64 in WebAssembly; `create` compiles the module, so await it before registering the service. */
 export class XxHash implements IByteHash {
   private constructor (private readonly _api: XXHashAPI) {}
@@ -15,6 +18,9 @@
   }
 
   hash64Bytes (bytes: Uint8Array): bigint {
-    return this._api.h64Raw(bytes)
+    if (bytes.length <= MAX_PART_BYTES) return this._api.h64Raw(bytes)
+    const hash = this._api.create64()
+    for (let offset = 0; offset < bytes.length; offset += MAX_PART_BYTES) hash.update(bytes.subarray(offset, offset + MAX_PART_BYTES))
+    return hash.digest()
   }
 }
--- /dev/null
+++ b/src/common/kernel/releaseBytes.ts
@@ -0,0 +1,11 @@
+/** A buffer that grew in place, see `ByteAccumulator`. */
+interface ResizableBuffer { readonly resizable?: boolean, resize (bytes: number): void }
+
+/**
+ * Frees the memory of a large body that nobody reads any more. Without this, bodies of tens of megabytes stay resident
+ * until a garbage collection, and a few of them exceed the memory of a small host. Has no effect on other buffers.
+ */
+export function releaseBytes (bytes: Uint8Array): void {
+  const buffer = bytes.buffer as unknown as ResizableBuffer
+  if (buffer.resizable === true) buffer.resize(0)
+}
--- /dev/null
+++ b/src/node/front/ClientConnection.ts
@@ -0,0 +1,70 @@
+import type { Socket } from 'node:net'
+import type { ClientRequest } from './ClientRequest.js'
+import type { IBudgetHolder } from './IBudgetHolder.js'
+import type { ListenerName } from './ListenerName.js'
+
+/** A connection of a client. It holds memory itself while it receives a header section, which has no request yet. */
+export class ClientConnection implements IBudgetHolder {
+  lastProgressMs = performance.now()
+  /** `performance.now()` since when a header section is expected or received; undefined while a request runs or the connection is idle. */
+  headerSinceMs: number | undefined = performance.now()
+  /** The last response has been sent; the client may still read it. */
+  isClosing = false
+  readonly requests = new Set<ClientRequest>()
+  private _bytesBeforeHeader = 0
+  private _bytesRead = 0
+
+  constructor (readonly listener: ListenerName, readonly socket: Socket, private readonly _onShed: () => void) {}
+
+  get isSheddable (): boolean {
+    return this.requests.size === 0
+  }
+
+  /** Bytes received of a header section. */
+  get headerBytes (): number {
+    return this.headerSinceMs === undefined ? 0 : this._bytesRead - this._bytesBeforeHeader
+  }
+
+  /** `performance.now()` of the last progress if the connection can be closed without harm; undefined if a request may run or it is idle. */
+  get stalledSinceMs (): number | undefined {
+    if (this.isClosing) return 0
+    if (this.requests.size === 0) return this.headerSinceMs === undefined ? undefined : this.lastProgressMs
+    let sinceMs = 0
+    for (const request of this.requests) {
+      if (!request.isSheddable) return undefined
+      sinceMs = Math.max(sinceMs, request.lastProgressMs)
+    }
+    return sinceMs
+  }
+
+  /** `performance.now()` since when the connection waits for a next request; undefined if it does not. */
+  get idleSinceMs (): number | undefined {
+    return this.requests.size === 0 && this.headerSinceMs === undefined ? this.lastProgressMs : undefined
+  }
+
+  onRequestStarted (request: ClientRequest): void {
+    this.requests.add(request)
+    this.headerSinceMs = undefined
+  }
+
+  onRequestEnded (request: ClientRequest): void {
+    this.requests.delete(request)
+    this.lastProgressMs = performance.now()
+    this._bytesRead = this._bytesBeforeHeader = this.socket.bytesRead
+  }
+
+  /** Looks at the bytes received. Those on an idle connection belong to a header section, or are empty lines before one. */
+  observe (nowMs: number): void {
+    if (this.requests.size > 0) return
+    const { bytesRead } = this.socket
+    if (bytesRead === this._bytesRead) return
+    this._bytesRead = bytesRead
+    this.lastProgressMs = nowMs
+    this.headerSinceMs ??= nowMs
+  }
+
+  shed (): void {
+    this._onShed()
+    this.socket.destroy()
+  }
+}
--- /dev/null
+++ b/src/node/front/ClientRequest.ts
@@ -0,0 +1,166 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { ByteAccumulator } from '../../common/kernel/ByteAccumulator.js'
+import type { ClientBudget } from './ClientBudget.js'
+import type { ClientTimeouts } from './ClientTimeouts.js'
+import type { IBudgetHolder } from './IBudgetHolder.js'
+import type { ListenerName } from './ListenerName.js'
+import type { ListenerResponse } from './ListenerResponse.js'
+import type { RejectionReason } from './RejectionReason.js'
+
+/** Objects of a request in the process, without its header section and body. */
+const REQUEST_BYTES = 4000
+/** Memory for each byte of a header section: as received, as text, and as forwarded. */
+const HEADER_COST = 3
+/** After the idle timeout, a body needs this average rate. The slowest link in use is a thousand times faster. */
+const MIN_BYTES_PER_MS = 1
+/**
+ * A response may make no progress for this many idle timeouts. The system buffers megabytes and reports progress only for
+ * hundreds of kilobytes, so a slow reader seems to pause.
+ */
+const RESPONSE_IDLE_TIMEOUTS = 4
+/** Larger responses are written in parts of this size, to see how fast the client reads. */
+const WRITE_PART_BYTES = 65_536
+const OVERLOAD_RETRY_AFTER_S = '0.3'
+/** Header lines have a separator and an end of two bytes each; the receiver keeps the texts only. */
+const SEPARATOR_BYTES = 2
+
+/** One request from its header section to the end of its response, with what it holds in memory. */
+export class ClientRequest implements IBudgetHolder {
+  lastProgressMs = performance.now()
+  private readonly _startedAtMs = performance.now()
+  private _phase: 'reading' | 'running' | 'writing' = 'reading'
+  private _receivedBytes = 0
+  private _unwritten: Uint8Array | undefined
+  private _endReading?: (result: ListenerResponse | 'aborted') => void
+
+  constructor (
+    readonly listener: ListenerName,
+    readonly incoming: IncomingMessage,
+    readonly outgoing: ServerResponse,
+    private readonly _budget: ClientBudget,
+    private readonly _onRejected: (reason: RejectionReason) => void
+  ) {}
+
+  /** Response to a request that the budget has no room for. */
+  static overloadResponse (): ListenerResponse {
+    return { status: 503, headers: { connection: 'close', 'retry-after': OVERLOAD_RETRY_AFTER_S } }
+  }
+
+  /** Size of the header section as the limit counts it. */
+  get headerBytes (): number {
+    return this.incoming.rawHeaders.reduce((sum, part) => sum + part.length + SEPARATOR_BYTES, (this.incoming.url ?? '').length)
+  }
+
+  /** Whether the request has been received as a whole and may run. */
+  get isRead (): boolean {
+    return this._phase !== 'reading'
+  }
+
+  get isSheddable (): boolean {
+    return this._phase !== 'running'
+  }
+
+  /** Counts the request itself; returns a response if there is no room for it. */
+  admit (): ListenerResponse | undefined {
+    if (this._budget.add(this, REQUEST_BYTES + HEADER_COST * this.headerBytes)) return undefined
+    this._onRejected('memory')
+    return ClientRequest.overloadResponse()
+  }
+
+  /** Reads the body. Resolves with a response if the request is refused, or with `aborted` if it has been ended. */
+  async readBody (maxBodyBytes: number): Promise<Uint8Array | ListenerResponse | 'aborted'> {
+    const body = new ByteAccumulator(maxBodyBytes)
+    return await new Promise(resolve => {
+      const end = (result: Uint8Array | ListenerResponse | 'aborted'): void => {
+        if (this._endReading === undefined) return
+        this._endReading = undefined
+        this.incoming.off('data', onData)
+        if (!(result instanceof Uint8Array)) body.release()
+        resolve(result)
+      }
+      const onData = (chunk: Uint8Array): void => {
+        this.lastProgressMs = performance.now()
+        this._receivedBytes += chunk.length
+        if (this._receivedBytes > maxBodyBytes) {
+          this._onRejected('body_bytes')
+          return end({ status: 413, headers: { connection: 'close' } })
+        }
+        const heldBytes = body.capacityBytes
+        body.append(chunk)
+        if (!this._budget.add(this, body.capacityBytes - heldBytes)) this.shed()
+      }
+      this._endReading = end
+      this.incoming.on('data', onData)
+      this.incoming.once('end', () => end(body.take()))
+      this.incoming.once('error', () => end('aborted'))
+      this.incoming.once('close', () => end('aborted'))
+    })
+  }
+
+  /** From now on the request may run. */
+  startRunning (): void {
+    this._phase = 'running'
+  }
+
+  /** Stops reading a body; nothing of the request runs. */
+  abortReading (): void {
+    this._endReading?.('aborted')
+  }
+
+  /** The body of the request has been released. */
+  releaseBody (): void {
+    this._budget.reduceTo(this, REQUEST_BYTES)
+  }
+
+  /** Writes the last part of the response, after `writeHead`, as fast as the client reads. */
+  writeBody (body: Uint8Array | undefined): void {
+    this._phase = 'writing'
+    this.lastProgressMs = performance.now()
+    this._budget.addUnconditionally(this, body?.length ?? 0)
+    if (body === undefined || body.length <= WRITE_PART_BYTES) {
+      this.outgoing.end(body)
+      return
+    }
+    this._unwritten = body
+    this.outgoing.on('drain', () => this._writeParts())
+    this._writeParts()
+  }
+
+  shed (): void {
+    if (this._phase === 'running') return
+    this._reject('memory', ClientRequest.overloadResponse())
+  }
+
+  /** Ends the request if its client makes too little progress. */
+  checkProgress (nowMs: number, { idleMs }: ClientTimeouts): void {
+    if (this._phase === 'writing' && nowMs > this.lastProgressMs + RESPONSE_IDLE_TIMEOUTS * idleMs) this._reject('response_timeout')
+    if (this._phase !== 'reading') return
+    const isTooSlow = nowMs > this._startedAtMs + idleMs + this._receivedBytes / MIN_BYTES_PER_MS
+    if (isTooSlow || nowMs > this.lastProgressMs + idleMs) this._reject('body_timeout', { status: 408, headers: { connection: 'close' } })
+  }
+
+  /** Closes the connection if the response has begun. */
+  private _reject (reason: RejectionReason, response?: ListenerResponse): void {
+    if (this._phase === 'writing') {
+      this._onRejected(reason)
+      this.outgoing.destroy()
+    } else if (this._endReading !== undefined && response !== undefined) {
+      this._onRejected(reason)
+      this._endReading(response)
+    }
+  }
+
+  private _writeParts (): void {
+    this.lastProgressMs = performance.now()
+    while (this._unwritten !== undefined && !this.outgoing.destroyed) {
+      const part = this._unwritten.subarray(0, WRITE_PART_BYTES)
+      if (part.length === this._unwritten.length) {
+        this._unwritten = undefined
+        this.outgoing.end(part)
+        return
+      }
+      this._unwritten = this._unwritten.subarray(WRITE_PART_BYTES)
+      if (!this.outgoing.write(part)) return
+    }
+  }
+}
--- /dev/null
+++ b/src/node/front/ConnectionTable.ts
@@ -0,0 +1,106 @@
+import type { Socket } from 'node:net'
+import type { ClientBudget } from './ClientBudget.js'
+import { ClientConnection } from './ClientConnection.js'
+import type { ClientRequest } from './ClientRequest.js'
+import type { ClientTimeouts } from './ClientTimeouts.js'
+import type { ListenerName } from './ListenerName.js'
+import type { RejectionLog } from './RejectionLog.js'
+
+/** Memory for each byte of an incomplete header section; headers without a value cost the most. */
+const HEADER_COST = 4
+/** Callers reuse connections that have been idle for up to this share of the idle timeout. */
+const REUSE_SHARE = 0.8
+/** Time for which a client may still read the response after which its connection is closed. */
+const LINGER_MS = 300
+
+/** Connections of a listener, bounded by the descriptors that the budget gives it. */
+export class ConnectionTable {
+  private readonly _connections = new Map<Socket, ClientConnection>()
+  private readonly _chargedBytes = new WeakMap<ClientConnection, number>()
+
+  constructor (private readonly _listener: ListenerName, private readonly _budget: ClientBudget, private readonly _rejections: RejectionLog, private readonly _timeouts: () => ClientTimeouts) {}
+
+  get size (): number {
+    return this._connections.size
+  }
+
+  /** Takes a new connection. When there are too many, it takes the place of the one that has made no progress for the longest time. */
+  accept (socket: Socket): void {
+    if (this._connections.size >= this._budget.maxConnections(this._listener)) {
+      this._rejections.record('connections')
+      const victim = this._findVictim()
+      // All others run requests or may be used again: the new one has to go.
+      if (victim === undefined) {
+        socket.destroy()
+        return
+      }
+      this._remove(victim)
+      victim.socket.destroy()
+    }
+    const connection = new ClientConnection(this._listener, socket, () => this._rejections.record('memory'))
+    this._connections.set(socket, connection)
+    socket.once('close', () => this._remove(connection))
+  }
+
+  onRequestStarted (socket: Socket, request: ClientRequest): void {
+    const connection = this._connections.get(socket)
+    if (connection === undefined) return
+    connection.onRequestStarted(request)
+    this._budget.release(connection)
+    this._chargedBytes.delete(connection)
+  }
+
+  onRequestEnded (socket: Socket, request: ClientRequest): void {
+    this._connections.get(socket)?.onRequestEnded(request)
+  }
+
+  /** Counts the header sections that are being received, and closes connections whose header section takes too long. */
+  sweep (nowMs: number): void {
+    for (const connection of this._connections.values()) {
+      connection.observe(nowMs)
+      if (connection.headerSinceMs === undefined || connection.isClosing) continue
+      if (nowMs > connection.headerSinceMs + this._timeouts().headerMs) {
+        this._rejections.record('header_timeout')
+        connection.isClosing = true
+        connection.socket.write(formatResponse('408 Request Timeout'))
+        connection.socket.destroySoon()
+        continue
+      }
+      const bytes = connection.headerBytes * HEADER_COST
+      const addedBytes = bytes - (this._chargedBytes.get(connection) ?? 0)
+      if (addedBytes > 0 && this._budget.add(connection, addedBytes)) this._chargedBytes.set(connection, bytes)
+      else if (addedBytes > 0 && !connection.socket.destroyed) connection.shed()
+    }
+  }
+
+  /** Responds to what is no request, and closes the connection whether or not the client does. */
+  respondAndClose (socket: Socket, statusLine: string): void {
+    const connection = this._connections.get(socket)
+    if (connection !== undefined) connection.isClosing = true
+    socket.pause()
+    socket.end(formatResponse(statusLine))
+    // Closing at once would reset the connection while the rest of the request arrives, and the response would be lost.
+    setTimeout(() => socket.destroy(), LINGER_MS).unref()
+  }
+
+  private _remove (connection: ClientConnection): void {
+    this._connections.delete(connection.socket)
+    this._budget.release(connection)
+  }
+
+  private _findVictim (): ClientConnection | undefined {
+    const reusedUntilMs = performance.now() - REUSE_SHARE * this._timeouts().idleMs
+    let stalled: { connection: ClientConnection, sinceMs: number } | undefined
+    let idle: { connection: ClientConnection, sinceMs: number } | undefined
+    for (const connection of this._connections.values()) {
+      const { stalledSinceMs, idleSinceMs } = connection
+      if (stalledSinceMs !== undefined && stalledSinceMs < (stalled?.sinceMs ?? Infinity)) stalled = { connection, sinceMs: stalledSinceMs }
+      if (idleSinceMs !== undefined && idleSinceMs < (idle?.sinceMs ?? reusedUntilMs)) idle = { connection, sinceMs: idleSinceMs }
+    }
+    return (stalled ?? idle)?.connection
+  }
+}
+
+function formatResponse (statusLine: string): string {
+  return `HTTP/1.1 ${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`
+}
--- a/src/node/front/HttpListener.test.ts
+++ b/src/node/front/HttpListener.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
 import { testServices } from '../../common/log/test/testServices.js'
+import { ClientBudget } from './ClientBudget.js'
 import type { ListenerResponse } from './ListenerResponse.js'
 import { HttpListener } from './HttpListener.js'
 import type { ListenerRequest } from './ListenerRequest.js'
@@ -18,7 +19,7 @@
 
   beforeEach(async () => {
     handler = async request => ({ status: 200, body: `${request.method} ${request.target} ${request.body.toString()}` })
-    listener = new HttpListener('test', async request => await handler(request), logger, metrics)
+    listener = new HttpListener('front', async request => await handler(request), logger, metrics, new ClientBudget({ memoryMb: 210, maxFds: 2212 }))
     listener.setLimits(limits)
     address = await listener.listen('127.0.0.1:0')
   })
--- a/src/node/front/HttpListener.ts
+++ b/src/node/front/HttpListener.ts
@@ -2,57 +2,71 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { Disposable } from '../../common/kernel/Disposable.js'
+import { releaseBytes } from '../../common/kernel/releaseBytes.js'
 import { toDisposable } from '../../common/kernel/toDisposable.js'
 import type { ILogger } from '../../common/metrics/ILogger.js'
 import type { IMetrics } from '../../common/metrics/IMetrics.js'
 import type { CallerLimits } from '../../common/routing/CallerLimits.js'
+import type { ClientBudget } from './ClientBudget.js'
+import { ClientRequest } from './ClientRequest.js'
+import type { ClientTimeouts } from './ClientTimeouts.js'
+import { ConnectionTable } from './ConnectionTable.js'
+import type { ListenerName } from './ListenerName.js'
 import type { ListenerResponse } from './ListenerResponse.js'
 import type { ListenerRequest } from './ListenerRequest.js'
+import { RejectionLog } from './RejectionLog.js'
 
 /** Resolves with undefined to close the connection without a response. */
 type Handler = (request: ListenerRequest) => Promise<ListenerResponse | undefined>
 
-/** Limit of the parser; the configured limit is checked once the header section has been received. */
-const MAX_HEADER_BYTES = 65_536
+/** Limit of the parser until limits are configured. */
+const DEFAULT_MAX_HEADER_BYTES = 65_536
+/** The parser refuses a header section that reaches its limit, and counts no separators. */
+const PARSER_MARGIN_BYTES = 1
 /** Callers may reuse a connection until shortly before the idle limit, so it is closed this much later. */
 const IDLE_MARGIN_MS = 1000
 const CONNECTION_CHECK_INTERVAL_MS = 1000
 /** Used until limits are configured. */
 const DEFAULT_HEADER_TIMEOUT_MS = 10_000
 const DEFAULT_IDLE_TIMEOUT_MS = 30_000
-/** Maximum number of request body bytes in memory at once; a request that exceeds it is refused. */
-const MAX_BUFFERED_BYTES = 48_000_000
+/** Largest body until limits are configured, and of requests of other entries, which forward those of callers. */
+const DEFAULT_MAX_BODY_BYTES = 48_000_000
+/** Interval at which time-outs and incomplete header sections are checked. */
+const SWEEP_INTERVAL_MS = 200
 const OVERLOAD_RETRY_AFTER_S = '0.3'
-const MAX_CONNECTIONS = 3000
 const CUT_OFF_RETRY_AFTER_S = '0'
 
-/** A request without a complete response. */
-interface PendingRequest { incoming: IncomingMessage, outgoing: ServerResponse, isRead: boolean }
-
 /** HTTP/1.1 listener. Reads complete requests within the configured limits and responds to them in order. */
 export class HttpListener extends Disposable {
   private readonly _server: Server
   private _limits?: CallerLimits
   private _isClosing = false
-  private _bufferedBytes = 0
-  private readonly _pending = new Set<PendingRequest>()
+  private _runningCount = 0
+  private readonly _pending = new Set<ClientRequest>()
+  private readonly _rejections: RejectionLog
+  private readonly _connections: ConnectionTable
 
   constructor (
-    private readonly _name: string,
+    private readonly _name: ListenerName,
     private readonly _handler: Handler,
     private readonly _logger: ILogger,
-    private readonly _metrics: IMetrics
+    private readonly _metrics: IMetrics,
+    private readonly _budget: ClientBudget
   ) {
     super()
-    this._server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, requireHostHeader: false, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS }, (request, response) => {
+    this._rejections = new RejectionLog(_name, _logger, _metrics)
+    this._connections = new ConnectionTable(_name, _budget, this._rejections, () => this._timeouts)
+    this._server = createServer({ maxHeaderSize: DEFAULT_MAX_HEADER_BYTES, noDelay: true, requireHostHeader: false, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS }, (request, response) => {
       this._serve(request, response).catch((fault: unknown) => this._logger.error({ listener: this._name, reason: String(fault) }, 'request_fault'))
     })
-    this._server.maxConnections = MAX_CONNECTIONS
     this._server.headersTimeout = DEFAULT_HEADER_TIMEOUT_MS
     this._server.requestTimeout = 0
     this._server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS
+    this._server.on('connection', (socket: Socket) => this._connections.accept(socket))
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => this._onClientError(error, socket))
+    const sweepTimer = setInterval(() => this._sweep(), SWEEP_INTERVAL_MS).unref()
     this._register(toDisposable(() => {
+      clearInterval(sweepTimer)
       this._server.close()
       this._server.closeAllConnections()
     }))
@@ -72,6 +86,8 @@
     this._limits = limits
     this._server.headersTimeout = limits.headerTimeoutMs
     this._server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
+    // Read for each new connection; the type declares it as an option only.
+    Object.assign(this._server, { maxHeaderSize: limits.maxHeaderBytes + PARSER_MARGIN_BYTES })
   }
 
   /** Requests received but not yet fully answered. */
@@ -95,74 +111,85 @@
    * been read as a whole, and 504 if it may have run.
    */
   cutOffPending (): void {
-    for (const { incoming, outgoing, isRead } of this._pending) {
+    for (const request of this._pending) {
+      const { incoming, isRead } = request
       this._logger.warn({ listener: this._name, target: incoming.url, request_read: isRead }, 'request_cut_off')
-      this._write(outgoing, incoming, isRead ? { status: 504 } : { status: 503, headers: { 'retry-after': CUT_OFF_RETRY_AFTER_S } })
+      request.abortReading()
+      this._write(request, isRead ? { status: 504 } : { status: 503, headers: { 'retry-after': CUT_OFF_RETRY_AFTER_S } })
     }
   }
 
+  private get _timeouts (): ClientTimeouts {
+    return { headerMs: this._limits?.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS, idleMs: this._limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS }
+  }
+
   private async _serve (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const arrivedAtMs = performance.now()
     const disconnected = new AbortController()
-    const pending: PendingRequest = { incoming, outgoing, isRead: false }
-    this._pending.add(pending)
+    const { socket } = incoming
+    const request = new ClientRequest(this._name, incoming, outgoing, this._budget, reason => this._rejections.record(reason))
+    this._pending.add(request)
+    this._connections.onRequestStarted(socket, request)
     outgoing.once('close', () => {
-      this._pending.delete(pending)
+      this._pending.delete(request)
+      this._connections.onRequestEnded(socket, request)
       if (!outgoing.writableFinished) disconnected.abort()
     })
-    let bufferedBytes = 0
     try {
-      const refusal = this._checkHeaders(incoming)
-      const body = refusal === undefined ? await this._readBody(incoming, bytes => { bufferedBytes += bytes }) : undefined
-      if (body === 'aborted') return
-      pending.isRead = true
-      const response = refusal ?? (Buffer.isBuffer(body)
-        ? await this._handler(toListenerRequest(incoming, body, arrivedAtMs, disconnected.signal))
-        : body)
-      this._write(outgoing, incoming, response)
+      const refusal = this._checkHeaders(request) ?? request.admit()
+      const body = refusal ?? await request.readBody(this._limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES)
+      if (body === 'aborted') {
+        this._budget.release(request)
+        return
+      }
+      const response = body instanceof Uint8Array ? await this._run(request, body, arrivedAtMs, disconnected.signal) : body
+      this._write(request, response)
     } catch (error) {
       this._logger.error({ listener: this._name, target: incoming.url, reason: String((error as Error).stack ?? error) }, 'request_fault')
-      this._write(outgoing, incoming, { status: 500 })
+      this._write(request, { status: 500 })
+    }
+  }
+
+  /** Passes a complete request to the handler, and frees its body after that. */
+  private async _run (request: ClientRequest, body: Uint8Array, arrivedAtMs: number, signal: AbortSignal): Promise<ListenerResponse | undefined> {
+    try {
+      if (this._name === 'front' && this._runningCount >= this._budget.maxRunningRequests) {
+        this._rejections.record('running_requests')
+        return { status: 503, headers: { 'retry-after': OVERLOAD_RETRY_AFTER_S } }
+      }
+      request.startRunning()
+      this._runningCount += 1
+      try {
+        return await this._handler(toListenerRequest(request.incoming, Buffer.from(body.buffer, body.byteOffset, body.length), arrivedAtMs, signal))
+      } finally {
+        this._runningCount -= 1
+      }
     } finally {
-      this._bufferedBytes -= bufferedBytes
+      releaseBytes(body)
+      request.releaseBody()
     }
   }
 
   /** Returns a refusal if the header section or the announced body exceeds a limit. */
-  private _checkHeaders (incoming: IncomingMessage): ListenerResponse | undefined {
+  private _checkHeaders (request: ClientRequest): ListenerResponse | undefined {
     const limits = this._limits
     if (limits === undefined) return undefined
-    const headerBytes = incoming.rawHeaders.reduce((sum, part) => sum + part.length + 2, (incoming.url ?? '').length)
-    if (headerBytes > limits.maxHeaderBytes) return { status: 431, headers: { connection: 'close' } }
-    const length = Number(incoming.headers['content-length'] ?? 0)
-    if (length > limits.maxBodyBytes) return { status: 413, headers: { connection: 'close' } }
-    return undefined
-  }
-
-  private async _readBody (incoming: IncomingMessage, onBytes: (bytes: number) => void): Promise<Buffer | ListenerResponse | 'aborted'> {
-    const chunks: Buffer[] = []
-    const maxBodyBytes = this._limits?.maxBodyBytes ?? MAX_BUFFERED_BYTES
-    let size = 0
-    try {
-      for await (const chunk of incoming as AsyncIterable<Buffer>) {
-        size += chunk.length
-        this._bufferedBytes += chunk.length
-        onBytes(chunk.length)
-        if (size > maxBodyBytes) return { status: 413, headers: { connection: 'close' } }
-        if (this._bufferedBytes > MAX_BUFFERED_BYTES) return { status: 503, headers: { connection: 'close', 'retry-after': OVERLOAD_RETRY_AFTER_S } }
-        chunks.push(chunk)
-      }
-    } catch {
-      // The caller has aborted its request, so no response can be sent.
-      return 'aborted'
+    if (request.headerBytes > limits.maxHeaderBytes) {
+      this._rejections.record('header_bytes')
+      return { status: 431, headers: { connection: 'close' } }
+    }
+    if (Number(request.incoming.headers['content-length'] ?? 0) > limits.maxBodyBytes) {
+      this._rejections.record('body_bytes')
+      return { status: 413, headers: { connection: 'close' } }
     }
-    return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks)
+    return undefined
   }
 
-  private _write (outgoing: ServerResponse, incoming: IncomingMessage, response: ListenerResponse | undefined): void {
-    if (outgoing.destroyed || outgoing.headersSent) return
-    if (response === undefined) {
-      outgoing.destroy()
+  private _write (request: ClientRequest, response: ListenerResponse | undefined): void {
+    const { incoming, outgoing } = request
+    if (outgoing.destroyed || outgoing.headersSent || response === undefined) {
+      if (!outgoing.headersSent) outgoing.destroy()
+      this._budget.release(request)
       return
     }
     const body = typeof response.body === 'string' ? Buffer.from(response.body) : response.body
@@ -171,17 +198,34 @@
     const hasNoBody = incoming.method === 'HEAD' || response.status === 204 || response.status === 304
     if (!hasNoBody) headers['content-length'] = String(body?.length ?? 0)
     this._metrics.count('http_answers', { listener: this._name, status: String(response.status) })
+    outgoing.once('close', () => {
+      this._budget.release(request)
+      if (body !== undefined) releaseBytes(body)
+    })
     outgoing.writeHead(response.status, headers)
-    outgoing.end(hasNoBody ? undefined : body)
+    request.writeBody(hasNoBody ? undefined : body)
+  }
+
+  private _sweep (): void {
+    const nowMs = performance.now()
+    this._connections.sweep(nowMs)
+    for (const request of this._pending) request.checkProgress(nowMs, this._timeouts)
+    this._rejections.flush(nowMs)
+    this._metrics.gauge('client_connections', this._connections.size, { listener: this._name })
+    this._metrics.gauge('client_connections_limit', this._budget.maxConnections(this._name), { listener: this._name })
+    this._metrics.gauge('client_memory_bytes', this._budget.usedBytes(this._name), { listener: this._name })
+    this._metrics.gauge('client_memory_limit_bytes', this._budget.maxBytes)
   }
 
   private _onClientError (error: NodeJS.ErrnoException, socket: Socket): void {
     this._metrics.count('http_client_errors', { code: error.code ?? '' })
+    if (error.code === 'HPE_HEADER_OVERFLOW') this._rejections.record('header_bytes')
+    if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') this._rejections.record('header_timeout')
     const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request'
     // While a response is pending on this connection, the caller would take other bytes for it.
     const hasPendingResponse = (socket as Socket & { _httpMessage?: unknown })._httpMessage !== undefined && (socket as Socket & { _httpMessage?: unknown })._httpMessage !== null
     if (error.code === 'ECONNRESET' || !socket.writable || hasPendingResponse) socket.destroy()
-    else socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    else this._connections.respondAndClose(socket, status)
   }
 }
 
--- /dev/null
+++ b/src/node/front/RejectionReason.ts
@@ -0,0 +1,18 @@
+/** Why a client was refused or its connection closed. */
+export type RejectionReason =
+  /** The configured limit of a header section. */
+  | 'header_bytes'
+  /** The configured limit of a body. */
+  | 'body_bytes'
+  /** A header section was not complete in time. */
+  | 'header_timeout'
+  /** A body made no progress, or too little. */
+  | 'body_timeout'
+  /** A response was not read. */
+  | 'response_timeout'
+  /** Another client needed the descriptor, or all were in use by clients that must not be closed. */
+  | 'connections'
+  /** Another client needed the memory, or there was none left. */
+  | 'memory'
+  /** Too many requests were running. */
+  | 'running_requests'
--- a/src/node/upstream/BufferedResponseSink.ts
+++ b/src/node/upstream/BufferedResponseSink.ts
@@ -1,13 +1,13 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { UpstreamResponse } from '../../common/upstream/client/UpstreamResponse.js'
 import type { UpstreamError } from '../../common/upstream/client/UpstreamError.js'
+import { ByteAccumulator } from '../../common/kernel/ByteAccumulator.js'
 import type { IExchangeSink } from './IExchangeSink.js'
 import type { SharedBudget } from '../../common/kernel/SharedBudget.js'
 
 /** Buffers a complete response, with limits on its body and on all bodies of the client. */
 export class BufferedResponseSink implements IExchangeSink {
-  private readonly _chunks: Uint8Array[] = []
-  private _bodyBytes = 0
+  private readonly _body: ByteAccumulator
   private _status = 0
   private _headers: Record<string, string> = {}
 
@@ -16,7 +16,9 @@
     private readonly _budget: SharedBudget,
     private readonly _settle: (result: Result<UpstreamResponse, UpstreamError>) => void,
     private readonly _fail: (error: UpstreamError) => void
-  ) {}
+  ) {
+    this._body = new ByteAccumulator(_maxBodyBytes)
+  }
 
   /** Fails the response, which releases its bytes. */
   fail (message: string): void {
@@ -30,23 +32,23 @@
   }
 
   onData (chunk: Uint8Array): UpstreamError | undefined {
-    this._bodyBytes += chunk.length
-    if (this._bodyBytes > this._maxBodyBytes) {
+    if (this._body.length + chunk.length > this._maxBodyBytes) {
       return { kind: 'truncated', message: `response body exceeds ${this._maxBodyBytes} bytes`, sent: true }
     }
-    this._chunks.push(chunk)
-    this._budget.add(this, chunk.length)
+    const heldBytes = this._body.capacityBytes
+    this._body.append(chunk)
+    this._budget.add(this, this._body.capacityBytes - heldBytes)
     return undefined
   }
 
   onEnd (): void {
     this._budget.release(this)
-    this._settle(ok({ status: this._status, headers: this._headers, body: new Uint8Array(Buffer.concat(this._chunks)) }))
+    this._settle(ok({ status: this._status, headers: this._headers, body: this._body.take() }))
   }
 
   onError (error: UpstreamError): void {
     this._budget.release(this)
-    this._chunks.length = 0
+    this._body.release()
     this._settle(err(error))
   }
 }
