--- a/src/node/front/ClientBudget.ts
+++ b/src/node/front/ClientBudget.ts
@@ -59,7 +59,7 @@
 
   /**
    * Adds bytes of a holder, after shedding others as far as necessary. Returns false if there is no room: then nothing
-   * was added, and the holder is shed unless it is the one that must not be.
+   * was added, and the holder itself may have been shed.
    */
   add (holder: IBudgetHolder, bytes: number): boolean {
     while (!this._hasRoom(holder, bytes)) {
--- a/src/node/front/ClientRequest.ts
+++ b/src/node/front/ClientRequest.ts
@@ -87,7 +87,8 @@
         }
         const heldBytes = body.capacityBytes
         body.append(chunk)
-        if (!this._budget.add(this, body.capacityBytes - heldBytes)) this.shed()
+        const addedBytes = body.capacityBytes - heldBytes
+        if (addedBytes > 0 && !this._budget.add(this, addedBytes)) this.shed()
       }
       this._endReading = end
       this.incoming.on('data', onData)
--- /dev/null
+++ b/src/node/front/clientLimits.test.ts
@@ -0,0 +1,127 @@
+import { connect, type Socket } from 'node:net'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { expect } from 'earl'
+import { testServices } from '../../common/log/test/testServices.js'
+import { waitUntil } from '../../../tools/harness/waitUntil.js'
+import { ClientBudget } from './ClientBudget.js'
+import { HttpListener } from './HttpListener.js'
+import type { ListenerRequest } from './ListenerRequest.js'
+import type { ListenerResponse } from './ListenerResponse.js'
+
+const { logger } = testServices()
+const limits = { maxHeaderBytes: 500, maxBodyBytes: 10_000_000, headerTimeoutMs: 600, idleTimeoutMs: 1000 }
+/** Gives the front listener the smallest number of connections. */
+const HOST = { memoryMb: 210, maxFds: 20 }
+const FRONT_CONNECTIONS = 8
+const GET = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
+
+describe('limits of HttpListener on clients', () => {
+  let listener: HttpListener
+  let address: string
+  let budget: ClientBudget
+  let handler: (request: ListenerRequest) => Promise<ListenerResponse | undefined>
+  let rejections: string[]
+  const sockets: Socket[] = []
+
+  beforeEach(async () => {
+    rejections = []
+    handler = async request => ({ status: 200, body: String(request.body.length) })
+    budget = new ClientBudget(HOST)
+    const metrics = { count: (name: string, labels?: Record<string, string>) => { if (name === 'client_rejections') rejections.push(labels?.['reason'] ?? '') }, gauge () {}, duration () {} }
+    listener = new HttpListener('front', async request => await handler(request), logger, metrics, budget)
+    listener.setLimits(limits)
+    address = await listener.listen('127.0.0.1:0')
+  })
+  afterEach(() => {
+    for (const socket of sockets.splice(0)) socket.destroy()
+    listener.dispose()
+  })
+
+  async function open (raw = ''): Promise<{ socket: Socket, text: () => string, isClosed: () => boolean }> {
+    const [host, port] = address.split(':')
+    const socket = connect(Number(port), host)
+    sockets.push(socket)
+    let text = ''
+    let isClosed = false
+    socket.on('data', chunk => { text += chunk.toString() })
+    socket.on('close', () => { isClosed = true })
+    socket.on('error', () => {})
+    socket.write(raw)
+    await sleep(20)
+    return { socket, text: () => text, isClosed: () => isClosed }
+  }
+
+  it('answers a body without progress with 408, and frees what it held', async () => {
+    const stalled = await open('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc')
+    expect(budget.usedBytes('front')).toBeGreaterThan(0)
+    await waitUntil('the body has timed out', () => stalled.isClosed())
+    expect(stalled.text()).toInclude(' 408 ')
+    expect(rejections).toEqual(['body_timeout'])
+    await waitUntil('the memory is free', () => budget.usedBytes('front') === 0)
+  })
+
+  // Guards against clients that send a byte now and then, which no idle timeout ends.
+  it('answers a body that arrives too slowly with 408', async () => {
+    const slow = await open('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n')
+    const timer = setInterval(() => slow.socket.write('x'), 100)
+    await waitUntil('the body has timed out', () => slow.isClosed())
+    clearInterval(timer)
+    expect(slow.text()).toInclude(' 408 ')
+  })
+
+  it('closes a connection with empty lines after a response, and keeps an idle one', async () => {
+    const [idle, empty] = [await open(GET), await open(GET)]
+    const timer = setInterval(() => empty.socket.write('\r\n'), 50)
+    await waitUntil('the connection is closed', () => empty.isClosed())
+    clearInterval(timer)
+    expect([idle.isClosed(), rejections]).toEqual([false, ['header_timeout']])
+  })
+
+  it('refuses a header section over the limit before its end', async () => {
+    const long = await open(`GET / HTTP/1.1\r\nHost: h\r\nX: ${'x'.repeat(600)}`)
+    await waitUntil('the connection is closed', () => long.isClosed())
+    expect([long.text().slice(0, 12), rejections]).toEqual(['HTTP/1.1 431', ['header_bytes']])
+  })
+
+  // Guards against new connections that take the place of callers within the limits.
+  it('closes the connection without progress for the longest time when there are too many, but no running request and no idle caller', async () => {
+    handler = async request => {
+      if (request.path === '/slow') await sleep(300)
+      return { status: 200, body: 'done' }
+    }
+    const [idle, running] = [await open(GET), await open('GET /slow HTTP/1.1\r\nHost: h\r\n\r\n')]
+    const silent = []
+    for (let count = 0; count < FRONT_CONNECTIONS; count++) silent.push(await open('GET / HTTP/1.1\r\n'))
+    expect(silent.map(({ isClosed }) => isClosed())).toEqual([true, true, ...Array<boolean>(FRONT_CONNECTIONS - 2).fill(false)])
+    await waitUntil('the slow request is answered', () => running.text().includes('done'))
+    idle.socket.write(GET)
+    await waitUntil('the idle connection is used again', () => idle.text().split('200 OK').length === 3)
+  })
+
+  it('closes a connection whose response is not read when others need the memory, and counts it until then', async () => {
+    const size = Math.floor(budget.maxBytes * 0.6)
+    handler = async () => ({ status: 200, body: Buffer.alloc(size) })
+    const slow = await open()
+    slow.socket.pause()
+    slow.socket.write(GET)
+    await waitUntil('the response is counted', () => budget.usedBytes('front') >= size)
+    const reader = await open()
+    let readBytes = 0
+    reader.socket.on('data', chunk => { readBytes += chunk.length })
+    reader.socket.write(GET)
+    await waitUntil('the other response is read', () => readBytes > size)
+    expect(rejections).toEqual(['memory'])
+    await waitUntil('the memory is free', () => budget.usedBytes('front') === 0)
+  })
+
+  it('serves large bodies of any chunking one after the other, and frees each', async () => {
+    for (let count = 0; count < 3; count++) {
+      const caller = await open('POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n')
+      for (let chunk = 0; chunk < 9; chunk++) caller.socket.write(`f4240\r\n${'x'.repeat(1_000_000)}\r\n`)
+      caller.socket.write('0\r\n\r\n')
+      await waitUntil('the body is answered', () => caller.text().includes('9000000'))
+    }
+    await waitUntil('the memory is free', () => budget.usedBytes('front') === 0)
+  })
+})
