Give bodies in tiny chunks fewer turns while the event loop is busy

The next turn now waits until the event loop has been idle for half of the time, but not over 0.5 s.

--- a/src/node/front/ChunkPacer.test.ts
+++ b/src/node/front/ChunkPacer.test.ts
@@ -1,12 +1,15 @@
-import { afterEach, describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { waitUntil } from '../../../tools/harness/waitUntil.js'
 import { ChunkPacer } from './ChunkPacer.js'
 
 const MAX_WAITING = 25
+const LONG_TURN_MS = 150
 
 describe('ChunkPacer', () => {
-  const pacer = new ChunkPacer()
+  let pacer: ChunkPacer
+
+  beforeEach(() => { pacer = new ChunkPacer() })
   afterEach(() => pacer.dispose())
 
   // Guards against bodies that wait longer than their clients do.
@@ -18,4 +21,18 @@
     expect(turns.slice(0, 3)).toEqual([0, 1, 2])
     expect(pacer.wait(() => {})).toEqual(true)
   })
+
+  // Guards against turns that take all of the processor on a slow host, where each takes longer than the interval.
+  it('leaves half of the time to other work when turns are long, and still gives some', async () => {
+    let turns = 0
+    const spin = (): void => {
+      turns += 1
+      for (const untilMs = performance.now() + LONG_TURN_MS; performance.now() < untilMs;);
+      pacer.wait(spin)
+    }
+    const startedAtMs = performance.now()
+    pacer.wait(spin)
+    await waitUntil('some had their turn', () => turns >= 4)
+    expect(performance.now() - startedAtMs).toBeGreaterThan(4 * LONG_TURN_MS + 3 * LONG_TURN_MS / 2)
+  })
 })
--- a/src/node/front/ChunkPacer.ts
+++ b/src/node/front/ChunkPacer.ts
@@ -6,13 +6,19 @@
  * turn in this time leaves over half of a core to other requests.
  */
 const TURN_INTERVAL_MS = 100
-/** Bodies that wait for a turn; the last of them waits 2.5 s. */
+/** The next turn waits while the event loop has been busy for more than this share of the time since the last one, as on a slow host. */
+const MAX_BUSY_SHARE = 0.5
+/** A turn is skipped no more often than this, so that bodies make progress on a busy host. */
+const MAX_SKIPPED_TURNS = 4
+/** Bodies that wait for a turn; the last of them waits 2.5 s, or 12.5 s on a busy host. */
 const MAX_WAITING = 25
 
 /** Lets bodies in tiny chunks be read in turn: a chunk costs far more processor time than its bytes. */
 export class ChunkPacer extends Disposable {
   private readonly _waiting: Array<() => void> = []
   private _timer?: NodeJS.Timeout
+  private _usageAtTurn = performance.eventLoopUtilization()
+  private _skippedTurns = 0
 
   constructor () {
     super()
@@ -28,6 +34,13 @@
   }
 
   private _nextTurn (): void {
+    const busyShare = performance.eventLoopUtilization(this._usageAtTurn).utilization
+    if (busyShare > MAX_BUSY_SHARE && this._skippedTurns < MAX_SKIPPED_TURNS) {
+      this._skippedTurns += 1
+      return
+    }
+    this._skippedTurns = 0
+    this._usageAtTurn = performance.eventLoopUtilization()
     this._waiting.shift()?.()
     if (this._waiting.length > 0) return
     clearInterval(this._timer)
