--- a/src/node/front/UsageRelay.test.ts
+++ b/src/node/front/UsageRelay.test.ts
@@ -6,6 +6,7 @@
 import type { UsageReceipt } from '../../common/usage/UsageReceipt.js'
 import { defaultUpstreamProtocol } from '../upstream/defaultUpstreamProtocol.js'
 import { HttpUpstreamClient } from '../upstream/HttpUpstreamClient.js'
+import { ClientBudget } from './ClientBudget.js'
 import { HttpListener } from './HttpListener.js'
 import { UsageRelay } from './UsageRelay.js'
 
@@ -31,7 +32,7 @@
         received.push(body)
         return respond()
       }, logger)
-    }, logger, metrics)
+    }, logger, metrics, new ClientBudget({ memoryMb: 210, maxFds: 2212 }))
     leaderAddress = await listener.listen('127.0.0.1:0')
     relay = new UsageRelay({ leaderAddress: () => leaderAddress } as unknown as ILeadership, '127.0.0.1:1', client, logger)
   })
