Close a connection whose header section times out in one step

The connection was shut down before it was closed, and one whose client does not read the 408 stayed until others needed its place. Run: unit tests of src/node/front, platform/soak/plannedStop.

--- a/src/node/front/ConnectionTable.ts
+++ b/src/node/front/ConnectionTable.ts
@@ -62,8 +62,7 @@
       if (nowMs > connection.headerSinceMs + this._timeouts().headerMs) {
         this._rejections.record('header_timeout')
         connection.isClosing = true
-        connection.socket.write(formatResponse('408 Request Timeout'))
-        connection.socket.destroySoon()
+        this._writeAndClose(connection.socket, formatResponse('408 Request Timeout'))
         continue
       }
       const bytes = connection.headerBytes * HEADER_COST
@@ -83,6 +82,12 @@
     setTimeout(() => socket.destroy(), LINGER_MS).unref()
   }
 
+  /** Closes the connection once the response has been written, or after a short time if the client does not read it. */
+  private _writeAndClose (socket: Socket, response: string): void {
+    socket.write(response, () => socket.destroy())
+    setTimeout(() => socket.destroy(), LINGER_MS).unref()
+  }
+
   private _remove (connection: ClientConnection): void {
     this._connections.delete(connection.socket)
     this._budget.release(connection)
