Judge demand only while this entry performs the duty of scaling

Found by review, from the code: an entry that had run for two minutes without leading had recorded no demand, since batches run at the leader, and could give upstreams back right after it took over. The history now starts when the entry gets the duty. StepReporter measures its interval with the monotonic clock.

--- a/src/common/batch/StepReporter.ts
+++ b/src/common/batch/StepReporter.ts
@@ -11,20 +11,22 @@
 
 /** Logs each open step once a second, and once when it misses its deadline. */
 export class StepReporter {
-  private _reportedAtMs = 0
+  /** In terms of `performance.now()`. */
+  private _reportedAtMs = Number.NEGATIVE_INFINITY
   private readonly _late = new WeakSet<Batch>()
 
   constructor (private readonly _estimator: LengthEstimator, private readonly _logger: ILogger, private readonly _metrics: IMetrics) {}
 
+  /** `nowMs` is in Unix milliseconds, as the deadlines are. */
   reportIfDue (steps: ReadonlyArray<StepView & { engines: readonly EngineView[] }>, nowMs: number): void {
-    if (nowMs - this._reportedAtMs < INTERVAL_MS) return
-    this._reportedAtMs = nowMs
+    if (performance.now() - this._reportedAtMs < INTERVAL_MS) return
+    this._reportedAtMs = performance.now()
     let waiting = 0
     let yielding = 0
     for (const step of steps) {
       const fields = this._describe(step, nowMs)
       waiting += fields.waiting
-      yielding += Number(fields.yielded)
+      yielding += Number(fields.yielding)
       this._logger.info(fields, 'batch_step_status')
       if (nowMs > step.deadlineAtMs && !this._late.has(step.batch)) {
         this._late.add(step.batch)
@@ -52,7 +54,7 @@
       usable_slots: usableSlots,
       expected_ms: expectedMs === undefined ? undefined : Math.round(expectedMs),
       due_in_ms: Math.round(step.deadlineAtMs - nowMs),
-      yielded: isYielding(step, nowMs)
+      yielding: isYielding(step, nowMs)
     }
   }
 }
--- a/src/common/scaling/Autoscaler.test.ts
+++ b/src/common/scaling/Autoscaler.test.ts
@@ -31,7 +31,7 @@
     const scaling = { minCount: 1, maxCount: 4, bootMs: 4000, priceByDomain: new Map([['a', 1]]) }
     const routes = { config: { services: new Map([['s', { name: 's', scaling }]]) } } as unknown as IRouteTable
     const client = { order: async (order: ScalingOrder) => { orders.push(order); return outcome } }
-    autoscaler = new Autoscaler({ holder: 'e', token: () => token, isFleetKnown: () => isFleetKnown }, fleet, routes, { countWaitingFor: () => waiting }, client, logger, metrics)
+    autoscaler = new Autoscaler({ holder: 'e', token: () => token, isFleetKnown: () => isFleetKnown }, fleet, routes, { countWaitingItemsOfService: () => waiting }, client, logger, metrics)
   })
   afterEach(() => {
     autoscaler.dispose()
@@ -70,6 +70,25 @@
     expect(orders).toEqual([])
   })
 
+  // Guards against a new holder that gives upstreams back, because it saw no demand while another entry led.
+  it('does not judge the demand by what it saw before it had the duty', async () => {
+    token = undefined
+    waiting = 0
+    for (const upstream of fleet.all()) upstream.outstanding = 0
+    await time.advance(130_000)
+    token = 7
+    for (const upstream of fleet.all()) upstream.outstanding = 6
+    await time.advance(30_000)
+    expect(orders).toEqual([])
+  })
+
+  // Guards against upstreams that nobody counts, so that too many are ordered, or none.
+  it('counts upstreams in failure domains without a price', async () => {
+    fleet.apply({ id: 'u3', startedAtMs: 0, service: 's', address: 'u3', failureDomain: 'unpriced', slots: 30, isDraining: false, versions: new Map() })
+    await time.advance(10_000)
+    expect(orders).toEqual([])
+  })
+
   it('tries again some time after none were available', async () => {
     outcome = 'unavailable'
     await time.advance(9000, 100)
--- a/src/common/scaling/Autoscaler.ts
+++ b/src/common/scaling/Autoscaler.ts
@@ -55,21 +55,28 @@
   }
 
   private _tick (): void {
+    if (this._options.token() === undefined) {
+      // Only the leader sees the demand of batches, so what another entry recorded would look like none.
+      this._histories.clear()
+      return
+    }
     for (const { name, scaling } of this._routes.config?.services.values() ?? []) {
       if (scaling === undefined) continue
       const upstreams = this._fleet.listAvailable(name)
       const history = this._histories.get(name) ?? new DemandHistory(PEAK_WINDOW_MS)
       this._histories.set(name, history)
-      history.record({ running: sum(upstreams.map(({ outstanding }) => outstanding)), waiting: this._workload.countWaitingFor(name) })
-      const token = this._options.token()
-      if (token === undefined || this._isOrdering || !this._options.isFleetKnown() || upstreams.length === 0) continue
+      history.record({ running: sum(upstreams.map(({ outstanding }) => outstanding)), waiting: this._workload.countWaitingItemsOfService(name) })
+      if (this._isOrdering || !this._options.isFleetKnown() || upstreams.length === 0) continue
       const order = this._plan(name, scaling, upstreams, history)
-      if (order !== undefined) this._send(order, scaling, token).catch((fault: unknown) => this._logger.error({ service: name, reason: String(fault) }, 'scaling_fault'))
+      const token = this._options.token()
+      if (order !== undefined && token !== undefined) this._sendInBackground(order, scaling, token)
     }
   }
 
   private _plan (service: string, config: ScalingConfig, upstreams: readonly FleetUpstream[], history: DemandHistory): ScalingOrder | undefined {
-    const domains = [...config.priceByDomain.keys()].map(failureDomain => this._capacityOf(service, failureDomain, upstreams))
+    // The price of a failure domain may be missing, but its upstreams count.
+    const names = new Set([...config.priceByDomain.keys(), ...upstreams.map(({ member }) => member.failureDomain)])
+    const domains = [...names].map(failureDomain => this._capacityOf(service, failureDomain, upstreams))
     return planScaling({
       service,
       config,
@@ -97,10 +104,15 @@
     return pending !== undefined && performance.now() < pending.untilMs ? pending.count : listed
   }
 
-  private async _send (order: ScalingOrder, config: ScalingConfig, token: number): Promise<void> {
+  private _sendInBackground (order: ScalingOrder, config: ScalingConfig, token: number): void {
     this._isOrdering = true
+    this._send(order, config, token)
+      .catch((fault: unknown) => this._logger.error({ service: order.service, reason: String(fault) }, 'scaling_fault'))
+      .finally(() => { this._isOrdering = false })
+  }
+
+  private async _send (order: ScalingOrder, config: ScalingConfig, token: number): Promise<void> {
     const outcome = await this._client.order(order, this._options.holder, token)
-    this._isOrdering = false
     const nowMs = performance.now()
     const key = toKey(order)
     // An order without a response may have been executed; counting it avoids a second one for the same upstreams.
