--- a/src/common/organisation/CallerAuthenticator.test.ts
+++ b/src/common/organisation/CallerAuthenticator.test.ts
@@ -9,7 +9,7 @@
 describe('CallerAuthenticator', () => {
   let time: VirtualTime
   let organisations: { isConfigured: boolean, isEnabled: boolean, find: (apiKey: string) => { name: string, keyDigests: [] } | undefined }
-  let isProved: boolean
+  let isFresh: boolean
   let lines: string[]
   let counts: string[]
   let authenticator: CallerAuthenticator
@@ -17,11 +17,11 @@
   beforeEach(() => {
     time = new VirtualTime()
     organisations = { isConfigured: true, isEnabled: true, find: apiKey => apiKey === KEY ? { name: 'huka', keyDigests: [] } : undefined }
-    isProved = true
+    isFresh = true
     lines = []
     counts = []
     const log = (fields: Record<string, unknown>, event: string): void => { lines.push(`${event} ${JSON.stringify(fields)}`) }
-    authenticator = new CallerAuthenticator(organisations, { isProved: () => isProved }, { info: log, warn: log, error: log, debug: log }, {
+    authenticator = new CallerAuthenticator(organisations, { isFresh: () => isFresh }, { info: log, warn: log, error: log, debug: log }, {
       count: (name, labels) => counts.push(`${name} ${JSON.stringify(labels)}`),
       gauge () {},
       duration () {}
@@ -41,16 +41,16 @@
     expect([KEY, UNKNOWN_KEY, undefined].map(key => outcome(key, true))).toEqual(['', '', ''])
   })
 
-  it('needs no key, and no proof, where no organisations are configured', () => {
+  it('needs no key, and no fresh configuration, where no organisations are configured', () => {
     organisations.isEnabled = false
-    isProved = false
+    isFresh = false
     expect([KEY, UNKNOWN_KEY, undefined].map(key => outcome(key))).toEqual(['', '', ''])
   })
 
   // Guards against 401 for a key that was added in a configuration that this process has not read.
-  it('refuses all keys alike while the configuration is not proved, but serves public routes', () => {
-    isProved = false
-    expect([KEY, UNKNOWN_KEY, undefined].map(key => outcome(key))).toEqual(Array(3).fill('config_unproved'))
+  it('refuses all keys alike while the configuration is stale, but serves public routes', () => {
+    isFresh = false
+    expect([KEY, UNKNOWN_KEY, undefined].map(key => outcome(key))).toEqual(Array(3).fill('config_stale'))
     expect(outcome(undefined, true)).toEqual('')
   })
 
@@ -58,14 +58,14 @@
   it('refuses everything without a configuration, and never because of the key', () => {
     organisations.isConfigured = false
     organisations.isEnabled = false
-    expect([outcome(KEY), outcome(undefined), outcome(undefined, true)]).toEqual(Array(3).fill('config_unproved'))
+    expect([outcome(KEY), outcome(undefined), outcome(undefined, true)]).toEqual(Array(3).fill('config_stale'))
   })
 
   it('counts each refusal by route and reason, and logs them without the key', async () => {
     for (const key of [UNKNOWN_KEY, undefined, KEY]) outcome(key)
-    isProved = false
+    isFresh = false
     outcome(KEY)
-    expect(counts).toEqual(['unknown_key', 'key_missing', 'config_unproved'].map(reason => `keys_refused ${JSON.stringify({ route: 'orders', reason })}`))
+    expect(counts).toEqual(['unknown_key', 'key_missing', 'config_stale'].map(reason => `keys_refused ${JSON.stringify({ route: 'orders', reason })}`))
     expect(lines.length).toEqual(3)
     expect([...lines, ...counts].filter(line => line.includes('secret'))).toEqual([])
   })
--- a/src/common/organisation/CallerAuthenticator.ts
+++ b/src/common/organisation/CallerAuthenticator.ts
@@ -6,7 +6,7 @@
 /** Minimum time between two lines about refusals of one route for one reason, since unknown callers cause them. */
 const LOG_INTERVAL_MS = 1000
 
-type KeyError = 'unknown_key' | 'config_unproved'
+type KeyError = 'unknown_key' | 'config_stale'
 
 /** `config_missing` and `key_missing` tell operators more than the errors of which they are kinds. */
 type RefusalReason = KeyError | 'config_missing' | 'key_missing'
@@ -23,21 +23,21 @@
 
   constructor (
     private readonly _organisations: IOrganisations,
-    private readonly _freshness: { isProved (): boolean },
+    private readonly _freshness: { isFresh (): boolean },
     private readonly _logger: ILogger,
     private readonly _metrics: IMetrics
   ) {}
 
   /**
    * Returns the organisation that holds the key; undefined on public routes and where callers need no key. An error
-   * `config_unproved` says nothing about the key: it also stands for a process without any configuration. `route` is
+   * `config_stale` says nothing about the key: it also stands for a process without any configuration. `route` is
    * the route's name, for logs and metrics.
    */
   authenticate (apiKey: string | undefined, isPublic: boolean, route = ''): Result<Organisation | undefined, KeyError> {
-    if (!this._organisations.isConfigured) return this._refuse('config_unproved', 'config_missing', route)
+    if (!this._organisations.isConfigured) return this._refuse('config_stale', 'config_missing', route)
     if (isPublic || !this._organisations.isEnabled) return ok(undefined)
     // A key that this configuration lacks may be in a newer one, so its age is checked before the key.
-    if (!this._freshness.isProved()) return this._refuse('config_unproved', 'config_unproved', route)
+    if (!this._freshness.isFresh()) return this._refuse('config_stale', 'config_stale', route)
     if (apiKey === undefined || apiKey === '') return this._refuse('unknown_key', 'key_missing', route)
     const organisation = this._organisations.find(apiKey)
     return organisation === undefined ? this._refuse('unknown_key', 'unknown_key', route) : ok(organisation)
--- a/src/common/organisation/ConfigFreshness.test.ts
+++ b/src/common/organisation/ConfigFreshness.test.ts
@@ -16,7 +16,7 @@
   describe('with clocks that the test controls', () => {
     let wallMs: number
     let monotonicMs: number
-    let proof: { provedAtMs: number }
+    let source: { upToDateAtMs: number }
     let freshness: ConfigFreshness
     let lines: string[]
     let counts: string[]
@@ -27,11 +27,11 @@
       mock.method(Date, 'now', () => wallMs)
       mock.method(performance, 'now', () => monotonicMs)
       mock.timers.enable({ apis: ['setInterval'] })
-      proof = { provedAtMs: Number.NEGATIVE_INFINITY }
+      source = { upToDateAtMs: Number.NEGATIVE_INFINITY }
       lines = []
       counts = []
       const log = (fields: Record<string, unknown>, event: string): void => { lines.push(`${event} ${String(fields['reason'] ?? '')}`.trim()) }
-      freshness = new ConfigFreshness(MAX_AGE_MS, proof, { info: log, warn: log, error: log, debug: log }, {
+      freshness = new ConfigFreshness(MAX_AGE_MS, source, { info: log, warn: log, error: log, debug: log }, {
         ...metrics,
         count: (name, labels) => counts.push(`${name} ${Object.values(labels ?? {}).join()}`.trim())
       })
@@ -47,108 +47,108 @@
       wallMs += durationMs
       monotonicMs += durationMs
     }
-    function prove (): void {
-      proof.provedAtMs = monotonicMs
+    function refresh (): void {
+      source.upToDateAtMs = monotonicMs
     }
 
-    it('is not proved before the first read', () => {
-      expect(freshness.isProved()).toEqual(false)
-      prove()
-      expect(freshness.isProved()).toEqual(true)
+    it('is stale before the first read', () => {
+      expect(freshness.isFresh()).toEqual(false)
+      refresh()
+      expect(freshness.isFresh()).toEqual(true)
     })
 
-    it('is proved for less than the maximum age', () => {
-      prove()
+    it('is fresh for less than the maximum age', () => {
+      refresh()
       pass(MAX_AGE_MS - 600)
-      expect(freshness.isProved()).toEqual(true)
+      expect(freshness.isFresh()).toEqual(true)
       pass(200)
-      expect(freshness.isProved()).toEqual(false)
+      expect(freshness.isFresh()).toEqual(false)
     })
 
     // Guards against a process that is frozen with its timers, and uses its old state for the first requests after it.
-    it('is not proved after a freeze, without a timer that fires in between', () => {
-      prove()
-      expect(freshness.isProved()).toEqual(true)
+    it('is stale after a freeze, without a timer that fires in between', () => {
+      refresh()
+      expect(freshness.isFresh()).toEqual(true)
       pass(60_000)
-      expect(freshness.isProved()).toEqual(false)
-      prove()
-      expect(freshness.isProved()).toEqual(true)
+      expect(freshness.isFresh()).toEqual(false)
+      refresh()
+      expect(freshness.isFresh()).toEqual(true)
     })
 
     // Guards against a monotonic clock that stops in a suspension, so that an old configuration appears new.
     it('counts only reads sent after a suspension', () => {
-      prove()
+      refresh()
       pass(10)
       wallMs += 30_000
-      expect(freshness.isProved()).toEqual(false)
+      expect(freshness.isFresh()).toEqual(false)
       // The response to a read that was sent before the suspension arrives after it.
-      proof.provedAtMs = monotonicMs - 5
+      source.upToDateAtMs = monotonicMs - 5
       pass(100)
-      expect(freshness.isProved()).toEqual(false)
-      prove()
-      expect(freshness.isProved()).toEqual(true)
+      expect(freshness.isFresh()).toEqual(false)
+      refresh()
+      expect(freshness.isFresh()).toEqual(true)
     })
 
     // Guards against suspensions that are each too short to be detected.
-    it('is not proved after short suspensions that exceed the maximum age with the time in between', () => {
-      prove()
+    it('is stale after short suspensions that exceed the maximum age with the time in between', () => {
+      refresh()
       for (let count = 0; count < 12; count++) {
         pass(90)
         wallMs += 380
-        freshness.isProved()
+        freshness.isFresh()
       }
-      expect(freshness.isProved()).toEqual(false)
-      prove()
+      expect(freshness.isFresh()).toEqual(false)
+      refresh()
       pass(4650)
       wallMs += 390
-      expect(freshness.isProved()).toEqual(false)
+      expect(freshness.isFresh()).toEqual(false)
     })
 
     for (const stepMs of [3_600_000, -3_600_000, 600, -600]) {
       it(`counts only reads sent after a step of the wall clock by ${stepMs} ms`, () => {
-        prove()
+        refresh()
         pass(10)
         wallMs += stepMs
-        expect(freshness.isProved()).toEqual(false)
+        expect(freshness.isFresh()).toEqual(false)
         pass(100)
-        prove()
-        expect(freshness.isProved()).toEqual(true)
+        refresh()
+        expect(freshness.isFresh()).toEqual(true)
       })
     }
 
     it('detects a suspension between requests by its timer, before a step back hides it', () => {
-      prove()
+      refresh()
       wallMs += 30_000
       mock.timers.tick(100)
       wallMs -= 30_000
-      expect(freshness.isProved()).toEqual(false)
+      expect(freshness.isFresh()).toEqual(false)
     })
 
     it('logs and counts the changes and their reason, without requests too', () => {
-      prove()
+      refresh()
       mock.timers.tick(100)
       pass(MAX_AGE_MS)
       mock.timers.tick(300)
-      prove()
+      refresh()
       mock.timers.tick(100)
       wallMs += 1000
       mock.timers.tick(100)
-      expect(lines).toEqual(['config_proved', 'config_unproved age', 'config_proved', 'config_clock_jumped', 'config_unproved clock_jump'])
-      expect(counts).toEqual(['config_unproved age', 'config_clock_jumps', 'config_unproved clock_jump'])
+      expect(lines).toEqual(['config_fresh', 'config_stale age', 'config_fresh', 'config_clock_jumped', 'config_stale clock_jump'])
+      expect(counts).toEqual(['config_stale age', 'config_clock_jumps', 'config_stale clock_jump'])
     })
 
     // The requirement as a whole: no sequence of faults makes a configuration seem newer than it is.
-    it('is never proved later than the maximum age after the send time of the last read, in true time', () => {
+    it('is never fresh later than the maximum age after the send time of the last read, in true time', () => {
       const step = fc.record({
         kind: fc.constantFrom('pass' as const, 'suspend', 'step clock', 'read', 'request'),
         durationMs: fc.oneof(fc.integer({ min: 0, max: 399 }), fc.integer({ min: 0, max: 8000 })),
         isBack: fc.boolean()
       })
       fc.assert(fc.property(fc.array(step, { maxLength: 40 }), steps => {
-        proof.provedAtMs = Number.NEGATIVE_INFINITY
-        const subject = new ConfigFreshness(MAX_AGE_MS, proof, logger, metrics)
+        source.upToDateAtMs = Number.NEGATIVE_INFINITY
+        const subject = new ConfigFreshness(MAX_AGE_MS, source, logger, metrics)
         let trueMs = 0
-        let provedAtTrueMs = Number.NEGATIVE_INFINITY
+        let upToDateAtTrueMs = Number.NEGATIVE_INFINITY
         for (const { kind, durationMs, isBack } of steps) {
           if (kind === 'pass' || kind === 'suspend') {
             trueMs += durationMs
@@ -156,14 +156,14 @@
             if (kind === 'pass') monotonicMs += durationMs
           } else if (kind === 'step clock') {
             // Between two checks of the timer, either a suspension or a step happens.
-            subject.isProved()
+            subject.isFresh()
             wallMs += isBack ? -durationMs - 400 : durationMs + 400
-            subject.isProved()
+            subject.isFresh()
           } else if (kind === 'read') {
-            prove()
-            provedAtTrueMs = trueMs
+            refresh()
+            upToDateAtTrueMs = trueMs
           }
-          if (subject.isProved() && trueMs - provedAtTrueMs > MAX_AGE_MS) throw new Error(`proved ${trueMs - provedAtTrueMs} ms after the last read`)
+          if (subject.isFresh() && trueMs - upToDateAtTrueMs > MAX_AGE_MS) throw new Error(`fresh ${trueMs - upToDateAtTrueMs} ms after the last read`)
         }
         subject.dispose()
       }), { numRuns: 2000 })
@@ -194,39 +194,39 @@
       time.restore()
     })
 
-    /** Time without a proof while `durationMs` pass. */
-    async function unprovedMs (durationMs: number): Promise<number> {
+    /** Time for which it is stale while `durationMs` pass. */
+    async function staleMs (durationMs: number): Promise<number> {
       let sumMs = 0
       for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
         await time.advance(10)
-        if (!freshness.isProved()) sumMs += 10
+        if (!freshness.isFresh()) sumMs += 10
       }
       return sumMs
     }
 
-    it('stays proved without changes and with one lost response', async () => {
-      expect(await unprovedMs(20_000)).toEqual(0)
+    it('stays fresh without changes and with one lost response', async () => {
+      expect(await staleMs(20_000)).toEqual(0)
       let reads = 0
       isResponseLost = () => ++reads === 3
-      expect(await unprovedMs(20_000)).toEqual(0)
+      expect(await staleMs(20_000)).toEqual(0)
       expect(reads > 3).toEqual(true)
     })
 
     it('ends within the maximum age of a partition, and is back soon after it', async () => {
       client.isCutOff = true
       await time.advance(MAX_AGE_MS)
-      expect(freshness.isProved()).toEqual(false)
-      expect(await unprovedMs(10_000)).toEqual(10_000)
+      expect(freshness.isFresh()).toEqual(false)
+      expect(await staleMs(10_000)).toEqual(10_000)
       client.isCutOff = false
       // A read that was lost in the partition times out after 2.2 s.
-      expect(await unprovedMs(8000) <= 3000).toEqual(true)
-      expect(freshness.isProved()).toEqual(true)
+      expect(await staleMs(8000) <= 3000).toEqual(true)
+      expect(freshness.isFresh()).toEqual(true)
     })
   })
 
-  it('is always proved without a maximum age', () => {
-    const subject = new ConfigFreshness(undefined, { provedAtMs: Number.NEGATIVE_INFINITY }, logger, metrics)
-    expect(subject.isProved()).toEqual(true)
+  it('is always fresh without a maximum age', () => {
+    const subject = new ConfigFreshness(undefined, { upToDateAtMs: Number.NEGATIVE_INFINITY }, logger, metrics)
+    expect(subject.isFresh()).toEqual(true)
     subject.dispose()
   })
 })
--- a/src/common/organisation/ConfigFreshness.ts
+++ b/src/common/organisation/ConfigFreshness.ts
@@ -10,20 +10,20 @@
 const CHECK_INTERVAL_MS = 100
 
 /**
- * Tells whether the configuration in force is proved to have been the newest one recently enough. After a suspension or
+ * Tells whether the configuration in force is known to have been the newest one recently enough. After a suspension or
  * a step of the wall clock, only reads that were sent afterwards count, because ages across it are unknown.
  */
 export class ConfigFreshness extends Disposable {
   private readonly _clockJumps = new ClockJumpDetector()
   private _jumpedAtMs = Number.NEGATIVE_INFINITY
-  private _isProved = false
-  /** `performance.now()` since which the configuration is not proved; undefined before it was so for the first time. */
-  private _unprovedSinceMs?: number
+  private _isFresh = false
+  /** `performance.now()` since which the configuration is stale; undefined before it was so for the first time. */
+  private _staleSinceMs?: number
 
-  /** With an undefined `maxAgeMs`, the configuration is always proved. `provedAtMs` is in terms of `performance.now()`. */
+  /** With an undefined `maxAgeMs`, the configuration is always fresh. `upToDateAtMs` is in terms of `performance.now()`. */
   constructor (
     private readonly _maxAgeMs: number | undefined,
-    private readonly _proof: { readonly provedAtMs: number },
+    private readonly _source: { readonly upToDateAtMs: number },
     private readonly _logger: ILogger,
     private readonly _metrics: IMetrics
   ) {
@@ -33,19 +33,19 @@
     this._register(toDisposable(() => clearInterval(timer)))
   }
 
-  /** Checks the clocks and the proof; to be called for each request, since timers fire late after a freeze. */
-  isProved (): boolean {
+  /** Checks the clocks and the age; to be called for each request, since timers fire late after a freeze. */
+  isFresh (): boolean {
     return this._maxAgeMs === undefined || this._check(this._maxAgeMs)
   }
 
   private _check (maxAgeMs: number): boolean {
     this._checkClocks()
-    const { provedAtMs } = this._proof
-    const ageMs = performance.now() - provedAtMs
-    const isCurrent = provedAtMs > this._jumpedAtMs
-    if (Number.isFinite(ageMs)) this._metrics.gauge('config_proof_age_ms', Math.round(ageMs))
-    this._setProved(isCurrent && ageMs <= maxAgeMs - MARGIN_MS, { age_ms: Math.round(ageMs), max_age_ms: maxAgeMs, reason: isCurrent ? 'age' : 'clock_jump' })
-    return this._isProved
+    const { upToDateAtMs } = this._source
+    const ageMs = performance.now() - upToDateAtMs
+    const isCurrent = upToDateAtMs > this._jumpedAtMs
+    if (Number.isFinite(ageMs)) this._metrics.gauge('config_age_ms', Math.round(ageMs))
+    this._setFresh(isCurrent && ageMs <= maxAgeMs - MARGIN_MS, { age_ms: Math.round(ageMs), max_age_ms: maxAgeMs, reason: isCurrent ? 'age' : 'clock_jump' })
+    return this._isFresh
   }
 
   private _checkClocks (): void {
@@ -56,16 +56,16 @@
     this._logger.warn({ jump_ms: Math.round(jumpMs) }, 'config_clock_jumped')
   }
 
-  private _setProved (isProved: boolean, fields: { age_ms: number, max_age_ms: number, reason: string }): void {
-    if (isProved === this._isProved) return
-    this._isProved = isProved
-    if (isProved) {
-      const unprovedForMs = this._unprovedSinceMs === undefined ? undefined : Math.round(performance.now() - this._unprovedSinceMs)
-      this._logger.info({ age_ms: fields.age_ms, unproved_for_ms: unprovedForMs }, 'config_proved')
+  private _setFresh (isFresh: boolean, fields: { age_ms: number, max_age_ms: number, reason: string }): void {
+    if (isFresh === this._isFresh) return
+    this._isFresh = isFresh
+    if (isFresh) {
+      const staleForMs = this._staleSinceMs === undefined ? undefined : Math.round(performance.now() - this._staleSinceMs)
+      this._logger.info({ age_ms: fields.age_ms, stale_for_ms: staleForMs }, 'config_fresh')
       return
     }
-    this._unprovedSinceMs = performance.now()
-    this._metrics.count('config_unproved', { reason: fields.reason })
-    this._logger.warn(fields, 'config_unproved')
+    this._staleSinceMs = performance.now()
+    this._metrics.count('config_stale', { reason: fields.reason })
+    this._logger.warn(fields, 'config_stale')
   }
 }
--- a/src/common/store/KeyedTail.test.ts
+++ b/src/common/store/KeyedTail.test.ts
@@ -62,9 +62,9 @@
     expect(performance.now() - tail.reachableSinceMs < 2000).toEqual(true)
   })
 
-  describe('proves that its records are the newest', () => {
-    /** Age of the proof. */
-    const ageMs = (): number => performance.now() - tail.provedAtMs
+  describe('knows that its records are the newest', () => {
+    /** Age of the newest records. */
+    const ageMs = (): number => performance.now() - tail.upToDateAtMs
 
     // Guards against removed keys that are accepted for as long as a response takes, because its arrival counts.
     it('up to the time at which a read was sent, and not at which its response arrived', async () => {
@@ -76,13 +76,13 @@
       tail.dispose()
       tail = new KeyedTail(delayed, 'topic', testServices().logger)
       for (const key of ['a', 'b', 'c', 'd', 'e']) store.write('topic', key, key)
-      expect(tail.provedAtMs).toEqual(Number.NEGATIVE_INFINITY)
+      expect(tail.upToDateAtMs).toEqual(Number.NEGATIVE_INFINITY)
       tail.start()
       await time.advance(700)
       // Both pages of the snapshot have been read; the first was sent before the second.
-      expect([tail.isSynced, tail.provedAtMs === sentAtMs[0], (sentAtMs[1] ?? 0) > tail.provedAtMs]).toEqual([true, true, true])
+      expect([tail.isSynced, tail.upToDateAtMs === sentAtMs[0], (sentAtMs[1] ?? 0) > tail.upToDateAtMs]).toEqual([true, true, true])
       await time.advance(1400)
-      expect(tail.provedAtMs).toEqual(sentAtMs[2] ?? 0)
+      expect(tail.upToDateAtMs).toEqual(sentAtMs[2] ?? 0)
     })
 
     it('also by reads that return nothing', async () => {
@@ -92,21 +92,21 @@
       expect(ageMs()).toBeLessThanOrEqual(2100)
     })
 
-    // Guards against a proof from a response that ends before the record that removes a key.
+    // Guards against an age that counts from a response that ends before the record that removes a key.
     it('only when it has read up to the end of the topic', async () => {
       tail.start()
       await time.advance(20)
       store.isDown = true
       await time.advance(1500)
       for (let count = 0; count < 4; count++) store.write('topic', `key-${count}`, count)
-      const provedAtMs: number[] = []
-      tail.onRecord(() => provedAtMs.push(tail.provedAtMs))
-      const provedBeforeMs = tail.provedAtMs
+      const upToDateAtMs: number[] = []
+      tail.onRecord(() => upToDateAtMs.push(tail.upToDateAtMs))
+      const provedBeforeMs = tail.upToDateAtMs
       store.maxReadRecords = 1
       store.isDown = false
       await time.advance(1000)
-      expect(provedAtMs).toEqual(Array(4).fill(provedBeforeMs))
-      expect(tail.provedAtMs > provedBeforeMs).toEqual(true)
+      expect(upToDateAtMs).toEqual(Array(4).fill(provedBeforeMs))
+      expect(tail.upToDateAtMs > provedBeforeMs).toEqual(true)
     })
 
     it('no further while reads fail, and again soon after', async () => {
@@ -126,13 +126,13 @@
       store.write('topic', 'a', 1)
       tail.start()
       await time.advance(20)
-      const { provedAtMs } = tail
+      const { upToDateAtMs } = tail
       store.read = (_topic, fromOffset) => new ResultAsync(new Promise(resolve => {
         setTimeout(() => resolve(ok({ records: [], nextOffset: fromOffset, endOffset: 0 })), 10)
       }))
       await time.advance(3000)
-      // Only the read that was under way, with a sound response, proves anything.
-      expect([tail.provedAtMs - provedAtMs <= 1100, ageMs() >= 1800]).toEqual([true, true])
+      // Only the read that was under way, with a sound response, counts.
+      expect([tail.upToDateAtMs - upToDateAtMs <= 1100, ageMs() >= 1800]).toEqual([true, true])
     })
   })
 })
--- a/src/common/store/KeyedTail.ts
+++ b/src/common/store/KeyedTail.ts
@@ -23,7 +23,7 @@
   private _isReachable = false
   private _reachableSinceMs = Number.NEGATIVE_INFINITY
   private _lastReadAtMs = Number.NEGATIVE_INFINITY
-  private _provedAtMs = Number.NEGATIVE_INFINITY
+  private _upToDateAtMs = Number.NEGATIVE_INFINITY
   private _hasFailed = false
 
   constructor (
@@ -53,12 +53,12 @@
   }
 
   /**
-   * `performance.now()` up to which the records that were reported are proved to be the newest: when the latest read
-   * was sent whose response reached the end of the topic. The arrival of a response proves nothing, since records may
+   * `performance.now()` up to which the records that were reported are known to be the newest: when the latest read
+   * was sent whose response reached the end of the topic. The arrival of a response says nothing, since records may
    * have been appended while it was under way.
    */
-  get provedAtMs (): number {
-    return this._provedAtMs
+  get upToDateAtMs (): number {
+    return this._upToDateAtMs
   }
 
   /** `performance.now()` since which all reads have succeeded; infinity while they fail. */
@@ -100,7 +100,7 @@
       if (!presentKeys.has(key)) this._apply({ key, offset: snapshot.value.endOffset })
     }
     this._nextOffset = snapshot.value.endOffset
-    this._provedAtMs = sentAtMs
+    this._upToDateAtMs = sentAtMs
     this._onSynced.fire()
     return true
   }
@@ -118,8 +118,8 @@
     this._onReadSucceeded()
     for (const record of slice.value.records) this._apply(record)
     this._nextOffset = Math.max(fromOffset, slice.value.nextOffset)
-    // An end before the read position contradicts earlier responses, so it proves nothing.
-    if (slice.value.endOffset === this._nextOffset) this._provedAtMs = sentAtMs
+    // An end before the read position contradicts earlier responses, so it says nothing.
+    if (slice.value.endOffset === this._nextOffset) this._upToDateAtMs = sentAtMs
     return true
   }
 
