--- a/src/common/fleet/selection/updateLoadAverages.ts
+++ b/src/common/fleet/selection/updateLoadAverages.ts
@@ -1,10 +1,7 @@
 import type { LoadReading } from '../LoadReading.js'
 import type { LoadAverages } from './LoadAverages.js'
 
-/**
- * Weight of a new reading. The averages give a ratio of traffic, which changes slowly; with a weight of 0.3 in the
- * simulation a burst of own requests raised the average of the own ones and hid the other processes.
- */
+/** Weight of a new reading. The ratio of traffic changes slowly, and a burst of own requests must not hide the other processes. */
 const READING_WEIGHT = 0.05
 
 /**
