Move long runs to engines that are faster by a fifth or more

Items of 140 events and more decide when a step is complete, and on a service with speeds 1.0 and 1.3 they stayed on the slower engines: a run moved only to an engine faster by 1.6, since smaller differences were taken for noise. The move must still save 350 ms.

The check that a ratio of 1.4 with 180 remaining events is noise was wrong: such a run gains over two seconds when the difference lasts, as it does between engines of different speed.

--- a/src/common/batch/policy/shouldMove.ts
+++ b/src/common/batch/policy/shouldMove.ts
@@ -10,8 +10,11 @@
 
 /** A move costs a new connection and another prefill of the prompt, so it must save clearly more than that. */
 const MIN_GAIN_MS = 350
-/** Smaller differences are noise: other load on the host slows an engine for a fraction of a second. */
-const MIN_INTERVAL_RATIO = 1.6
+/**
+ * Smaller differences are noise. Engines of one service differ in speed by a third or more for as long as they run, and a
+ * long item that stays on a slower one completes its step seconds later.
+ */
+const MIN_INTERVAL_RATIO = 1.2
 
 /** Whether a run at an engine that is slow or about to pause should continue at another one. */
 export function shouldMove ({ eventIntervalMs, targetEventIntervalMs, remainingEvents, expectedPauseMs }: MoveCandidate): boolean {
