Free the place of a body in tiny chunks when its request ends

A request that was aborted, timed out or shed while it waited for a turn kept its place among the 25 and used a turn, so others got 503 meanwhile. ChunkPacer.wait now returns a disposable that frees the place, or undefined when too many wait, and ClientRequest disposes it. The existing checks of the boolean result became checks for undefined, as strict as before. A client that leaves while its body waits is still noticed only at its turn, because its socket is paused.

--- a/src/node/front/ChunkPacer.ts
+++ b/src/node/front/ChunkPacer.ts
@@ -1,4 +1,5 @@
 import { Disposable } from '../../common/kernel/Disposable.js'
+import type { IDisposable } from '../../common/kernel/IDisposable.js'
 import { toDisposable } from '../../common/kernel/toDisposable.js'
 
 /**
@@ -15,7 +16,7 @@
 
 /** Lets bodies in tiny chunks be read in turn: a chunk costs far more processor time than its bytes. */
 export class ChunkPacer extends Disposable {
-  private readonly _waiting: Array<() => void> = []
+  private readonly _waiting = new Set<{ readonly resume: () => void }>()
   private _timer?: NodeJS.Timeout
   private _usageAtTurn = performance.eventLoopUtilization()
   private _skippedTurns = 0
@@ -25,12 +26,13 @@
     this._register(toDisposable(() => clearInterval(this._timer)))
   }
 
-  /** Calls `resume` when it is the turn of a body; returns false if too many wait. */
-  wait (resume: () => void): boolean {
-    if (this._waiting.length >= MAX_WAITING) return false
-    this._waiting.push(resume)
+  /** Calls `resume` when it is the turn of a body, unless the result is disposed before; returns undefined if too many wait. */
+  wait (resume: () => void): IDisposable | undefined {
+    if (this._waiting.size >= MAX_WAITING) return undefined
+    const entry = { resume }
+    this._waiting.add(entry)
     this._timer ??= setInterval(() => this._nextTurn(), TURN_INTERVAL_MS).unref()
-    return true
+    return toDisposable(() => this._waiting.delete(entry))
   }
 
   private _nextTurn (): void {
@@ -41,8 +43,12 @@
     }
     this._skippedTurns = 0
     this._usageAtTurn = performance.eventLoopUtilization()
-    this._waiting.shift()?.()
-    if (this._waiting.length > 0) return
+    const [next] = this._waiting
+    if (next !== undefined) {
+      this._waiting.delete(next)
+      next.resume()
+    }
+    if (this._waiting.size > 0) return
     clearInterval(this._timer)
     this._timer = undefined
   }
--- a/src/node/front/ClientRequest.ts
+++ b/src/node/front/ClientRequest.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { ByteAccumulator } from '../../common/kernel/ByteAccumulator.js'
+import type { IDisposable } from '../../common/kernel/IDisposable.js'
 import type { ChunkPacer } from './ChunkPacer.js'
 import type { ClientBudget } from './ClientBudget.js'
 import type { ClientTimeouts } from './ClientTimeouts.js'
@@ -37,7 +38,8 @@
   /** Since the last turn of a body in tiny chunks. */
   private _turnChunks = 0
   private _turnBytes = 0
-  private _isWaiting = false
+  /** The place among the bodies that wait for a turn, while this one waits. */
+  private _place: IDisposable | undefined
   private _unwritten: Uint8Array | undefined
   private _endReading?: (result: ListenerResponse | 'aborted') => void
 
@@ -148,32 +150,33 @@
     if (this._phase === 'writing' && nowMs > this.lastProgressMs + RESPONSE_IDLE_TIMEOUTS * idleMs) this._reject('response_timeout')
     if (this._phase !== 'reading') return
     const isTooSlow = nowMs > this._startedAtMs + idleMs + this._receivedBytes / MIN_BYTES_PER_MS
-    if (isTooSlow || (!this._isWaiting && nowMs > this.lastProgressMs + idleMs)) this._reject('body_timeout', { status: 408, headers: { connection: 'close' } })
+    if (isTooSlow || (this._place === undefined && nowMs > this.lastProgressMs + idleMs)) this._reject('body_timeout', { status: 408, headers: { connection: 'close' } })
   }
 
   private _pace (chunkBytes: number): void {
     this._turnChunks += 1
     this._turnBytes += chunkBytes
-    if (this._turnChunks < TINY_CHUNK_COUNT || this._isWaiting) return
+    if (this._turnChunks < TINY_CHUNK_COUNT || this._place !== undefined) return
     const isTiny = this._turnBytes < TINY_CHUNK_BYTES * this._turnChunks
     this._turnChunks = this._turnBytes = 0
     if (!isTiny || this._endReading === undefined) return
-    if (!this._pacer.wait(() => this._endWait())) {
+    this._place = this._pacer.wait(() => this._endWait())
+    if (this._place === undefined) {
       this._reject('tiny_chunks', ClientRequest.overloadResponse())
       return
     }
-    this._isWaiting = true
     // Without the first pause, the system would pass on up to 2 MB at once. The body resumes its socket after the chunks
     // that have been received, hence the second pause.
     this.incoming.socket.pause()
     setImmediate(() => {
-      if (this._isWaiting) this.incoming.socket.pause()
+      if (this._place !== undefined) this.incoming.socket.pause()
     })
   }
 
   private _endWait (): void {
-    if (!this._isWaiting) return
-    this._isWaiting = false
+    if (this._place === undefined) return
+    this._place.dispose()
+    this._place = undefined
     this.lastProgressMs = performance.now()
     this.incoming.socket.resume()
   }
--- a/src/node/front/HttpListener.test.ts
+++ b/src/node/front/HttpListener.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
 import { testServices } from '../../common/log/test/testServices.js'
+import { waitUntil } from '../../../tools/harness/waitUntil.js'
 import { ClientBudget } from './ClientBudget.js'
 import type { ListenerResponse } from './ListenerResponse.js'
 import { HttpListener } from './HttpListener.js'
@@ -10,6 +11,11 @@
 
 const { logger, metrics } = testServices()
 const limits = { maxHeaderBytes: 500, maxBodyBytes: 100, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }
+/** As many bodies in tiny chunks may wait for a turn. */
+const MAX_WAITING = 25
+const LATER_CALLERS = 12
+/** Enough to wait for a turn once. */
+const TINY_CHUNKS = 2500
 
 describe('HttpListener', () => {
   let listener: HttpListener
@@ -95,4 +101,19 @@
     expect(busy.text()).toInclude('late')
     expect(busy.text().toLowerCase()).toInclude('connection: close')
   })
+
+  // Guards against aborted bodies that keep the places of others until their turns have come.
+  it('gives the places of bodies in tiny chunks that were aborted while they waited to others at once', async () => {
+    listener.setLimits({ ...limits, maxBodyBytes: 100_000, idleTimeoutMs: 30_000 })
+    const head = 'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+    const tinyChunks = '1\r\nx\r\n'.repeat(TINY_CHUNKS)
+    for (let count = 0; count < MAX_WAITING; count++) open().socket.write(head + tinyChunks)
+    await waitUntil('all bodies are being read', () => listener.inFlight === MAX_WAITING)
+    await sleep(100)
+    listener.cutOffPending()
+    const callers = Array.from({ length: LATER_CALLERS }, () => open())
+    for (const { socket } of callers) socket.write(`${head}${tinyChunks}0\r\n\r\n`)
+    await waitUntil('all are answered', () => callers.every(({ text }) => text().includes('\r\n\r\n')))
+    expect(callers.map(({ text }) => text().slice(0, 12))).toEqual(Array<string>(LATER_CALLERS).fill('HTTP/1.1 200'))
+  })
 })
