Close stalled and idle connections before those that advance

When connections ran short, any connection that awaited a header section, read a body or wrote a response was closed before every idle one, also one that had advanced a moment ago. Those without progress for the stall time of ClientBudget now go first, then idle ones past the reuse time. A running request is never closed. stalledSinceMs is the last progress and no start of a stall, so it is now transferProgressMs.

--- a/src/node/front/ClientBudget.ts
+++ b/src/node/front/ClientBudget.ts
@@ -33,6 +33,8 @@
  */
 export class ClientBudget {
   readonly maxBytes: number
+  /** A client without progress for this long may be closed before the others. */
+  readonly stallMs = STALL_MS
   /** Requests of callers that may run at the same time; each may need a connection to an upstream or a peer. */
   readonly maxRunningRequests: number
   private readonly _bytesByHolder = new Map<IBudgetHolder, number>()
@@ -116,7 +118,7 @@
 
   /** Closing a client of another listener that uses no more than its reserved part would make no room. */
   private _findVictim (holder: IBudgetHolder): IBudgetHolder | undefined {
-    const stalledBeforeMs = performance.now() - STALL_MS
+    const stalledBeforeMs = performance.now() - this.stallMs
     let stalled: IBudgetHolder | undefined
     let largest: { holder: IBudgetHolder, bytes: number } | undefined
     for (const [candidate, bytes] of this._bytesByHolder) {
--- a/src/node/front/ClientConnection.ts
+++ b/src/node/front/ClientConnection.ts
@@ -25,16 +25,19 @@
     return this.headerSinceMs === undefined ? 0 : this._bytesRead - this._bytesBeforeHeader
   }
 
-  /** `performance.now()` of the last progress if the connection can be closed without harm; undefined if a request may run or it is idle. */
-  get stalledSinceMs (): number | undefined {
+  /**
+   * `performance.now()` of the last progress of its header section, body or response; 0 if it is closing, undefined if a
+   * request may run or it is idle.
+   */
+  get transferProgressMs (): number | undefined {
     if (this.isClosing) return 0
     if (this.requests.size === 0) return this.headerSinceMs === undefined ? undefined : this.lastProgressMs
-    let sinceMs = 0
+    let progressMs = 0
     for (const request of this.requests) {
       if (!request.isSheddable) return undefined
-      sinceMs = Math.max(sinceMs, request.lastProgressMs)
+      progressMs = Math.max(progressMs, request.lastProgressMs)
     }
-    return sinceMs
+    return progressMs
   }
 
   /** `performance.now()` since when the connection waits for a next request; undefined if it does not. */
--- a/src/node/front/ConnectionTable.ts
+++ b/src/node/front/ConnectionTable.ts
@@ -24,7 +24,12 @@
     return this._connections.size
   }
 
-  /** Takes a new connection. When there are too many, it takes the place of the one that has made no progress for the longest time. */
+  /**
+   * Takes a new connection. When there are too many, it takes the place of the one whose header section, body or response
+   * has made no progress for the longest time, if that is at least the stall time of the budget; else of the one that has
+   * been idle for the longest time, if callers no longer reuse it; else of the one with the oldest progress. Without the
+   * last step, clients that connect within the stall time would shut out all others.
+   */
   accept (socket: Socket): void {
     if (this._connections.size >= this._budget.maxConnections(this._listener)) {
       this._rejections.record('connections')
@@ -93,16 +98,19 @@
     this._budget.release(connection)
   }
 
+  /** Never a connection whose request may run. */
   private _findVictim (): ClientConnection | undefined {
-    const reusedUntilMs = performance.now() - REUSE_SHARE * this._timeouts().idleMs
-    let stalled: { connection: ClientConnection, sinceMs: number } | undefined
+    const nowMs = performance.now()
+    const reusedUntilMs = nowMs - REUSE_SHARE * this._timeouts().idleMs
+    let slowest: { connection: ClientConnection, progressMs: number } | undefined
     let idle: { connection: ClientConnection, sinceMs: number } | undefined
     for (const connection of this._connections.values()) {
-      const { stalledSinceMs, idleSinceMs } = connection
-      if (stalledSinceMs !== undefined && stalledSinceMs < (stalled?.sinceMs ?? Infinity)) stalled = { connection, sinceMs: stalledSinceMs }
+      const { transferProgressMs, idleSinceMs } = connection
+      if (transferProgressMs !== undefined && transferProgressMs < (slowest?.progressMs ?? Infinity)) slowest = { connection, progressMs: transferProgressMs }
       if (idleSinceMs !== undefined && idleSinceMs < (idle?.sinceMs ?? reusedUntilMs)) idle = { connection, sinceMs: idleSinceMs }
     }
-    return (stalled ?? idle)?.connection
+    const isStalled = slowest !== undefined && slowest.progressMs <= nowMs - this._budget.stallMs
+    return (isStalled ? slowest : idle ?? slowest)?.connection
   }
 }
 
--- a/src/node/front/clientLimits.test.ts
+++ b/src/node/front/clientLimits.test.ts
@@ -14,6 +14,8 @@
 /** Gives the front listener the smallest number of connections. */
 const HOST = { memoryMb: 210, maxFds: 20 }
 const FRONT_CONNECTIONS = 8
+/** Longer than a client may pause, and than a caller reuses an idle connection; the listener closes an idle one later. */
+const STALLED_MS = 1300
 const MIN_TURNS_MS = 600
 const GET = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 
@@ -100,6 +102,22 @@
     await waitUntil('the idle connection is used again', () => idle.text().split('200 OK').length === 3)
   })
 
+  // Guards against new connections that take the place of clients that are sending a request, while there are others.
+  it('closes a stalled connection, then an idle one that callers no longer reuse, before those that advanced a moment ago', async () => {
+    listener.setLimits({ ...limits, headerTimeoutMs: 5000 })
+    const [idle, stalled] = [await open(GET), await open('GET / HTTP/1.1\r\n')]
+    await sleep(STALLED_MS)
+    const advancing = []
+    for (let count = 2; count < FRONT_CONNECTIONS; count++) advancing.push(await open('GET / HTTP/1.1\r\n'))
+    const closed = []
+    for (let count = 0; count < 2; count++) {
+      await open()
+      closed.push([stalled.isClosed(), idle.isClosed()])
+    }
+    expect(closed).toEqual([[true, false], [true, true]])
+    expect(advancing.map(({ isClosed }) => isClosed())).toEqual(Array<boolean>(FRONT_CONNECTIONS - 2).fill(false))
+  })
+
   it('closes a connection whose response is not read when others need the memory, and counts it until then', async () => {
     const size = Math.floor(budget.maxBytes * 0.6)
     handler = async () => ({ status: 200, body: Buffer.alloc(size) })
