Name the costs of header sections apart, and create the overload response in one place

HEADER_COST stood for two factors: the copies of a complete header section in ClientRequest, and the memory for an incomplete one in ConnectionTable. They are now HEADER_COPIES and INCOMPLETE_HEADER_COST. The 503 of an entry without room, with its Retry-After, stood in ClientRequest and HttpListener and is now created by createOverloadResponse. No change of behaviour.

--- a/src/node/front/ClientRequest.ts
+++ b/src/node/front/ClientRequest.ts
@@ -4,6 +4,7 @@
 import type { ChunkPacer } from './ChunkPacer.js'
 import type { ClientBudget } from './ClientBudget.js'
 import type { ClientTimeouts } from './ClientTimeouts.js'
+import { createOverloadResponse } from './createOverloadResponse.js'
 import type { IBudgetHolder } from './IBudgetHolder.js'
 import type { ListenerName } from './ListenerName.js'
 import type { ListenerResponse } from './ListenerResponse.js'
@@ -11,8 +12,8 @@
 
 /** Objects of a request in the process, without its header section and body. */
 const REQUEST_BYTES = 4000
-/** Memory for each byte of a header section: as received, as text, and as forwarded. */
-const HEADER_COST = 3
+/** A complete header section is in memory as received, as text, and as forwarded. */
+const HEADER_COPIES = 3
 /** After the idle timeout, a body needs this average rate. The slowest link in use is a thousand times faster. */
 const MIN_BYTES_PER_MS = 1
 /**
@@ -25,7 +26,6 @@
 /** A body whose chunks are smaller than this on average, over so many chunks, is read in turn with others. */
 const TINY_CHUNK_BYTES = 64
 const TINY_CHUNK_COUNT = 2000
-const OVERLOAD_RETRY_AFTER_S = '0.3'
 /** Header lines have a separator and an end of two bytes each; the receiver keeps the texts only. */
 const SEPARATOR_BYTES = 2
 
@@ -52,11 +52,6 @@
     private readonly _onRejected: (reason: RejectionReason) => void
   ) {}
 
-  /** Response to a request that the budget has no room for. */
-  static overloadResponse (): ListenerResponse {
-    return { status: 503, headers: { connection: 'close', 'retry-after': OVERLOAD_RETRY_AFTER_S } }
-  }
-
   /** Size of the header section as the limit counts it. */
   get headerBytes (): number {
     return this.incoming.rawHeaders.reduce((sum, part) => sum + part.length + SEPARATOR_BYTES, (this.incoming.url ?? '').length)
@@ -73,9 +68,9 @@
 
   /** Counts the request itself; returns a response if there is no room for it. */
   admit (): ListenerResponse | undefined {
-    if (this._budget.add(this, REQUEST_BYTES + HEADER_COST * this.headerBytes)) return undefined
+    if (this._budget.add(this, REQUEST_BYTES + HEADER_COPIES * this.headerBytes)) return undefined
     this._onRejected('memory')
-    return ClientRequest.overloadResponse()
+    return createOverloadResponse({ connection: 'close' })
   }
 
   /** Reads the body. Resolves with a response if the request is refused, or with `aborted` if it has been ended. */
@@ -142,7 +137,7 @@
 
   shed (): void {
     if (this._phase === 'running') return
-    this._reject('memory', ClientRequest.overloadResponse())
+    this._reject('memory', createOverloadResponse({ connection: 'close' }))
   }
 
   /** Ends the request if its client makes too little progress. */
@@ -162,7 +157,7 @@
     if (!isTiny || this._endReading === undefined) return
     this._place = this._pacer.wait(() => this._endWait())
     if (this._place === undefined) {
-      this._reject('tiny_chunks', ClientRequest.overloadResponse())
+      this._reject('tiny_chunks', createOverloadResponse({ connection: 'close' }))
       return
     }
     // Without the first pause, the system would pass on up to 2 MB at once. The body resumes its socket after the chunks
--- a/src/node/front/ConnectionTable.ts
+++ b/src/node/front/ConnectionTable.ts
@@ -7,7 +7,7 @@
 import type { RejectionLog } from './RejectionLog.js'
 
 /** Memory for each byte of an incomplete header section; headers without a value cost the most. */
-const HEADER_COST = 4
+const INCOMPLETE_HEADER_COST = 4
 /** Callers reuse connections that have been idle for up to this share of the idle timeout. */
 const REUSE_SHARE = 0.8
 /** Time for which a client may still read the response after which its connection is closed. */
@@ -70,7 +70,7 @@
         this._writeAndClose(connection.socket, formatResponse('408 Request Timeout'))
         continue
       }
-      const bytes = connection.headerBytes * HEADER_COST
+      const bytes = connection.headerBytes * INCOMPLETE_HEADER_COST
       const addedBytes = bytes - (this._chargedBytes.get(connection) ?? 0)
       if (addedBytes > 0 && this._budget.add(connection, addedBytes)) this._chargedBytes.set(connection, bytes)
       else if (addedBytes > 0 && !connection.socket.destroyed) connection.shed()
--- a/src/node/front/HttpListener.ts
+++ b/src/node/front/HttpListener.ts
@@ -12,6 +12,7 @@
 import { ClientRequest } from './ClientRequest.js'
 import type { ClientTimeouts } from './ClientTimeouts.js'
 import { ConnectionTable } from './ConnectionTable.js'
+import { createOverloadResponse } from './createOverloadResponse.js'
 import type { ListenerName } from './ListenerName.js'
 import type { ListenerResponse } from './ListenerResponse.js'
 import type { ListenerRequest } from './ListenerRequest.js'
@@ -34,7 +35,6 @@
 const DEFAULT_MAX_BODY_BYTES = 48_000_000
 /** Interval at which time-outs and incomplete header sections are checked. */
 const SWEEP_INTERVAL_MS = 200
-const OVERLOAD_RETRY_AFTER_S = '0.3'
 const CUT_OFF_RETRY_AFTER_S = '0'
 
 /** HTTP/1.1 listener. Reads complete requests within the configured limits and responds to them in order. */
@@ -157,7 +157,7 @@
     try {
       if (this._name === 'front' && this._runningCount >= this._budget.maxRunningRequests) {
         this._rejections.record('running_requests')
-        return { status: 503, headers: { 'retry-after': OVERLOAD_RETRY_AFTER_S } }
+        return createOverloadResponse()
       }
       request.startRunning()
       this._runningCount += 1
