--- a/src/node/front/ChunkPacer.ts
+++ b/src/node/front/ChunkPacer.ts
@@ -2,12 +2,9 @@
 import type { IDisposable } from '../../common/kernel/IDisposable.js'
 import { toDisposable } from '../../common/kernel/toDisposable.js'
 
-/**
- * A turn reads about 17,000 chunks of one byte from one socket. They take 30 to 45 ms of a core (1.8 to 2.6 us each), so one
- * turn in this time leaves over half of a core to other requests.
- */
+/** A turn reads what one socket holds. One turn in this time leaves over half of a core to other requests. */
 const TURN_INTERVAL_MS = 100
-/** The next turn waits while the event loop has been busy for more than this share of the time since the last one, as on a slow host. */
+/** On a slow host, turns take longer: one is skipped while the event loop has been busy for more than this share of the time since the last. */
 const MAX_BUSY_SHARE = 0.5
 /** A turn is skipped no more often than this, so that bodies make progress on a busy host. */
 const MAX_SKIPPED_TURNS = 4
--- a/src/node/front/ClientBudget.ts
+++ b/src/node/front/ClientBudget.ts
@@ -3,7 +3,7 @@
 import type { ListenerName } from './ListenerName.js'
 
 const BYTES_PER_MB = 1_000_000
-/** Resident memory of an entry without load: 63 MB as a bundle, 90 MB as separate modules. */
+/** Resident memory of an entry without load, started as separate modules, which take more than a bundle, with a margin. */
 const PROCESS_BYTES = 95_000_000
 /** Share of the remaining memory for clients. The rest is for responses of upstreams and for garbage that is not yet collected. */
 const CLIENT_SHARE = 0.55
--- a/src/node/front/ConnectionTable.ts
+++ b/src/node/front/ConnectionTable.ts
@@ -34,7 +34,7 @@
     if (this._connections.size >= this._budget.maxConnections(this._listener)) {
       this._rejections.record('connections')
       const victim = this._findVictim()
-      // All others run requests or may be used again: the new one has to go.
+      // All others run requests or may be used again: closes the new connection.
       if (victim === undefined) {
         socket.destroy()
         return
