--- a/src/node/front/ChunkPacer.ts
+++ b/src/node/front/ChunkPacer.ts
@@ -1,12 +1,10 @@
 import { Disposable } from '../../common/kernel/Disposable.js'
+import type { IDisposable } from '../../common/kernel/IDisposable.js'
 import { toDisposable } from '../../common/kernel/toDisposable.js'
 
-/**
- * A turn reads about 17,000 chunks of one byte from one socket. They take 30 to 45 ms of a core (1.8 to 2.6 us each), so one
- * turn in this time leaves over half of a core to other requests.
- */
+/** A turn reads what one socket holds. One turn in this time leaves over half of a core to other requests. */
 const TURN_INTERVAL_MS = 100
-/** The next turn waits while the event loop has been busy for more than this share of the time since the last one, as on a slow host. */
+/** On a slow host, turns take longer: one is skipped while the event loop has been busy for more than this share of the time since the last. */
 const MAX_BUSY_SHARE = 0.5
 /** A turn is skipped no more often than this, so that bodies make progress on a busy host. */
 const MAX_SKIPPED_TURNS = 4
@@ -15,7 +13,7 @@
 
 /** Lets bodies in tiny chunks be read in turn: a chunk costs far more processor time than its bytes. */
 export class ChunkPacer extends Disposable {
-  private readonly _waiting: Array<() => void> = []
+  private readonly _waiting = new Set<{ readonly resume: () => void }>()
   private _timer?: NodeJS.Timeout
   private _usageAtTurn = performance.eventLoopUtilization()
   private _skippedTurns = 0
@@ -25,12 +23,13 @@
     this._register(toDisposable(() => clearInterval(this._timer)))
   }
 
-  /** Calls `resume` when it is the turn of a body; returns false if too many wait. */
-  wait (resume: () => void): boolean {
-    if (this._waiting.length >= MAX_WAITING) return false
-    this._waiting.push(resume)
+  /** Calls `resume` when it is the turn of a body, unless the result is disposed before; returns undefined if too many wait. */
+  wait (resume: () => void): IDisposable | undefined {
+    if (this._waiting.size >= MAX_WAITING) return undefined
+    const entry = { resume }
+    this._waiting.add(entry)
     this._timer ??= setInterval(() => this._nextTurn(), TURN_INTERVAL_MS).unref()
-    return true
+    return toDisposable(() => this._waiting.delete(entry))
   }
 
   private _nextTurn (): void {
@@ -41,8 +40,12 @@
     }
     this._skippedTurns = 0
     this._usageAtTurn = performance.eventLoopUtilization()
-    this._waiting.shift()?.()
-    if (this._waiting.length > 0) return
+    const [next] = this._waiting
+    if (next !== undefined) {
+      this._waiting.delete(next)
+      next.resume()
+    }
+    if (this._waiting.size > 0) return
     clearInterval(this._timer)
     this._timer = undefined
   }
--- a/src/node/front/ClientBudget.ts
+++ b/src/node/front/ClientBudget.ts
@@ -3,7 +3,7 @@
 import type { ListenerName } from './ListenerName.js'
 
 const BYTES_PER_MB = 1_000_000
-/** Resident memory of an entry without load: 63 MB as a bundle, 90 MB as separate modules. */
+/** Resident memory of an entry without load, started as separate modules, which take more than a bundle, with a margin. */
 const PROCESS_BYTES = 95_000_000
 /** Share of the remaining memory for clients. The rest is for responses of upstreams and for garbage that is not yet collected. */
 const CLIENT_SHARE = 0.55
@@ -33,6 +33,8 @@
  */
 export class ClientBudget {
   readonly maxBytes: number
+  /** A client without progress for this long may be closed before the others. */
+  readonly stallMs = STALL_MS
   /** Requests of callers that may run at the same time; each may need a connection to an upstream or a peer. */
   readonly maxRunningRequests: number
   private readonly _bytesByHolder = new Map<IBudgetHolder, number>()
@@ -116,7 +118,7 @@
 
   /** Closing a client of another listener that uses no more than its reserved part would make no room. */
   private _findVictim (holder: IBudgetHolder): IBudgetHolder | undefined {
-    const stalledBeforeMs = performance.now() - STALL_MS
+    const stalledBeforeMs = performance.now() - this.stallMs
     let stalled: IBudgetHolder | undefined
     let largest: { holder: IBudgetHolder, bytes: number } | undefined
     for (const [candidate, bytes] of this._bytesByHolder) {
--- a/src/node/front/ConnectionTable.ts
+++ b/src/node/front/ConnectionTable.ts
@@ -7,7 +7,7 @@
 import type { RejectionLog } from './RejectionLog.js'
 
 /** Memory for each byte of an incomplete header section; headers without a value cost the most. */
-const HEADER_COST = 4
+const INCOMPLETE_HEADER_COST = 4
 /** Callers reuse connections that have been idle for up to this share of the idle timeout. */
 const REUSE_SHARE = 0.8
 /** Time for which a client may still read the response after which its connection is closed. */
@@ -24,12 +24,17 @@
     return this._connections.size
   }
 
-  /** Takes a new connection. When there are too many, it takes the place of the one that has made no progress for the longest time. */
+  /**
+   * Takes a new connection. When there are too many, it takes the place of the one whose header section, body or response
+   * has made no progress for the longest time, if that is at least the stall time of the budget; else of the one that has
+   * been idle for the longest time, if callers no longer reuse it; else of the one with the oldest progress. Without the
+   * last step, clients that connect within the stall time would shut out all others.
+   */
   accept (socket: Socket): void {
     if (this._connections.size >= this._budget.maxConnections(this._listener)) {
       this._rejections.record('connections')
       const victim = this._findVictim()
-      // All others run requests or may be used again: the new one has to go.
+      // All others run requests or may be used again: closes the new connection.
       if (victim === undefined) {
         socket.destroy()
         return
@@ -65,7 +70,7 @@
         this._writeAndClose(connection.socket, formatResponse('408 Request Timeout'))
         continue
       }
-      const bytes = connection.headerBytes * HEADER_COST
+      const bytes = connection.headerBytes * INCOMPLETE_HEADER_COST
       const addedBytes = bytes - (this._chargedBytes.get(connection) ?? 0)
       if (addedBytes > 0 && this._budget.add(connection, addedBytes)) this._chargedBytes.set(connection, bytes)
       else if (addedBytes > 0 && !connection.socket.destroyed) connection.shed()
@@ -93,16 +98,19 @@
     this._budget.release(connection)
   }
 
+  /** Never a connection whose request may run. */
   private _findVictim (): ClientConnection | undefined {
-    const reusedUntilMs = performance.now() - REUSE_SHARE * this._timeouts().idleMs
-    let stalled: { connection: ClientConnection, sinceMs: number } | undefined
+    const nowMs = performance.now()
+    const reusedUntilMs = nowMs - REUSE_SHARE * this._timeouts().idleMs
+    let slowest: { connection: ClientConnection, progressMs: number } | undefined
     let idle: { connection: ClientConnection, sinceMs: number } | undefined
     for (const connection of this._connections.values()) {
-      const { stalledSinceMs, idleSinceMs } = connection
-      if (stalledSinceMs !== undefined && stalledSinceMs < (stalled?.sinceMs ?? Infinity)) stalled = { connection, sinceMs: stalledSinceMs }
+      const { transferProgressMs, idleSinceMs } = connection
+      if (transferProgressMs !== undefined && transferProgressMs < (slowest?.progressMs ?? Infinity)) slowest = { connection, progressMs: transferProgressMs }
       if (idleSinceMs !== undefined && idleSinceMs < (idle?.sinceMs ?? reusedUntilMs)) idle = { connection, sinceMs: idleSinceMs }
     }
-    return (stalled ?? idle)?.connection
+    const isStalled = slowest !== undefined && slowest.progressMs <= nowMs - this._budget.stallMs
+    return (isStalled ? slowest : idle ?? slowest)?.connection
   }
 }
 
