Warn of dropped counts only for requests that no holder took

Cause: an entry learns of commits from receipts alone. Without requests after a taken window it sends nothing more, and after 300 s usage_counts_dropped warned of requests that were reported. Change: the meter keeps the taken revision of each window; a window that is given up is logged with the requests that were not taken, and not at all if there are none. No further message is sent.

--- a/src/common/usage/UsageContributor.test.ts
+++ b/src/common/usage/UsageContributor.test.ts
@@ -1,4 +1,4 @@
-import { afterEach, beforeEach, describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
 import { expect } from 'earl'
 import { testServices } from '../log/test/testServices.js'
 import { VirtualTime } from '../log/test/VirtualTime.test.js'
@@ -19,6 +19,8 @@
   let contributor: UsageContributor
   let sent: UsageContribution[]
   let committed: number[]
+  /** Requests of each `usage_counts_dropped` in the log. */
+  let dropped: number[]
   let respond: (contribution: UsageContribution) => Partial<UsageReceipt> | undefined
   let ticker: NodeJS.Timeout
 
@@ -27,7 +29,9 @@
   beforeEach(() => {
     time = new VirtualTime()
     const times = new UsageTimes({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 })
+    dropped = []
     const { logger } = testServices()
+    mock.method(logger, 'warn', (fields: { requests: number }, event: string) => { if (event === 'usage_counts_dropped') dropped.push(fields.requests) })
     meter = new UsageMeter(times, logger)
     leadership = new FakeLeadership()
     leadership.latestKnownEpoch = 1
@@ -113,6 +117,22 @@
     expect(sent.length).toEqual(count)
   })
 
+  // Guards against warnings of lost counts that the holder took, at an entry that learned of no commit because it had no further requests.
+  it('warns only of the requests that no holder took when it gives a window up', async () => {
+    const startMs = Date.now()
+    meter.recordStart('x', startMs)
+    await time.advance(310_000, 200)
+    expect(meter.windows()).toEqual([])
+    expect(dropped).toEqual([])
+    const secondMs = Date.now()
+    meter.recordStart('x', secondMs)
+    await time.advance(10_000, 200)
+    respond = () => undefined
+    for (const organisation of ['x', 'y']) meter.recordStart(organisation, secondMs)
+    await time.advance(310_000, 200)
+    expect(dropped).toEqual([2])
+  })
+
   it('adopts the time of the holder', async () => {
     meter.recordStart('x', Date.now())
     respond = ({ windows }) => ({ unixMs: Date.now() - 60_000, refused: windows.map(({ window }) => window) })
--- a/src/common/usage/UsageContributor.ts
+++ b/src/common/usage/UsageContributor.ts
@@ -2,6 +2,7 @@
 import type { ILogger } from '../metrics/ILogger.js'
 import type { ILeadership } from '../store/ILeadership.js'
 import type { IUsageSender } from './IUsageSender.js'
+import type { MeteredWindow } from './MeteredWindow.js'
 import type { UsageContribution } from './UsageContribution.js'
 import type { UsageMeter } from './UsageMeter.js'
 import type { UsageReceipt } from './UsageReceipt.js'
@@ -17,8 +18,6 @@
   /** Term of the holder that took or refused the counts. */
   epoch: number
   isRefused: boolean
-  /** Revision of the counts that this holder took last; 0 if it took none. */
-  takenRevision: number
 }
 
 /** Sends the counts of this entry to the holder of the usage reports until they are committed. */
@@ -58,7 +57,7 @@
   async flush (timeoutMs: number): Promise<void> {
     const untilMs = performance.now() + timeoutMs
     const expired = new Promise<void>(resolve => setTimeout(resolve, timeoutMs))
-    while (performance.now() < untilMs && this._meter.windows().some(({ window, revision }) => this._isDue(window, revision))) {
+    while (performance.now() < untilMs && this._meter.windows().some(window => this._isDue(window))) {
       await Promise.race([this._push(() => true), expired])
       await new Promise(resolve => setTimeout(resolve, FLUSH_INTERVAL_MS))
     }
@@ -74,7 +73,7 @@
   }
 
   private async _push (mayBeSent: (window: number) => boolean): Promise<void> {
-    const due = this._meter.windows().filter(({ window, revision }) => mayBeSent(window) && this._isDue(window, revision)).slice(-MAX_WINDOWS_PER_PUSH)
+    const due = this._meter.windows().filter(window => mayBeSent(window.window) && this._isDue(window)).slice(-MAX_WINDOWS_PER_PUSH)
     if (due.length === 0) return
     this._isPushing = true
     const revisions = new Map(due.map(({ window, revision }) => [window, revision]))
@@ -95,9 +94,9 @@
     }
   }
 
-  private _isDue (window: number, revision: number): boolean {
+  private _isDue ({ window, revision, takenRevision }: MeteredWindow): boolean {
     const sent = this._sent.get(window)
-    return sent === undefined || (!sent.isRefused && sent.takenRevision !== revision) || sent.epoch < (this._leadership.latestKnownEpoch ?? Number.NEGATIVE_INFINITY)
+    return sent === undefined || (!sent.isRefused && takenRevision !== revision) || sent.epoch < (this._leadership.latestKnownEpoch ?? Number.NEGATIVE_INFINITY)
   }
 
   private _onFailed (windows: number): void {
@@ -111,9 +110,12 @@
     if (roundTripMs >= 0 && roundTripMs <= MAX_ROUND_TRIP_MS) this._meter.adoptTime(receipt.unixMs + roundTripMs / 2)
     const answered = new Set([...receipt.taken, ...receipt.refused, ...receipt.committed])
     for (const [window, revision] of revisions) {
-      const earlier = this._sent.get(window)
-      if (receipt.taken.includes(window)) this._sent.set(window, { epoch: receipt.epoch, isRefused: false, takenRevision: revision })
-      if (receipt.refused.includes(window)) this._sent.set(window, { epoch: receipt.epoch, isRefused: true, takenRevision: earlier?.epoch === receipt.epoch ? earlier.takenRevision : 0 })
+      const isRefused = receipt.refused.includes(window)
+      if (!isRefused && !receipt.taken.includes(window)) continue
+      // A holder that refuses a window has the counts that it took before, but none that an earlier holder took.
+      if (!isRefused) this._meter.recordTaken(window, revision)
+      else if (this._sent.get(window)?.epoch !== receipt.epoch) this._meter.recordTaken(window, 0)
+      this._sent.set(window, { epoch: receipt.epoch, isRefused })
     }
     for (const window of receipt.committed) this._onCommitted(window, receipt.epoch)
     const unanswered = [...revisions.keys()].filter(window => !answered.has(window)).length
@@ -123,11 +125,9 @@
 
   private _onCommitted (window: number, epoch: number): void {
     const counted = this._meter.find(window)
-    const sent = this._sent.get(window)
     // What the report lacks is logged, so that a report that is too low can be explained.
-    const takenRevision = sent?.takenRevision ?? 0
-    if (counted !== undefined && counted.revision !== takenRevision) {
-      this._logger.warn({ window, epoch, requests: counted.revision, requests_taken: takenRevision }, 'usage_counts_late')
+    if (counted !== undefined && counted.revision !== counted.takenRevision) {
+      this._logger.warn({ window, epoch, requests: counted.revision, requests_taken: counted.takenRevision }, 'usage_counts_late')
     }
     this._sent.delete(window)
     this._meter.remove(window)
--- a/src/common/usage/UsageMeter.ts
+++ b/src/common/usage/UsageMeter.ts
@@ -1,5 +1,6 @@
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IUsageMeter } from './IUsageMeter.js'
+import type { MeteredWindow } from './MeteredWindow.js'
 import type { UsageTimes } from './UsageTimes.js'
 
 /** Somewhat more than the windows that may still be reported; a clock that jumps makes no more of them. */
@@ -7,13 +8,6 @@
 /** Differences to the holder's time below this are noise of the network. Above it, counts fall into a wrong window. */
 const MIN_CORRECTION_MS = 300
 
-interface MeteredWindow {
-  readonly window: number
-  readonly counts: Map<string, number>
-  /** Increases with each request that is added. */
-  revision: number
-}
-
 /** Requests that began to run at this entry, by window, until a report that contains them is durable. */
 export class UsageMeter implements IUsageMeter {
   private readonly _windows = new Map<number, MeteredWindow>()
@@ -42,6 +36,11 @@
     return this._windows.get(window)
   }
 
+  recordTaken (window: number, revision: number): void {
+    const metered = this._windows.get(window)
+    if (metered !== undefined) metered.takenRevision = revision
+  }
+
   remove (window: number): void {
     this._windows.delete(window)
   }
@@ -64,14 +63,16 @@
   private _open (window: number): MeteredWindow {
     const oldest = this._windows.keys().next()
     if (this._windows.size >= MAX_WINDOWS && oldest.done !== true) this._drop(oldest.value, 'too many windows')
-    const opened: MeteredWindow = { window, counts: new Map(), revision: 0 }
+    const opened: MeteredWindow = { window, counts: new Map(), revision: 0, takenRevision: 0 }
     this._windows.set(window, opened)
     return opened
   }
 
   private _drop (window: number, reason: string): void {
-    const requests = [...this._windows.get(window)?.counts.values() ?? []].reduce((sum, count) => sum + count, 0)
+    const { revision = 0, takenRevision = 0 } = this._windows.get(window) ?? {}
     this._windows.delete(window)
-    this._logger.warn({ window, requests, reason }, 'usage_counts_dropped')
+    // An entry without further requests does not learn that counts which the holder took were committed.
+    const requests = revision - takenRevision
+    if (requests > 0) this._logger.warn({ window, requests, reason }, 'usage_counts_dropped')
   }
 }
