Send one contribution at a time when an entry stops, and catch its errors

Cause: flush ignored a push that tick had started, so that an older receipt could lower the taken revision; the timer of its time limit was never cleared; an error of the sender rejected drain(). Change: flush awaits the running push first, clears its timer, and both log errors as usage_push_fault. Run: tsc, eslint of src/common/usage, tests of usage (pass); the three new tests failed before the change.

--- a/src/common/usage/UsageContributor.test.ts
+++ b/src/common/usage/UsageContributor.test.ts
@@ -22,6 +22,7 @@
   /** Requests of each `usage_counts_dropped` in the log. */
   let dropped: number[]
   let respond: (contribution: UsageContribution) => Partial<UsageReceipt> | undefined
+  let delaySend: () => Promise<void>
   let ticker: NodeJS.Timeout
 
   const windowsSent = (): number[][] => sent.map(({ windows }) => windows.map(({ window }) => window))
@@ -38,9 +39,11 @@
     sent = []
     committed = []
     respond = ({ windows }) => ({ taken: windows.map(({ window }) => window) })
+    delaySend = async () => {}
     contributor = new UsageContributor('a', meter, times, leadership, {
       send: async contribution => {
         sent.push(contribution)
+        await delaySend()
         const receipt = respond(contribution)
         return receipt === undefined ? undefined : { epoch: leadership.latestKnownEpoch ?? 0, sentAtUnixMs: contribution.sentAtUnixMs, unixMs: Date.now(), taken: [], refused: [], committed, ...receipt }
       }
@@ -160,4 +163,50 @@
     await time.advance(1200, 50)
     await failed
   })
+
+  // Guards against an older receipt that arrives after a newer one and marks counts as not taken.
+  it('waits for the running push before it sends the rest, and sends one message at a time', async () => {
+    let running = 0
+    let maxRunning = 0
+    delaySend = async () => {
+      running += 1
+      maxRunning = Math.max(maxRunning, running)
+      await new Promise(resolve => setTimeout(resolve, 300))
+      running -= 1
+    }
+    meter.recordStart('x', Date.now())
+    while (sent.length === 0) await time.advance(50, 50)
+    meter.recordStart('x', Date.now())
+    const flushed = contributor.flush(1000)
+    await time.advance(1500, 50)
+    await flushed
+    expect(maxRunning).toEqual(1)
+    expect(meter.windows().map(({ revision, takenRevision }) => takenRevision - revision)).toEqual([0, 0])
+  })
+
+  // Guards against a planned stop that ends with an error instead of the number of requests in flight.
+  it('continues after a push that failed with an error', async () => {
+    delaySend = async () => { throw new Error('test') }
+    meter.recordStart('x', Date.now())
+    const flushed = contributor.flush(1000)
+    await time.advance(250, 50)
+    delaySend = async () => {}
+    await time.advance(1500, 50)
+    await flushed
+    expect(meter.find(WINDOW)?.takenRevision).toEqual(1)
+  })
+
+  // Guards against a timer that delays the exit of the process.
+  it('leaves no timer behind after a flush', async () => {
+    clearInterval(ticker)
+    const cleared = mock.method(globalThis, 'clearTimeout')
+    const started = mock.method(globalThis, 'setTimeout')
+    meter.recordStart('x', Date.now())
+    const flushed = contributor.flush(1000)
+    await time.advance(500, 50)
+    await flushed
+    const timers = started.mock.calls.filter(call => call.arguments[1] === 1000).map(call => call.result)
+    expect(timers.length).toEqual(1)
+    expect(cleared.mock.calls.some(call => call.arguments[0] === timers[0])).toEqual(true)
+  })
 })
--- a/src/common/usage/UsageContributor.ts
+++ b/src/common/usage/UsageContributor.ts
@@ -28,7 +28,8 @@
   private readonly _jitterMs: number
   private _nextPushAtMs = Number.NEGATIVE_INFINITY
   private _knownEpoch?: number
-  private _isPushing = false
+  /** The push whose receipt has not arrived; never rejects. */
+  private _pushing?: Promise<void>
 
   constructor (
     private readonly _entryId: string,
@@ -47,20 +48,30 @@
     this._meter.dropExpired()
     for (const window of this._sent.keys()) if (this._meter.find(window) === undefined) this._sent.delete(window)
     this._observeEpoch()
-    if (this._isPushing || performance.now() < this._nextPushAtMs) return
+    if (this._pushing !== undefined || performance.now() < this._nextPushAtMs) return
     const endedBeforeMs = this._meter.nowUnixMs() - this._times.pushDelayMs - this._jitterMs
-    this._push(window => this._times.endOf(window) <= endedBeforeMs)
-      .catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'usage_push_fault'))
+    this._startPush(window => this._times.endOf(window) <= endedBeforeMs)
   }
 
   /** Sends all counts, also those of the present window, repeatedly until they are taken or the time has passed. */
   async flush (timeoutMs: number): Promise<void> {
     const untilMs = performance.now() + timeoutMs
-    const expired = new Promise<void>(resolve => setTimeout(resolve, timeoutMs))
+    let timer: NodeJS.Timeout | undefined
+    const expired = new Promise<void>(resolve => { timer = setTimeout(resolve, timeoutMs) })
+    // A receipt that arrives after that of a later push would replace the newer result.
+    await Promise.race([this._pushing, expired])
     while (performance.now() < untilMs && this._meter.windows().some(window => this._isDue(window))) {
-      await Promise.race([this._push(() => true), expired])
+      if (this._pushing === undefined) this._startPush(() => true)
+      await Promise.race([this._pushing, expired])
       await new Promise(resolve => setTimeout(resolve, FLUSH_INTERVAL_MS))
     }
+    clearTimeout(timer)
+  }
+
+  private _startPush (mayBeSent: (window: number) => boolean): void {
+    this._pushing = this._push(mayBeSent)
+      .catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'usage_push_fault'))
+      .finally(() => { this._pushing = undefined })
   }
 
   /** After a change of the leader, the entries send again what is not committed, spread over some time. */
@@ -75,7 +86,6 @@
   private async _push (mayBeSent: (window: number) => boolean): Promise<void> {
     const due = this._meter.windows().filter(window => mayBeSent(window.window) && this._isDue(window)).slice(-MAX_WINDOWS_PER_PUSH)
     if (due.length === 0) return
-    this._isPushing = true
     const revisions = new Map(due.map(({ window, revision }) => [window, revision]))
     const sentAtUnixMs = Date.now()
     const contribution: UsageContribution = {
@@ -85,13 +95,9 @@
       windows: due.map(({ window, counts }) => ({ window, counts: Object.fromEntries(counts) })),
       unconfirmed: [...this._sent.keys()].filter(window => !revisions.has(window))
     }
-    try {
-      const receipt = await this._sender.send(contribution)
-      if (receipt === undefined) this._onFailed(due.length)
-      else this._onReceipt(receipt, revisions, sentAtUnixMs)
-    } finally {
-      this._isPushing = false
-    }
+    const receipt = await this._sender.send(contribution)
+    if (receipt === undefined) this._onFailed(due.length)
+    else this._onReceipt(receipt, revisions, sentAtUnixMs)
   }
 
   private _isDue ({ window, revision, takenRevision }: MeteredWindow): boolean {
