Detect clock jumps in UsageClock with ClockJumpDetector

Cause: the clock compared only two consecutive offsets, so that suspensions of less than 400 ms added up undetected. After four of 300 ms it was behind by 1.2 s. Change: ClockJumpDetector, which adds up small jumps; a new one at the start of a term. Run: tsc, eslint of src/common/usage, tests of usage (pass); the new test failed before the change.

--- a/src/common/usage/UsageClock.test.ts
+++ b/src/common/usage/UsageClock.test.ts
@@ -53,6 +53,18 @@
     expect(clock.isSettled()).toEqual(false)
   })
 
+  // Guards against a wrong time after several suspensions, each too short to be detected alone.
+  it('adds up short suspensions', async () => {
+    for (const entry of ['b', 'c']) clock.observe(entry, trueMs())
+    for (let suspension = 1; suspension <= 4; suspension += 1) {
+      ownErrorMs += 300
+      await time.advance(100, 100)
+      clock.isSettled()
+    }
+    expect(clock.nowUnixMs()).toEqual(trueMs() + 1200)
+    expect(clock.isSettled()).toEqual(false)
+  })
+
   // Guards against a fleet with two entries, or none with requests, that waits for ever.
   it('is settled after some time although few entries have told their clocks', async () => {
     clock.restart()
--- a/src/common/usage/UsageClock.ts
+++ b/src/common/usage/UsageClock.ts
@@ -1,7 +1,6 @@
+import { ClockJumpDetector } from '../kernel/ClockJumpDetector.js'
 import type { UsageTimes } from './UsageTimes.js'
 
-/** Change of the difference between wall clock and monotonic clock that shows a suspension or a step of the wall clock. */
-const CLOCK_JUMP_MS = 400
 /** With fewer clocks, nobody can tell which one is wrong. */
 const MIN_CLOCKS = 3
 const MAX_CLOCKS = 1000
@@ -18,6 +17,7 @@
   /** Differences between the wall clocks of other entries and this process's monotonic clock. */
   private readonly _readings = new Map<string, { offsetMs: number, atMs: number }>()
   private _ownOffsetMs = ownOffsetMs()
+  private _clockJumps = new ClockJumpDetector()
   /** When the readings were discarded. */
   private _clearedAtMs = performance.now()
   private _ignoresUntilMs = Number.NEGATIVE_INFINITY
@@ -54,6 +54,8 @@
     this._readings.clear()
     this._clearedAtMs = performance.now()
     this._ownOffsetMs = ownOffsetMs()
+    // Earlier jumps do not affect later readings.
+    this._clockJumps = new ClockJumpDetector()
   }
 
   /** Whether enough entries have told their clocks, or had the time to, since the readings were discarded. */
@@ -64,13 +66,12 @@
 
   /** After a jump, the readings refer to a monotonic clock that may have stopped for a time. */
   private _checkJump (): void {
-    const offsetMs = ownOffsetMs()
-    if (Math.abs(offsetMs - this._ownOffsetMs) >= CLOCK_JUMP_MS) {
-      this.restart()
-      this._ignoresUntilMs = performance.now() + STALE_MESSAGES_MS
-    } else {
-      this._ownOffsetMs = offsetMs
+    if (this._clockJumps.check() === undefined) {
+      this._ownOffsetMs = ownOffsetMs()
+      return
     }
+    this.restart()
+    this._ignoresUntilMs = performance.now() + STALE_MESSAGES_MS
   }
 }
 
