Name the schedule and the sender of usage counts, and log malformed receipts

Cause: names and comments that a reader could misunderstand; a receipt that does not match its schema was ignored without a log line. Change: UsageTimes is UsageSchedule and says why a window is committed when it is, IUsageSender is IContributionSender, usage_not_passed_on is usage_send_failed; new event usage_receipt_malformed.

--- a/src/common/usage/IUsageSender.ts
+++ b/src/common/usage/IContributionSender.ts
@@ -2,7 +2,7 @@
 import type { UsageReceipt } from './UsageReceipt.js'
 
 /** Sends contributions to the entry that leads. */
-export interface IUsageSender {
+export interface IContributionSender {
   /** Makes one attempt; undefined without a receipt. */
   send (contribution: UsageContribution): Promise<UsageReceipt | undefined>
 }
--- a/src/common/usage/UsageClock.test.ts
+++ b/src/common/usage/UsageClock.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl'
 import { VirtualTime } from '../log/test/VirtualTime.test.js'
 import { UsageClock } from './UsageClock.js'
-import { UsageTimes } from './UsageTimes.js'
+import { UsageSchedule } from './UsageSchedule.js'
 
 const HOUR_MS = 3_600_000
 
@@ -19,7 +19,7 @@
     mock.method(performance, 'now', () => now.call(Date))
     ownErrorMs = 0
     mock.method(Date, 'now', () => now.call(Date) + ownErrorMs)
-    clock = new UsageClock(new UsageTimes({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 }))
+    clock = new UsageClock(new UsageSchedule({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 }))
   })
   afterEach(() => time.restore())
 
@@ -66,7 +66,7 @@
   })
 
   // Guards against a fleet with two entries, or none with requests, that waits for ever.
-  it('is settled after some time although few entries have told their clocks', async () => {
+  it('is settled after some time although few entries have reported their clocks', async () => {
     clock.restart()
     clock.observe('b', trueMs())
     expect(clock.isSettled()).toEqual(false)
--- a/src/common/usage/UsageClock.ts
+++ b/src/common/usage/UsageClock.ts
@@ -1,15 +1,15 @@
 import { ClockJumpDetector } from '../kernel/ClockJumpDetector.js'
-import type { UsageTimes } from './UsageTimes.js'
+import type { UsageSchedule } from './UsageSchedule.js'
 
 /** With fewer clocks, nobody can tell which one is wrong. */
 const MIN_CLOCKS = 3
 const MAX_CLOCKS = 1000
-/** Entries that have been silent for this long say nothing about the present. */
+/** The readings of entries that have been silent for this long are discarded. */
 const MAX_READING_AGE_MS = 60_000
 
 /** A difference that delays of messages may explain; the holder's own clock counts then. */
 const TOLERANCE_MS = 1000
-/** After a suspension, messages that arrived meanwhile are read within this time; they say nothing about the present. */
+/** After a suspension, messages that arrived meanwhile are read within this time; they are discarded. */
 const STALE_MESSAGES_MS = 250
 
 /** Estimates true time at the holder as the median of the clocks of the entries, so that a single wrong one has no effect. */
@@ -22,7 +22,7 @@
   private _clearedAtMs = performance.now()
   private _ignoresUntilMs = Number.NEGATIVE_INFINITY
 
-  constructor (private readonly _times: UsageTimes) {}
+  constructor (private readonly _schedule: UsageSchedule) {}
 
   /** Records the wall clock of another entry. */
   observe (entry: string, unixMs: number): void {
@@ -49,7 +49,7 @@
     return nowMs + (isOwnRight ? this._ownOffsetMs : median)
   }
 
-  /** Discards what earlier contributions said, at the begin of a term. */
+  /** Discards what earlier contributions said, at the start of a term. */
   restart (): void {
     this._readings.clear()
     this._clearedAtMs = performance.now()
@@ -58,10 +58,10 @@
     this._clockJumps = new ClockJumpDetector()
   }
 
-  /** Whether enough entries have told their clocks, or had the time to, since the readings were discarded. */
+  /** Whether enough entries have reported their clocks, or had the time to, since the readings were discarded. */
   isSettled (): boolean {
     this._checkJump()
-    return this._readings.size + 1 >= MIN_CLOCKS || performance.now() - this._clearedAtMs >= this._times.settleMs
+    return this._readings.size + 1 >= MIN_CLOCKS || performance.now() - this._clearedAtMs >= this._schedule.settleMs
   }
 
   /** After a jump, the readings refer to a monotonic clock that may have stopped for a time. */
--- a/src/common/usage/UsageCollector.test.ts
+++ b/src/common/usage/UsageCollector.test.ts
@@ -1,7 +1,7 @@
 import { beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { UsageCollector } from './UsageCollector.js'
-import { UsageTimes } from './UsageTimes.js'
+import { UsageSchedule } from './UsageSchedule.js'
 
 const NOW_MS = 1_000_000
 /** The present one. */
@@ -12,7 +12,7 @@
   const add = (entry: string, process: string, window: number, counts: Record<string, number>): string => collector.add({ entry, process }, { window, counts }, NOW_MS)
 
   beforeEach(() => {
-    collector = new UsageCollector(new UsageTimes({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 }))
+    collector = new UsageCollector(new UsageSchedule({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 }))
   })
 
   // Guards against requests that are counted twice after a lost response, and lost when a process is replaced.
--- a/src/common/usage/UsageCollector.ts
+++ b/src/common/usage/UsageCollector.ts
@@ -1,5 +1,5 @@
 import type { UsageContribution } from './UsageContribution.js'
-import type { UsageTimes } from './UsageTimes.js'
+import type { UsageSchedule } from './UsageSchedule.js'
 import type { UsageWindow } from './UsageWindow.js'
 
 /** 14 MB of heap at this bound, with the organisations in random order. 370 entries with 83 organisations fill about half of it in the two windows that are open. */
@@ -16,7 +16,7 @@
   private readonly _closed = new Set<number>()
   private _size = 0
 
-  constructor (private readonly _times: UsageTimes) {}
+  constructor (private readonly _schedule: UsageSchedule) {}
 
   /** The oldest window that has contributions. */
   get oldestWindow (): number | undefined {
@@ -57,7 +57,7 @@
     this._closed.add(window)
   }
 
-  /** Forgets the windows that are too far from the present to be added to. */
+  /** Removes the windows that are too far from the present to be added to. */
   removeExpired (nowUnixMs: number): void {
     for (const window of [...this._open.keys()]) if (!this._isNear(window, nowUnixMs)) this.discard(window)
     for (const window of this._closed) if (!this._isNear(window, nowUnixMs)) this._closed.delete(window)
@@ -65,7 +65,7 @@
 
   /** Whether a window is not too old to be reported and, but for a small difference of clocks, has begun. */
   private _isNear (window: number, nowUnixMs: number): boolean {
-    return window >= this._times.oldestAt(nowUnixMs) && window <= this._times.windowAt(nowUnixMs) + 1
+    return window >= this._schedule.oldestAt(nowUnixMs) && window <= this._schedule.windowAt(nowUnixMs) + 1
   }
 }
 
--- a/src/common/usage/UsageContributor.test.ts
+++ b/src/common/usage/UsageContributor.test.ts
@@ -8,9 +8,9 @@
 import { UsageContributor } from './UsageContributor.js'
 import { UsageMeter } from './UsageMeter.js'
 import type { UsageReceipt } from './UsageReceipt.js'
-import { UsageTimes } from './UsageTimes.js'
+import { UsageSchedule } from './UsageSchedule.js'
 
-/** The virtual clock starts at the begin of this window. */
+/** The virtual clock starts at the start of this window. */
 const WINDOW = 200
 
 describe('UsageContributor', () => {
@@ -30,18 +30,18 @@
 
   beforeEach(() => {
     time = new VirtualTime()
-    const times = new UsageTimes({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 })
+    const schedule = new UsageSchedule({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 })
     dropped = []
     const { logger } = testServices()
     mock.method(logger, 'warn', (fields: { requests: number }, event: string) => { if (event === 'usage_counts_dropped') dropped.push(fields.requests) })
-    meter = new UsageMeter(times, logger)
+    meter = new UsageMeter(schedule, logger)
     leadership = new FakeLeadership()
     leadership.latestKnownEpoch = 1
     sent = []
     committed = []
     respond = ({ windows }) => ({ taken: windows.map(({ window }) => window) })
     delaySend = async () => {}
-    contributor = new UsageContributor('a', meter, times, leadership, {
+    contributor = new UsageContributor('a', meter, schedule, leadership, {
       send: async contribution => {
         sent.push(contribution)
         await delaySend()
--- a/src/common/usage/UsageContributor.ts
+++ b/src/common/usage/UsageContributor.ts
@@ -1,12 +1,12 @@
 import { Backoff } from '../kernel/Backoff.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { ILeadership } from '../store/ILeadership.js'
-import type { IUsageSender } from './IUsageSender.js'
+import type { IContributionSender } from './IContributionSender.js'
 import type { MeteredWindow } from './MeteredWindow.js'
 import type { UsageContribution } from './UsageContribution.js'
 import type { UsageMeter } from './UsageMeter.js'
 import type { UsageReceipt } from './UsageReceipt.js'
-import type { UsageTimes } from './UsageTimes.js'
+import type { UsageSchedule } from './UsageSchedule.js'
 
 /** Bounds a message; further windows follow with the next one. */
 const MAX_WINDOWS_PER_PUSH = 12
@@ -34,13 +34,13 @@
   constructor (
     private readonly _entryId: string,
     private readonly _meter: UsageMeter,
-    private readonly _times: UsageTimes,
+    private readonly _schedule: UsageSchedule,
     private readonly _leadership: ILeadership,
-    private readonly _sender: IUsageSender,
+    private readonly _sender: IContributionSender,
     private readonly _logger: ILogger
   ) {
-    this._backoff = new Backoff(_times.maxRetryMs)
-    this._jitterMs = Math.random() * _times.maxPushJitterMs
+    this._backoff = new Backoff(_schedule.maxRetryMs)
+    this._jitterMs = Math.random() * _schedule.maxPushJitterMs
   }
 
   /** Has to be called several times per second. */
@@ -49,8 +49,8 @@
     for (const window of this._sent.keys()) if (this._meter.find(window) === undefined) this._sent.delete(window)
     this._observeEpoch()
     if (this._pushing !== undefined || performance.now() < this._nextPushAtMs) return
-    const endedBeforeMs = this._meter.nowUnixMs() - this._times.pushDelayMs - this._jitterMs
-    this._startPush(window => this._times.endOf(window) <= endedBeforeMs)
+    const endedBeforeMs = this._meter.nowUnixMs() - this._schedule.pushDelayMs - this._jitterMs
+    this._startPush(window => this._schedule.endOf(window) <= endedBeforeMs)
   }
 
   /** Sends all counts, also those of the present window, repeatedly until they are taken or the time has passed. */
--- a/src/common/usage/UsageMeter.test.ts
+++ b/src/common/usage/UsageMeter.test.ts
@@ -3,7 +3,7 @@
 import { testServices } from '../log/test/testServices.js'
 import { VirtualTime } from '../log/test/VirtualTime.test.js'
 import { UsageMeter } from './UsageMeter.js'
-import { UsageTimes } from './UsageTimes.js'
+import { UsageSchedule } from './UsageSchedule.js'
 
 describe('UsageMeter', () => {
   let time: VirtualTime
@@ -12,7 +12,7 @@
 
   beforeEach(() => {
     time = new VirtualTime()
-    meter = new UsageMeter(new UsageTimes({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 }), testServices().logger)
+    meter = new UsageMeter(new UsageSchedule({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 }), testServices().logger)
   })
   afterEach(() => time.restore())
 
--- a/src/common/usage/UsageMeter.ts
+++ b/src/common/usage/UsageMeter.ts
@@ -2,7 +2,7 @@
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IUsageMeter } from './IUsageMeter.js'
 import type { MeteredWindow } from './MeteredWindow.js'
-import type { UsageTimes } from './UsageTimes.js'
+import type { UsageSchedule } from './UsageSchedule.js'
 
 /** Somewhat more than the windows that may still be reported; a clock that jumps makes no more of them. */
 const MAX_WINDOWS = 80
@@ -16,7 +16,7 @@
   readonly onStopping = this._stopping.event
   private _correctionMs = 0
 
-  constructor (private readonly _times: UsageTimes, private readonly _logger: ILogger) {}
+  constructor (private readonly _schedule: UsageSchedule, private readonly _logger: ILogger) {}
 
   /** True time, as far as this entry knows it. */
   nowUnixMs (): number {
@@ -24,7 +24,7 @@
   }
 
   recordStart (organisation: string, atUnixMs: number): void {
-    const number = this._times.windowAt(atUnixMs + this._correctionMs)
+    const number = this._schedule.windowAt(atUnixMs + this._correctionMs)
     const window = this._windows.get(number) ?? this._open(number)
     window.counts.set(organisation, (window.counts.get(organisation) ?? 0) + 1)
     window.revision += 1
@@ -55,7 +55,7 @@
 
   /** Drops the windows that are too old to be reported. */
   dropExpired (): void {
-    const oldest = this._times.oldestAt(this.nowUnixMs())
+    const oldest = this._schedule.oldestAt(this.nowUnixMs())
     for (const window of this._windows.keys()) if (window < oldest) this._drop(window, 'too old')
   }
 
--- a/src/common/usage/UsageReporter.test.ts
+++ b/src/common/usage/UsageReporter.test.ts
@@ -12,13 +12,13 @@
 import { UsageLedger } from './UsageLedger.js'
 import type { UsageReceipt } from './UsageReceipt.js'
 import { UsageReporter } from './UsageReporter.js'
-import { UsageTimes } from './UsageTimes.js'
+import { UsageSchedule } from './UsageSchedule.js'
 
 const HOUR_MS = 3_600_000
-/** The virtual clock starts at the begin of this window. */
+/** The virtual clock starts at the start of this window. */
 const WINDOW = 200
 const TICK_MS = 200
-const times = new UsageTimes({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 })
+const schedule = new UsageSchedule({ entryId: 'a', windowMs: 5000, lateMs: 10_000, leaseMs: 3000 })
 
 describe('UsageReporter', () => {
   let time: VirtualTime
@@ -61,7 +61,7 @@
         return outcome(report)
       }
     }
-    reporter = new UsageReporter({ entryId: 'a', epoch }, times, new UsageLedger(store, epoch, logger), new UsageCollector(times), new UsageClock(times), { holder, client }, logger, metrics)
+    reporter = new UsageReporter({ entryId: 'a', epoch }, schedule, new UsageLedger(store, epoch, logger), new UsageCollector(schedule), new UsageClock(schedule), { holder, client }, logger, metrics)
   }
 
   beforeEach(() => {
--- a/src/common/usage/UsageReporter.ts
+++ b/src/common/usage/UsageReporter.ts
@@ -11,7 +11,7 @@
 import type { UsageContribution } from './UsageContribution.js'
 import type { UsageLedger } from './UsageLedger.js'
 import type { UsageReceipt } from './UsageReceipt.js'
-import type { UsageTimes } from './UsageTimes.js'
+import type { UsageSchedule } from './UsageSchedule.js'
 
 const REPORTS_METRIC = 'usage_reports'
 /** Longer than a busy host delays a timer. */
@@ -46,7 +46,7 @@
 
   constructor (
     private readonly _identity: ReporterIdentity,
-    private readonly _times: UsageTimes,
+    private readonly _schedule: UsageSchedule,
     private readonly _ledger: UsageLedger,
     private readonly _collector: UsageCollector,
     private readonly _clock: UsageClock,
@@ -55,7 +55,7 @@
     private readonly _metrics: IMetrics
   ) {
     super()
-    this._mayCloseAtMs = performance.now() + _times.gatherMs
+    this._mayCloseAtMs = performance.now() + _schedule.gatherMs
     _clock.restart()
     this._register(_ledger)
     this._register({ dispose: () => this._onEnded() })
@@ -83,7 +83,7 @@
       if (outcome === 'taken') receipt.taken.push(window)
       else if (outcome === 'refused') receipt.refused.push(window)
       this._metrics.count('usage_contributions', { outcome })
-      if (outcome !== 'taken') this._logger.warn({ from: contribution.entry, window, outcome, current: this._times.windowAt(unixMs) }, 'usage_contribution_not_taken')
+      if (outcome !== 'taken') this._logger.warn({ from: contribution.entry, window, outcome, current: this._schedule.windowAt(unixMs) }, 'usage_contribution_not_taken')
     }
     return receipt
   }
@@ -108,8 +108,8 @@
     // After a freeze, contributions that arrived meanwhile have not been processed yet.
     const isReachable = isAccepting && nowMs - this._lastTickAtMs <= MAX_TICK_GAP_MS
     this._outageSinceMs = isReachable ? undefined : this._outageSinceMs ?? this._lastTickAtMs
-    const outageDelayMs = this._outageSinceMs === undefined ? 0 : this._times.gatherMsAfter(nowMs - this._outageSinceMs)
-    const clockDelayMs = this._clock.isSettled() ? 0 : this._times.settleMs
+    const outageDelayMs = this._outageSinceMs === undefined ? 0 : this._schedule.gatherMsAfter(nowMs - this._outageSinceMs)
+    const clockDelayMs = this._clock.isSettled() ? 0 : this._schedule.settleMs
     this._mayCloseAtMs = Math.max(this._mayCloseAtMs, nowMs + outageDelayMs, nowMs + clockDelayMs)
     this._lastTickAtMs = nowMs
   }
@@ -138,15 +138,15 @@
   /** Fixes the counts of the windows whose entries had time to send theirs. */
   private _closeDueWindows (nowUnixMs: number): void {
     if (performance.now() < this._mayCloseAtMs) return
-    const oldest = this._times.oldestAt(nowUnixMs)
+    const oldest = this._schedule.oldestAt(nowUnixMs)
     let window = this._nextWindow ?? this._selectFirstWindow(nowUnixMs)
     // The clock was corrected backwards, and the windows that it skipped have to be covered.
-    if (window > this._times.windowAt(nowUnixMs) + 1) window = this._times.oldestInTimeAt(nowUnixMs)
+    if (window > this._schedule.windowAt(nowUnixMs) + 1) window = this._schedule.oldestInTimeAt(nowUnixMs)
     if (window < oldest) {
       this._logger.error({ windows: oldest - window, first: window }, 'usage_windows_missed')
       window = oldest
     }
-    for (; this._times.endOf(window) + this._times.commitDelayMs <= nowUnixMs; window++) {
+    for (; this._schedule.endOf(window) + this._schedule.commitDelayMs <= nowUnixMs; window++) {
       if (this._ledger.isCommitted(window) || this._uncommitted.has(window)) continue
       const { counts, contributors } = this._collector.close(window)
       this._uncommitted.set(window, { window, counts })
@@ -157,8 +157,8 @@
 
   /** Covers the time before this term, but not that before the first holder. */
   private _selectFirstWindow (nowUnixMs: number): number {
-    const firstCovered = this._ledger.oldestWindow ?? this._times.oldestInTimeAt(nowUnixMs)
-    return Math.max(this._times.oldestAt(nowUnixMs), Math.min(firstCovered, this._collector.oldestWindow ?? Number.POSITIVE_INFINITY))
+    const firstCovered = this._ledger.oldestWindow ?? this._schedule.oldestInTimeAt(nowUnixMs)
+    return Math.max(this._schedule.oldestAt(nowUnixMs), Math.min(firstCovered, this._collector.oldestWindow ?? Number.POSITIVE_INFINITY))
   }
 
   private _commitClosed (): void {
@@ -194,7 +194,7 @@
   }
 
   private _abandonExpired (nowUnixMs: number): void {
-    const oldest = this._times.oldestAt(nowUnixMs)
+    const oldest = this._schedule.oldestAt(nowUnixMs)
     for (const { window } of this._ledger.unsent()) {
       if (window >= oldest) break
       this._ledger.complete(window, 'abandoned')
@@ -206,8 +206,8 @@
   /** A report that is not overdue comes before those that are; repeated ones do not hold up the others. */
   private _selectReport (nowUnixMs: number): UsageReport | undefined {
     // A holder whose clock was ahead may have committed windows that have not ended.
-    const reports = this._ledger.unsent().filter(({ window }) => this._times.endOf(window) <= nowUnixMs)
-    const isOverdue = ({ window }: UsageReport): number => this._times.endOf(window) + this._times.lateMs < nowUnixMs ? 1 : 0
+    const reports = this._ledger.unsent().filter(({ window }) => this._schedule.endOf(window) <= nowUnixMs)
+    const isOverdue = ({ window }: UsageReport): number => this._schedule.endOf(window) + this._schedule.lateMs < nowUnixMs ? 1 : 0
     const attempts = ({ window }: UsageReport): number => this._sendAttempts.get(window) ?? 0
     return reports.sort((a, b) => isOverdue(a) - isOverdue(b) || attempts(a) - attempts(b) || a.window - b.window)[0]
   }
@@ -250,7 +250,7 @@
   }
 
   private _ageMs (window: number): number {
-    return Math.round(this._clock.nowUnixMs() - this._times.endOf(window))
+    return Math.round(this._clock.nowUnixMs() - this._schedule.endOf(window))
   }
 
   private _logFault (fault: unknown): void {
--- a/src/common/usage/UsageTimes.ts
+++ b/src/common/usage/UsageSchedule.ts
@@ -6,11 +6,15 @@
 const PUSH_SHARE = 0.22
 /** Spreads the contributions of many entries. */
 const PUSH_JITTER_SHARE = 0.08
-/** Leaves time for a change of the holder, whose successor waits for the lease time, before the report is due. */
+/**
+ * A window is committed halfway between its end and the time at which its report is due: late enough for entries to
+ * repeat a contribution that was lost, and early enough for a new holder, whose first call has to wait for the lease
+ * time, to send the report in time.
+ */
 const COMMIT_SHARE = 0.5
 /** Time in which entries learn of a new holder and send it what they have kept. */
 const GATHER_SHARE = 0.25
-/** Time in which entries tell a holder their clocks, by contributions that are spread over the jitter. */
+/** Time in which entries report their clocks to a holder, by contributions that are spread over the jitter. */
 const SETTLE_SHARE = 0.12
 
 /**
@@ -19,8 +23,8 @@
  */
 const MAX_RETRY_MS = 5000
 
-/** When windows end, are sent to the holder, closed and reported. */
-export class UsageTimes {
+/** Schedule of a window: when it ends, its counts are sent to the holder, its report is committed and is due. */
+export class UsageSchedule {
   readonly maxAgeMs = MAX_AGE_MS
   readonly maxRetryMs = MAX_RETRY_MS
   readonly windowMs: number
--- a/src/common/usage/UsageService.test.ts
+++ b/src/common/usage/UsageService.test.ts
@@ -9,7 +9,7 @@
 import { UsageService } from './UsageService.js'
 
 const options = { windowMs: 5000, lateMs: 10_000, leaseMs: 3000 }
-/** The virtual clock starts at the begin of this window. */
+/** The virtual clock starts at the start of this window. */
 const WINDOW = 200
 
 interface Entry { service: UsageService, leadership: FakeLeadership }
--- a/src/common/usage/UsageService.ts
+++ b/src/common/usage/UsageService.ts
@@ -6,8 +6,8 @@
 import type { IMetrics } from '../metrics/IMetrics.js'
 import type { ILeadership } from '../store/ILeadership.js'
 import type { IStoreClient } from '../store/IStoreClient.js'
+import type { IContributionSender } from './IContributionSender.js'
 import type { IUsageMeter } from './IUsageMeter.js'
-import type { IUsageSender } from './IUsageSender.js'
 import { UsageClock } from './UsageClock.js'
 import { UsageCollector } from './UsageCollector.js'
 import type { UsageContribution } from './UsageContribution.js'
@@ -17,7 +17,7 @@
 import type { UsageOptions } from './UsageOptions.js'
 import type { UsageReceipt } from './UsageReceipt.js'
 import { UsageReporter } from './UsageReporter.js'
-import { UsageTimes } from './UsageTimes.js'
+import { UsageSchedule } from './UsageSchedule.js'
 
 const DUTY = 'usage_report'
 /** Also the shortest time between two calls to the platform, which is far below its limits. */
@@ -25,7 +25,7 @@
 
 /** Usage reports: counts the requests of this entry, and reports those of all entries while this entry leads. */
 export class UsageService extends Disposable {
-  private readonly _times: UsageTimes
+  private readonly _schedule: UsageSchedule
   private readonly _meter: UsageMeter
   private readonly _contributor: UsageContributor
   private readonly _clock: UsageClock
@@ -37,18 +37,18 @@
     private readonly _storeClient: IStoreClient,
     private readonly _leadership: ILeadership,
     private readonly _client: IDutyClient,
-    sender: IUsageSender,
+    sender: IContributionSender,
     private readonly _options: UsageOptions,
     private readonly _logger: ILogger,
     private readonly _metrics: IMetrics
   ) {
     super()
-    this._times = new UsageTimes(_options)
-    this._meter = new UsageMeter(this._times, _logger)
-    this._clock = new UsageClock(this._times)
+    this._schedule = new UsageSchedule(_options)
+    this._meter = new UsageMeter(this._schedule, _logger)
+    this._clock = new UsageClock(this._schedule)
     this._holder = this._register(new DutyHolder(DUTY, _leadership, _options.leaseMs, _logger, _metrics))
-    const ownOrRemote: IUsageSender = { send: async contribution => _leadership.isLeader ? this.accept(contribution) : await sender.send(contribution) }
-    this._contributor = new UsageContributor(_options.entryId, this._meter, this._times, _leadership, ownOrRemote, _logger)
+    const ownOrRemote: IContributionSender = { send: async contribution => _leadership.isLeader ? this.accept(contribution) : await sender.send(contribution) }
+    this._contributor = new UsageContributor(_options.entryId, this._meter, this._schedule, _leadership, ownOrRemote, _logger)
     this._register(_leadership.onGained(epoch => this._onGained(epoch)))
     this._register(_leadership.onLost(() => this._endTerm()))
     this._register(toDisposable(() => this._endTerm()))
@@ -83,7 +83,7 @@
     const ledger = new UsageLedger(this._storeClient, epoch, this._logger)
     const duty = { holder: this._holder, client: this._client }
     const identity = { entryId: this._options.entryId, epoch }
-    this._reporter = new UsageReporter(identity, this._times, ledger, new UsageCollector(this._times), this._clock, duty, this._logger, this._metrics)
+    this._reporter = new UsageReporter(identity, this._schedule, ledger, new UsageCollector(this._schedule), this._clock, duty, this._logger, this._metrics)
   }
 
   private _endTerm (): void {
--- a/src/node/front/UsageRelay.test.ts
+++ b/src/node/front/UsageRelay.test.ts
@@ -1,4 +1,4 @@
-import { afterEach, beforeEach, describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
 import { expect } from 'earl'
 import { testServices } from '../../common/log/test/testServices.js'
 import type { ILeadership } from '../../common/store/ILeadership.js'
@@ -37,6 +37,7 @@
     relay = new UsageRelay({ leaderAddress: () => leaderAddress } as unknown as ILeadership, '127.0.0.1:1', client, logger)
   })
   afterEach(() => {
+    mock.restoreAll()
     client.dispose()
     listener.dispose()
   })
@@ -63,6 +64,15 @@
     expect(await relay.send({ ...contribution, sentAtUnixMs: 2 })).toEqual(undefined)
   })
 
+  // Guards against a holder whose receipts are ignored without a trace, for example after an update of a part of the entries.
+  it('logs a malformed receipt', async () => {
+    const events: string[] = []
+    mock.method(logger, 'error', (_fields: object, event: string) => events.push(event))
+    respond = () => ({ ...receipt, epoch: 'x' } as unknown as UsageReceipt)
+    expect(await relay.send(contribution)).toEqual(undefined)
+    expect(events).toEqual(['usage_receipt_malformed'])
+  })
+
   it('refuses malformed contributions', () => {
     for (const body of ['', '{', '{}', JSON.stringify({ ...contribution, windows: [{ window: 7, counts: { x: -1 } }] })]) {
       expect(UsageRelay.serve({ body: Buffer.from(body) } as unknown as Parameters<typeof UsageRelay.serve>[0], () => receipt, logger).status).toEqual(400)
--- a/src/node/front/UsageRelay.ts
+++ b/src/node/front/UsageRelay.ts
@@ -1,7 +1,7 @@
 import type { ILogger } from '../../common/metrics/ILogger.js'
 import type { ILeadership } from '../../common/store/ILeadership.js'
 import type { IUpstreamClient } from '../../common/upstream/client/IUpstreamClient.js'
-import type { IUsageSender } from '../../common/usage/IUsageSender.js'
+import type { IContributionSender } from '../../common/usage/IContributionSender.js'
 import type { UsageContribution } from '../../common/usage/UsageContribution.js'
 import { usageContributionSchema } from '../../common/usage/usageContributionSchema.js'
 import type { UsageReceipt } from '../../common/usage/UsageReceipt.js'
@@ -13,7 +13,7 @@
 const SEND_TIMEOUT_MS = 800
 
 /** Sends the counts of an entry to the leader over the peer listener, and serves them there. */
-export class UsageRelay implements IUsageSender {
+export class UsageRelay implements IContributionSender {
   constructor (
     private readonly _leadership: ILeadership,
     private readonly _ownAddress: string,
@@ -43,12 +43,16 @@
     const request = { requestId: 'usage', method: 'POST', path: USAGE_PATH, headers: {}, body, deadlineAtMs: performance.now() + SEND_TIMEOUT_MS }
     const result = await this._client.call(address, request, new AbortController().signal)
     if (result.isErr() || result.value.status !== 200) {
-      this._logger.info({ leader: address, status: result.isOk() ? result.value.status : undefined, reason: result.isErr() ? result.error.kind : undefined }, 'usage_not_passed_on')
+      this._logger.info({ leader: address, status: result.isOk() ? result.value.status : undefined, reason: result.isErr() ? result.error.kind : undefined }, 'usage_send_failed')
       return undefined
     }
     const receipt = usageReceiptSchema.safeParse(parseJson(result.value.body))
+    if (!receipt.success) {
+      this._logger.error({ leader: address, reason: receipt.error.issues[0]?.message }, 'usage_receipt_malformed')
+      return undefined
+    }
     // A second copy of an earlier receipt may precede this one on the connection.
-    return receipt.success && receipt.data.sentAtUnixMs === contribution.sentAtUnixMs ? receipt.data : undefined
+    return receipt.data.sentAtUnixMs === contribution.sentAtUnixMs ? receipt.data : undefined
   }
 }
 
