--- a/src/common/usage/UsageClock.ts
+++ b/src/common/usage/UsageClock.ts
@@ -1,16 +1,15 @@
-import type { UsageTimes } from './UsageTimes.js'
+import { ClockJumpDetector } from '../kernel/ClockJumpDetector.js'
+import type { UsageSchedule } from './UsageSchedule.js'
 
-/** Change of the difference between wall clock and monotonic clock that shows a suspension or a step of the wall clock. */
-const CLOCK_JUMP_MS = 400
 /** With fewer clocks, nobody can tell which one is wrong. */
 const MIN_CLOCKS = 3
 const MAX_CLOCKS = 1000
-/** Entries that have been silent for this long say nothing about the present. */
+/** The readings of entries that have been silent for this long are discarded. */
 const MAX_READING_AGE_MS = 60_000
 
 /** A difference that delays of messages may explain; the holder's own clock counts then. */
 const TOLERANCE_MS = 1000
-/** After a suspension, messages that arrived meanwhile are read within this time; they say nothing about the present. */
+/** After a suspension, messages that arrived meanwhile are read within this time; they are discarded. */
 const STALE_MESSAGES_MS = 250
 
 /** Estimates true time at the holder as the median of the clocks of the entries, so that a single wrong one has no effect. */
@@ -18,11 +17,12 @@
   /** Differences between the wall clocks of other entries and this process's monotonic clock. */
   private readonly _readings = new Map<string, { offsetMs: number, atMs: number }>()
   private _ownOffsetMs = ownOffsetMs()
+  private _clockJumps = new ClockJumpDetector()
   /** When the readings were discarded. */
   private _clearedAtMs = performance.now()
   private _ignoresUntilMs = Number.NEGATIVE_INFINITY
 
-  constructor (private readonly _times: UsageTimes) {}
+  constructor (private readonly _schedule: UsageSchedule) {}
 
   /** Records the wall clock of another entry. */
   observe (entry: string, unixMs: number): void {
@@ -49,28 +49,29 @@
     return nowMs + (isOwnRight ? this._ownOffsetMs : median)
   }
 
-  /** Discards what earlier contributions said, at the begin of a term. */
+  /** Discards what earlier contributions said, at the start of a term. */
   restart (): void {
     this._readings.clear()
     this._clearedAtMs = performance.now()
     this._ownOffsetMs = ownOffsetMs()
+    // Earlier jumps do not affect later readings.
+    this._clockJumps = new ClockJumpDetector()
   }
 
-  /** Whether enough entries have told their clocks, or had the time to, since the readings were discarded. */
+  /** Whether enough entries have reported their clocks, or had the time to, since the readings were discarded. */
   isSettled (): boolean {
     this._checkJump()
-    return this._readings.size + 1 >= MIN_CLOCKS || performance.now() - this._clearedAtMs >= this._times.settleMs
+    return this._readings.size + 1 >= MIN_CLOCKS || performance.now() - this._clearedAtMs >= this._schedule.settleMs
   }
 
   /** After a jump, the readings refer to a monotonic clock that may have stopped for a time. */
   private _checkJump (): void {
-    const offsetMs = ownOffsetMs()
-    if (Math.abs(offsetMs - this._ownOffsetMs) >= CLOCK_JUMP_MS) {
-      this.restart()
-      this._ignoresUntilMs = performance.now() + STALE_MESSAGES_MS
-    } else {
-      this._ownOffsetMs = offsetMs
+    if (this._clockJumps.check() === undefined) {
+      this._ownOffsetMs = ownOffsetMs()
+      return
     }
+    this.restart()
+    this._ignoresUntilMs = performance.now() + STALE_MESSAGES_MS
   }
 }
 
--- a/src/common/usage/UsageContributor.ts
+++ b/src/common/usage/UsageContributor.ts
@@ -1,11 +1,12 @@
 import { Backoff } from '../kernel/Backoff.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { ILeadership } from '../store/ILeadership.js'
-import type { IUsageSender } from './IUsageSender.js'
+import type { IContributionSender } from './IContributionSender.js'
+import type { MeteredWindow } from './MeteredWindow.js'
 import type { UsageContribution } from './UsageContribution.js'
 import type { UsageMeter } from './UsageMeter.js'
 import type { UsageReceipt } from './UsageReceipt.js'
-import type { UsageTimes } from './UsageTimes.js'
+import type { UsageSchedule } from './UsageSchedule.js'
 
 /** Bounds a message; further windows follow with the next one. */
 const MAX_WINDOWS_PER_PUSH = 12
@@ -17,8 +18,6 @@
   /** Term of the holder that took or refused the counts. */
   epoch: number
   isRefused: boolean
-  /** Revision of the counts that this holder took last; 0 if it took none. */
-  takenRevision: number
 }
 
 /** Sends the counts of this entry to the holder of the usage reports until they are committed. */
@@ -29,18 +28,19 @@
   private readonly _jitterMs: number
   private _nextPushAtMs = Number.NEGATIVE_INFINITY
   private _knownEpoch?: number
-  private _isPushing = false
+  /** The push whose receipt has not arrived; never rejects. */
+  private _pushing?: Promise<void>
 
   constructor (
     private readonly _entryId: string,
     private readonly _meter: UsageMeter,
-    private readonly _times: UsageTimes,
+    private readonly _schedule: UsageSchedule,
     private readonly _leadership: ILeadership,
-    private readonly _sender: IUsageSender,
+    private readonly _sender: IContributionSender,
     private readonly _logger: ILogger
   ) {
-    this._backoff = new Backoff(_times.maxRetryMs)
-    this._jitterMs = Math.random() * _times.maxPushJitterMs
+    this._backoff = new Backoff(_schedule.maxRetryMs)
+    this._jitterMs = Math.random() * _schedule.maxPushJitterMs
   }
 
   /** Has to be called several times per second. */
@@ -48,20 +48,32 @@
     this._meter.dropExpired()
     for (const window of this._sent.keys()) if (this._meter.find(window) === undefined) this._sent.delete(window)
     this._observeEpoch()
-    if (this._isPushing || performance.now() < this._nextPushAtMs) return
-    const endedBeforeMs = this._meter.nowUnixMs() - this._times.pushDelayMs - this._jitterMs
-    this._push(window => this._times.endOf(window) <= endedBeforeMs)
-      .catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'usage_push_fault'))
+    if (this._pushing !== undefined || performance.now() < this._nextPushAtMs) return
+    const endedBeforeMs = this._meter.nowUnixMs() - this._schedule.pushDelayMs - this._jitterMs
+    this._startPush(window => this._schedule.endOf(window) <= endedBeforeMs)
   }
 
   /** Sends all counts, also those of the present window, repeatedly until they are taken or the time has passed. */
   async flush (timeoutMs: number): Promise<void> {
     const untilMs = performance.now() + timeoutMs
-    const expired = new Promise<void>(resolve => setTimeout(resolve, timeoutMs))
-    while (performance.now() < untilMs && this._meter.windows().some(({ window, revision }) => this._isDue(window, revision))) {
-      await Promise.race([this._push(() => true), expired])
+    // The entry has answered their callers that they may have run.
+    this._meter.settlePending()
+    let timer: NodeJS.Timeout | undefined
+    const expired = new Promise<void>(resolve => { timer = setTimeout(resolve, timeoutMs) })
+    // A receipt that arrives after that of a later push would replace the newer result.
+    await Promise.race([this._pushing, expired])
+    while (performance.now() < untilMs && this._meter.windows().some(window => this._isDue(window))) {
+      if (this._pushing === undefined) this._startPush(() => true)
+      await Promise.race([this._pushing, expired])
       await new Promise(resolve => setTimeout(resolve, FLUSH_INTERVAL_MS))
     }
+    clearTimeout(timer)
+  }
+
+  private _startPush (mayBeSent: (window: number) => boolean): void {
+    this._pushing = this._push(mayBeSent)
+      .catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'usage_push_fault'))
+      .finally(() => { this._pushing = undefined })
   }
 
   /** After a change of the leader, the entries send again what is not committed, spread over some time. */
@@ -74,9 +86,8 @@
   }
 
   private async _push (mayBeSent: (window: number) => boolean): Promise<void> {
-    const due = this._meter.windows().filter(({ window, revision }) => mayBeSent(window) && this._isDue(window, revision)).slice(-MAX_WINDOWS_PER_PUSH)
+    const due = this._meter.windows().filter(window => mayBeSent(window.window) && this._isDue(window)).slice(-MAX_WINDOWS_PER_PUSH)
     if (due.length === 0) return
-    this._isPushing = true
     const revisions = new Map(due.map(({ window, revision }) => [window, revision]))
     const sentAtUnixMs = Date.now()
     const contribution: UsageContribution = {
@@ -86,18 +97,14 @@
       windows: due.map(({ window, counts }) => ({ window, counts: Object.fromEntries(counts) })),
       unconfirmed: [...this._sent.keys()].filter(window => !revisions.has(window))
     }
-    try {
-      const receipt = await this._sender.send(contribution)
-      if (receipt === undefined) this._onFailed(due.length)
-      else this._onReceipt(receipt, revisions, sentAtUnixMs)
-    } finally {
-      this._isPushing = false
-    }
+    const receipt = await this._sender.send(contribution)
+    if (receipt === undefined) this._onFailed(due.length)
+    else this._onReceipt(receipt, revisions, sentAtUnixMs)
   }
 
-  private _isDue (window: number, revision: number): boolean {
+  private _isDue ({ window, revision, takenRevision }: MeteredWindow): boolean {
     const sent = this._sent.get(window)
-    return sent === undefined || (!sent.isRefused && sent.takenRevision !== revision) || sent.epoch < (this._leadership.latestKnownEpoch ?? Number.NEGATIVE_INFINITY)
+    return sent === undefined || (!sent.isRefused && takenRevision !== revision) || sent.epoch < (this._leadership.latestKnownEpoch ?? Number.NEGATIVE_INFINITY)
   }
 
   private _onFailed (windows: number): void {
@@ -111,9 +118,12 @@
     if (roundTripMs >= 0 && roundTripMs <= MAX_ROUND_TRIP_MS) this._meter.adoptTime(receipt.unixMs + roundTripMs / 2)
     const answered = new Set([...receipt.taken, ...receipt.refused, ...receipt.committed])
     for (const [window, revision] of revisions) {
-      const earlier = this._sent.get(window)
-      if (receipt.taken.includes(window)) this._sent.set(window, { epoch: receipt.epoch, isRefused: false, takenRevision: revision })
-      if (receipt.refused.includes(window)) this._sent.set(window, { epoch: receipt.epoch, isRefused: true, takenRevision: earlier?.epoch === receipt.epoch ? earlier.takenRevision : 0 })
+      const isRefused = receipt.refused.includes(window)
+      if (!isRefused && !receipt.taken.includes(window)) continue
+      // A holder that refuses a window has the counts that it took before, but none that an earlier holder took.
+      if (!isRefused) this._meter.recordTaken(window, revision)
+      else if (this._sent.get(window)?.epoch !== receipt.epoch) this._meter.recordTaken(window, 0)
+      this._sent.set(window, { epoch: receipt.epoch, isRefused })
     }
     for (const window of receipt.committed) this._onCommitted(window, receipt.epoch)
     const unanswered = [...revisions.keys()].filter(window => !answered.has(window)).length
@@ -123,11 +133,9 @@
 
   private _onCommitted (window: number, epoch: number): void {
     const counted = this._meter.find(window)
-    const sent = this._sent.get(window)
     // What the report lacks is logged, so that a report that is too low can be explained.
-    const takenRevision = sent?.takenRevision ?? 0
-    if (counted !== undefined && counted.revision !== takenRevision) {
-      this._logger.warn({ window, epoch, requests: counted.revision, requests_taken: takenRevision }, 'usage_counts_late')
+    if (counted !== undefined && counted.revision !== counted.takenRevision) {
+      this._logger.warn({ window, epoch, requests: counted.revision, requests_taken: counted.takenRevision }, 'usage_counts_late')
     }
     this._sent.delete(window)
     this._meter.remove(window)
