Log why a leader does not serve a batch, and the epoch of each restore

A 503 or 404 for a batch has five reasons (not serving, unreadable records, no lease, absent, another organisation), which the log did not tell apart, so that the hypotheses of the incident could not be told apart either. No change of behaviour.

--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -31,6 +31,9 @@
 /** `unknown` if the write timed out or failed, so that its records may or may not become durable. */
 type WriteOutcome = 'accepted' | 'refused' | 'unknown'
 
+/** Why a request for a batch gets no content; `absent` and `other_organisation` are final. */
+type NotServedReason = 'not_serving' | 'unreadable' | 'no_lease' | 'absent' | 'other_organisation'
+
 /** The time from gaining the leadership to losing it. */
 interface Term { epoch: number, store: BatchStore, runner?: BatchRunner, isReady: boolean }
 
@@ -119,7 +122,10 @@
       results.push(result)
     }
     // Without a valid lease, another leader may have stored more results.
-    if (results.length === 0 && this._leadership.validEpoch() === undefined) return { kind: 'unavailable' }
+    if (results.length === 0 && this._leadership.validEpoch() === undefined) {
+      this._logNotServed(id, 'no_lease')
+      return { kind: 'unavailable' }
+    }
     return { kind: 'results', total: batch.spec.itemCount, next: fromPosition + results.length, results }
   }
 
@@ -178,7 +184,20 @@
 
   /** Only a leader with a valid lease that could read all batches can tell that one does not exist. */
   private _absentOrUnavailable (id: string, store: BatchStore | undefined): { kind: 'absent' | 'unavailable' } {
-    return { kind: store?.isUnreadable(id) === false && this._leadership.validEpoch() !== undefined ? 'absent' : 'unavailable' }
+    const reason = this._absenceReason(id, store)
+    this._logNotServed(id, reason)
+    return { kind: reason === 'absent' || reason === 'other_organisation' ? 'absent' : 'unavailable' }
+  }
+
+  private _absenceReason (id: string, store: BatchStore | undefined): NotServedReason {
+    if (store === undefined) return 'not_serving'
+    if (store.isUnreadable(id)) return 'unreadable'
+    if (this._leadership.validEpoch() === undefined) return 'no_lease'
+    return store.find(id) === undefined ? 'absent' : 'other_organisation'
+  }
+
+  private _logNotServed (id: string, reason: NotServedReason): void {
+    this._logger.warn({ batch: id, reason, epoch: this._term?.epoch }, 'batch_not_served')
   }
 
   private async _startTerm (epoch: number): Promise<void> {
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -43,9 +43,9 @@
   private readonly _journal: Journal
   private readonly _codec: BatchRecordCodec
 
-  constructor (private readonly _client: IStoreClient, epoch: number, private readonly _retentionMs: number, private readonly _logger: ILogger) {
+  constructor (private readonly _client: IStoreClient, private readonly _epoch: number, private readonly _retentionMs: number, private readonly _logger: ILogger) {
     super()
-    this._journal = new Journal(_client, TOPIC, WRITER, epoch, _logger)
+    this._journal = new Journal(_client, TOPIC, WRITER, _epoch, _logger)
     this._codec = new BatchRecordCodec(_logger)
     this._register({ dispose: () => this._journal.close() })
   }
@@ -61,7 +61,7 @@
     this._handleUnrestored(snapshot.value.records)
     for (const { batch } of this._batches.values()) this._markResubmittedGroups(batch)
     for (const [engineId, orderedAtMs] of this._codec.restoreOrders(snapshot.value.records)) this._orderTimes.set(engineId, orderedAtMs)
-    this._logger.info({ batches: this._batches.size, records: snapshot.value.records.length, duration_ms: Math.round(performance.now() - startedAtMs) }, 'batches_restored')
+    this._logger.info({ epoch: this._epoch, batches: this._batches.size, records: snapshot.value.records.length, duration_ms: Math.round(performance.now() - startedAtMs) }, 'batches_restored')
     return ok(undefined)
   }
 
