Hold no request for a leader that does not respond, and let reads be served without one

What callers saw: an entry without access to the store and to the leader held each read of a batch for 1.5 s or more, longer than its caller waits.

Cause: the gateway forwarded each request anew to the address of the last known leader, with the time-out of a whole request, and went on trying though the entry could not have learned of another leader.

Without access to the store and a leader that responds, requests are rejected at once with a time to come back. Options of a read may name a way to serve it without the leader, used when the leader does not respond, responds with 503, or has been missing for 0.6 s.

--- a/src/node/front/LeaderGateway.test.ts
+++ b/src/node/front/LeaderGateway.test.ts
@@ -5,6 +5,7 @@
 import type { ILeadership } from '../../common/store/ILeadership.js'
 import type { IUpstreamClient } from '../../common/upstream/client/IUpstreamClient.js'
 import type { ListenerRequest } from './ListenerRequest.js'
+import type { ListenerResponse } from './ListenerResponse.js'
 import { LeaderGateway } from './LeaderGateway.js'
 import { LeaderViewClient } from './LeaderViewClient.js'
 
@@ -15,17 +16,28 @@
 }
 const options = { requestId: 'r', retryForMs: 500, leaderHoldMs: 0 }
 
-function createGateway (responses: { view: () => boolean, forward: (address: string) => 'ok' | 'not_leader' | 'lost', reported?: string }) {
+interface Responses {
+  /** Whether the leader serves; undefined if it does not respond. */
+  view: () => boolean | undefined
+  forward: (address: string) => 'ok' | 'not_leader' | 'lost' | 'unavailable'
+  reported?: string
+  canObserveLeader?: boolean
+}
+
+function createGateway (responses: Responses) {
   const sent = { bodies: 0, views: 0 }
   const client = {
     call: (to: string, upstreamRequest: { path: string }) => {
       if (upstreamRequest.path === '/leader') {
         sent.views += 1
-        return okAsync({ status: 200, headers: {}, body: Buffer.from(JSON.stringify({ epoch: 1, address: responses.reported, isServing: responses.view() })) })
+        const isServing = responses.view()
+        if (isServing === undefined) return errAsync({ kind: 'timeout', message: 'time-out', sent: true } as const)
+        return okAsync({ status: 200, headers: {}, body: Buffer.from(JSON.stringify({ epoch: 1, address: responses.reported, isServing })) })
       }
       sent.bodies += 1
       const outcome = responses.forward(to)
       if (outcome === 'lost') return errAsync({ kind: 'reset', message: 'reset', sent: true } as const)
+      if (outcome === 'unavailable') return okAsync({ status: 503, headers: {}, body: new Uint8Array() })
       return okAsync(outcome === 'ok' ? { status: 202, headers: {}, body: new Uint8Array() } : { status: 503, headers: { 'hyssopvalve-not-leader': '1' }, body: new Uint8Array() })
     }
   } as unknown as IUpstreamClient
@@ -36,9 +48,14 @@
       address = reported
     }
   } as unknown as ILeadership
-  const gateway = new LeaderGateway(leadership, '10.0.0.1:1', () => false, client, new LeaderViewClient(client, logger), logger)
+  const gateway = new LeaderGateway(leadership, '10.0.0.1:1', () => false, client, new LeaderViewClient(client, logger), logger, () => responses.canObserveLeader ?? true)
   const serve = async (): Promise<number> => (await gateway.serve(request, options, async () => ({ status: 200 }))).status
-  return { sent, serve }
+  /** A read, which the store can serve with status 200 if `isStored`. */
+  const read = async (isStored: boolean): Promise<number> => {
+    const serveWithoutLeader = async (): Promise<ListenerResponse | undefined> => isStored ? { status: 200 } : undefined
+    return (await gateway.serve({ ...request, method: 'GET', body: Buffer.alloc(0) }, { ...options, serveWithoutLeader }, async () => ({ status: 500 }))).status
+  }
+  return { sent, serve, read }
 }
 
 describe('LeaderGateway', () => {
@@ -59,4 +76,38 @@
     expect(await createGateway({ view: () => false, forward: () => 'not_leader' }).serve()).toEqual(503)
     expect(await createGateway({ view: () => false, forward: () => 'lost' }).serve()).toEqual(504)
   })
+
+  // Guards against accepted batches that nobody can read while the entry that is asked and the leader are separated.
+  it('serves a read without a leader that does not respond or cannot serve it', async () => {
+    expect(await createGateway({ view: () => undefined, forward: () => 'lost' }).read(true)).toEqual(200)
+    expect(await createGateway({ view: () => true, forward: () => 'unavailable' }).read(true)).toEqual(200)
+  })
+
+  it('passes on the 503 of the leader when a read cannot be served without it', async () => {
+    expect(await createGateway({ view: () => true, forward: () => 'unavailable' }).read(false)).toEqual(503)
+  })
+
+  it('sends no further body to a leader that did not respond, until that one responds to a query', async () => {
+    let isUp = false
+    const { sent, serve } = createGateway({ view: () => isUp ? true : undefined, forward: () => isUp ? 'ok' : 'lost' })
+    expect(await serve()).toEqual(504)
+    expect(await serve()).toEqual(503)
+    expect(sent.bodies).toEqual(1)
+    isUp = true
+    expect(await serve()).toEqual(202)
+  })
+
+  // Guards against requests that are held until their callers give up, when no leader can be found.
+  it('rejects at once without access to the store and a leader that responds', async () => {
+    const { sent, read } = createGateway({ view: () => undefined, forward: () => 'lost', canObserveLeader: false })
+    expect(await read(false)).toEqual(503)
+    expect(await read(false)).toEqual(503)
+    expect(sent).toEqual({ bodies: 1, views: 1 })
+  })
+
+  it('asks the previous leader for the new one, also without access to the store', async () => {
+    const forward = (address: string) => address === '10.0.0.3:1' ? 'ok' as const : 'not_leader' as const
+    const { serve } = createGateway({ view: () => true, forward, reported: '10.0.0.3:1', canObserveLeader: false })
+    expect(await serve()).toEqual(202)
+  })
 })
--- a/src/node/front/LeaderGateway.ts
+++ b/src/node/front/LeaderGateway.ts
@@ -15,20 +15,34 @@
 const RETRY_DELAY_MS = 80
 /** Time-out of one request to the leader, in addition to the time that the leader may hold it. */
 const FORWARD_TIMEOUT_MS = 1500
+/** The same for requests that can be served without the leader, so that their callers get a response in time. */
+const READ_FORWARD_TIMEOUT_MS = 700
+/** A request is served without the leader when there has been none for this time. Many takeovers are over by then. */
+const LEADERLESS_READ_DELAY_MS = 600
 const NO_LEADER_RETRY_AFTER_S = '0.4'
 
+type LeaderOutcome = ListenerResponse | ForwardFailure | 'no_leader'
+
+/** `not_sent` and `unreachable`: the request has not been processed. `lost`: it may have been. */
+type ForwardFailure = 'not_sent' | 'unreachable' | 'lost'
+
 /**
  * Serves requests that only the leader may process: locally if this entry leads, otherwise by forwarding them.
  * Such requests are idempotent, so they are sent again if the leader does not respond.
  */
 export class LeaderGateway {
+  /** Address of a leader that did not respond to the last request. */
+  private _unresponsiveAddress?: string
+
+  /** `canObserveLeader` tells whether this entry would learn of a new leader. */
   constructor (
     private readonly _leadership: ILeadership,
     private readonly _ownAddress: string,
     private readonly _isServing: () => boolean,
     private readonly _client: IUpstreamClient,
     private readonly _leaderViews: LeaderViewClient,
-    private readonly _logger: ILogger
+    private readonly _logger: ILogger,
+    private readonly _canObserveLeader: () => boolean = () => true
   ) {}
 
   /** Response to an entry that forwarded a request here although this entry is not the leader. */
@@ -46,37 +60,57 @@
     return { ...request, organisation: request.headers[ORGANISATION_HEADER] }
   }
 
-  /** Responds with 503 if no leader accepted the request in time, or 504 if a write may have been processed. */
+  /**
+   * Responds with 503 if no leader accepted the request in time, or 504 if a write may have been processed. Without a
+   * leader, and without the means to learn of a new one, it responds at once.
+   */
   async serve (request: ListenerRequest, options: GatewayOptions, serveLocally: () => Promise<ListenerResponse>): Promise<ListenerResponse> {
-    const retryUntilMs = performance.now() + options.retryForMs
+    const startedAtMs = performance.now()
     let mayHaveRun = false
     let isFirstAttempt = true
     for (;;) {
       if (this._isServing()) return await serveLocally()
-      const address = this._leadership.leaderAddress()
-      if (address !== undefined && address !== this._ownAddress && (isFirstAttempt || await this._isReady(address))) {
-        isFirstAttempt = false
-        const response = await this._forward(request, options, address)
-        if (response !== 'not_sent' && response !== 'lost') return response
-        mayHaveRun ||= response === 'lost'
-      }
-      if (performance.now() + RETRY_DELAY_MS > retryUntilMs || request.signal.aborted) break
+      const outcome = await this._tryLeader(request, options, isFirstAttempt)
+      isFirstAttempt &&= outcome === 'no_leader'
+      mayHaveRun ||= outcome === 'lost'
+      const response = await respond(outcome, options, performance.now() - startedAtMs)
+      if (response !== undefined) return response
+      if (this._shouldGiveUp(request, options, outcome, startedAtMs)) break
       await new Promise(resolve => setTimeout(resolve, RETRY_DELAY_MS))
     }
-    this._logger.warn({ request: options.requestId, target: request.target, leader: this._leadership.leaderAddress(), may_have_run: mayHaveRun }, 'leader_not_reached')
+    this._logger.warn({ request: options.requestId, target: request.target, leader: this._leadership.leaderAddress(), may_have_run: mayHaveRun, duration_ms: Math.round(performance.now() - startedAtMs) }, 'leader_not_reached')
     return mayHaveRun && request.method !== 'GET' ? { status: 504 } : { status: 503, headers: { 'retry-after': NO_LEADER_RETRY_AFTER_S } }
   }
 
+  private _shouldGiveUp (request: ListenerRequest, options: GatewayOptions, outcome: LeaderOutcome, startedAtMs: number): boolean {
+    if (request.signal.aborted) return true
+    // An entry that responds, although it does not lead, may know the leader.
+    if (outcome !== 'not_sent' && !this._canObserveLeader()) return true
+    return performance.now() - startedAtMs + RETRY_DELAY_MS > options.retryForMs
+  }
+
+  /** Forwards a request if there is a leader to which it may be sent. */
+  private async _tryLeader (request: ListenerRequest, options: GatewayOptions, isFirstAttempt: boolean): Promise<LeaderOutcome> {
+    const address = this._leadership.leaderAddress()
+    if (address === undefined || address === this._ownAddress) return 'no_leader'
+    const isUnresponsive = this._unresponsiveAddress === address
+    if (isFirstAttempt && !isUnresponsive) return await this._forward(request, options, address)
+    const readiness = await this._checkReady(address)
+    if (readiness === 'serving') return await this._forward(request, options, address)
+    return readiness === 'unreachable' ? 'unreachable' : 'not_sent'
+  }
+
   /** Bodies are large, so before one is sent again a query checks that the leader is ready. */
-  private async _isReady (address: string): Promise<boolean> {
+  private async _checkReady (address: string): Promise<'serving' | 'not_serving' | 'unreachable'> {
     const view = await this._leaderViews.fetch(address)
+    if (view === undefined) return 'unreachable'
     // An entry that cannot read the store learns of a new leader from the previous one.
-    if (view?.epoch !== undefined && view.address !== undefined) this._leadership.observeLeader(view.epoch, view.address)
-    return view?.isServing === true
+    if (view.epoch !== undefined && view.address !== undefined) this._leadership.observeLeader(view.epoch, view.address)
+    return view.isServing ? 'serving' : 'not_serving'
   }
 
-  /** `not_sent`: the request has not been processed. `lost`: it may have been. */
-  private async _forward (request: ListenerRequest, options: GatewayOptions, address: string): Promise<ListenerResponse | 'not_sent' | 'lost'> {
+  private async _forward (request: ListenerRequest, options: GatewayOptions, address: string): Promise<ListenerResponse | ForwardFailure> {
+    const timeoutMs = options.serveWithoutLeader === undefined ? FORWARD_TIMEOUT_MS : READ_FORWARD_TIMEOUT_MS
     // A caller must not choose its organisation by sending the header of the hop.
     const { [ORGANISATION_HEADER]: _claimed, ...headers } = request.headers
     if (request.organisation !== undefined) headers[ORGANISATION_HEADER] = request.organisation
@@ -86,15 +120,27 @@
       path: request.target,
       headers: { ...headers, [SENDER_HEADER]: this._ownAddress },
       body: request.body.length > 0 ? request.body : undefined,
-      deadlineAtMs: performance.now() + options.leaderHoldMs + FORWARD_TIMEOUT_MS
+      deadlineAtMs: performance.now() + options.leaderHoldMs + timeoutMs
     }, request.signal)
     if (result.isErr()) {
       this._logger.warn({ request: options.requestId, leader: address, reason: result.error.message, sent: result.error.sent }, 'leader_hop_failed')
-      return result.error.sent ? 'lost' : 'not_sent'
+      // A caller that leaves says nothing about the leader.
+      if (result.error.kind !== 'cancelled') this._unresponsiveAddress = address
+      return result.error.sent ? 'lost' : 'unreachable'
     }
+    this._unresponsiveAddress = undefined
     const { status, body } = result.value
     if (result.value.headers[NOT_LEADER_HEADER] !== undefined) return 'not_sent'
     const { 'content-length': _length, ...responseHeaders } = result.value.headers
     return { status, headers: responseHeaders, body }
   }
 }
+
+/** The response to the caller, unless the request has to be tried again. */
+async function respond (outcome: LeaderOutcome, options: GatewayOptions, elapsedMs: number): Promise<ListenerResponse | undefined> {
+  const leaderResponse = typeof outcome === 'string' ? undefined : outcome
+  if (leaderResponse !== undefined && leaderResponse.status !== 503) return leaderResponse
+  // The leader may be known or ready soon.
+  if ((outcome === 'no_leader' || outcome === 'not_sent') && elapsedMs < LEADERLESS_READ_DELAY_MS) return undefined
+  return await options.serveWithoutLeader?.() ?? leaderResponse
+}
