Expose the decoding of single batch records

Cause: a reader without the leadership has to decode the spec, the end, the results, the items and the texts of one batch, and the codec could only restore all batches at once. Change: decodeSpec, decodeEnd, decodeItems, decodeResults and decodeText are what the restore uses, too. The keys and their ranges are in BatchRecordKeys, the schema of the end is in record/. No change of behaviour.

--- a/src/common/batch/BatchRecordCodec.ts
+++ b/src/common/batch/BatchRecordCodec.ts
@@ -3,6 +3,9 @@
 import { joinRecord } from '../store/joinRecord.js'
 import { splitRecord } from '../store/splitRecord.js'
 import { Batch } from './Batch.js'
+import { BatchRecordKeys } from './BatchRecordKeys.js'
+import type { BatchEnd } from './record/BatchEnd.js'
+import { batchEndSchema } from './record/batchEndSchema.js'
 import type { BatchItem } from './record/BatchItem.js'
 import { batchItemSchema } from './record/batchItemSchema.js'
 import type { BatchResult } from './record/BatchResult.js'
@@ -16,15 +19,8 @@
 /** Items are collected into records of about this size, and texts are split into such records. */
 const MAX_RECORD_BYTES = 200_000
 
-const endSchema = z.object({
-  endedAtMs: z.number(),
-  /** A later batch may resubmit these groups. */
-  incompleteGroups: z.array(z.string()),
-  /** Results that were durable at the end, by position up to the first gap; `null` at a gap in records of earlier versions. */
-  results: z.array(batchResultSchema.nullable())
-})
-
 interface EncodedRecord { key: string, value?: Uint8Array }
+type RecordValues = ReadonlyMap<string, Uint8Array>
 
 /**
  * Encodes batches and the times of version orders as store records and decodes them. Keys: `batch/ID`,
@@ -49,9 +45,9 @@
       chunks.at(-1)?.push(item)
       bytes += size
     }
-    const records = chunks.flatMap((chunk, index) => this._encodeJson(`items/${spec.id}/${pad(index)}`, chunk))
+    const records = chunks.flatMap((chunk, index) => this._encodeJson(BatchRecordKeys.items(spec.id, index), chunk))
     // The last record makes the batch exist, since a large submission does not become durable at once.
-    return [...records, ...this._encodeJson(`batch/${spec.id}`, spec)]
+    return [...records, ...this._encodeJson(BatchRecordKeys.spec(spec.id), spec)]
   }
 
   /** Number of records that a text is split into. */
@@ -64,17 +60,17 @@
     const bytes = this._encoder.encode(text)
     const records: EncodedRecord[] = []
     for (let start = 0; start < bytes.length; start += MAX_RECORD_BYTES) {
-      records.push({ key: `text/${batchId}/${pad(position)}/${pad(records.length)}`, value: bytes.subarray(start, start + MAX_RECORD_BYTES) })
+      records.push({ key: BatchRecordKeys.text(batchId, position, records.length), value: bytes.subarray(start, start + MAX_RECORD_BYTES) })
     }
     // The position may still have further records of another text, whose result did not become durable.
-    return [...records, ...this._encodeJson(`result/${batchId}/${pad(position)}`, { ...head, textRecords: records.length })]
+    return [...records, ...this._encodeJson(BatchRecordKeys.result(batchId, position), { ...head, textRecords: records.length })]
   }
 
   /** Encodes the events of an item that were not saved yet. */
   encodeProgress (batchId: string, state: ItemState): EncodedRecord[] {
     const { events, versions, isComplete } = state.progress
     const part: ProgressPart = { firstEventId: state.savedEventId + 1, events: events.slice(state.savedEventId), versions, isComplete: isComplete || undefined }
-    return this._encodeJson(`progress/${batchId}/${pad(state.index)}/${pad(state.savedParts)}`, part)
+    return this._encodeJson(BatchRecordKeys.progress(batchId, state.index, state.savedParts), part)
   }
 
   /**
@@ -84,11 +80,11 @@
    */
   encodeEnd (batch: Batch, keys: readonly string[], endedAtMs: number): EncodedRecord[] {
     const listed = batch.listedResults()
-    const isListed = new Set(listed.map((_, position) => `result/${batch.spec.id}/${pad(position)}`))
+    const isListed = new Set(listed.map((_, position) => BatchRecordKeys.result(batch.spec.id, position)))
     const obsolete = keys.filter(key => key.startsWith('items/') || key.startsWith('progress/') || isListed.has(key))
     const results = listed.map(({ itemId, state, versions, score, textRecords }) => ({ itemId, state, versions, score, textRecords }))
-    const end: z.infer<typeof endSchema> = { endedAtMs, incompleteGroups: batch.incompleteGroups(), results }
-    return [...this._encodeJson(`end/${batch.spec.id}`, end), ...this.encodeRemoval(obsolete)]
+    const end: BatchEnd = { endedAtMs, incompleteGroups: batch.incompleteGroups(), results }
+    return [...this._encodeJson(BatchRecordKeys.end(batch.spec.id), end), ...this.encodeRemoval(obsolete)]
   }
 
   encodeOrder (engineId: string, orderedAtMs: number): EncodedRecord[] {
@@ -115,7 +111,7 @@
   restore (records: ReadonlyArray<{ key: string, value?: Uint8Array }>): Map<string, { batch: Batch, keys: string[] }> {
     const byBatch = new Map<string, Map<string, Uint8Array>>()
     for (const { key, value } of records) {
-      const id = key.split('/')[1]
+      const id = BatchRecordKeys.batchIdOf(key)
       if (id === undefined || value === undefined || key.startsWith('order/')) continue
       const values = byBatch.get(id) ?? new Map<string, Uint8Array>()
       byBatch.set(id, values.set(key, value))
@@ -136,13 +132,13 @@
     const unreadableIds = new Set<string>()
     const abandonedKeys: string[] = []
     for (const { key, value } of records) {
-      const id = key.split('/')[1]
+      const id = BatchRecordKeys.batchIdOf(key)
       if (id === undefined || value === undefined || restored.has(id)) continue
       if (key.startsWith('order/') || key.startsWith(BatchRecordCodec.firstTextKey)) continue
       if (key.startsWith('items/')) abandonedKeys.push(key)
       else unreadableIds.add(id)
     }
-    return { unreadableIds, abandonedKeys: abandonedKeys.filter(key => !unreadableIds.has(key.split('/')[1] ?? '')) }
+    return { unreadableIds, abandonedKeys: abandonedKeys.filter(key => !unreadableIds.has(BatchRecordKeys.batchIdOf(key) ?? '')) }
   }
 
   /** Sets the result texts of a batch from its text records. */
@@ -155,6 +151,42 @@
     batch.unloadedTextCount = 0
   }
 
+  decodeSpec (batchId: string, values: RecordValues): BatchSpec | undefined {
+    return this._decodeJson(BatchRecordKeys.spec(batchId), values, batchSpecSchema)
+  }
+
+  decodeEnd (batchId: string, values: RecordValues): BatchEnd | undefined {
+    return this._decodeJson(BatchRecordKeys.end(batchId), values, batchEndSchema)
+  }
+
+  /** Decodes the items of one record; undefined if it is missing or unreadable. */
+  decodeItems (batchId: string, index: number, values: RecordValues): BatchItem[] | undefined {
+    return this._decodeJson(BatchRecordKeys.items(batchId, index), values, z.array(batchItemSchema))
+  }
+
+  /** Decodes the results by position, up to the first one that is missing or unreadable, without their texts. */
+  decodeResults (batchId: string, values: RecordValues, end: BatchEnd | undefined): BatchResult[] {
+    const results: BatchResult[] = []
+    for (const head of end?.results ?? []) {
+      if (head === null) break
+      results.push({ ...head, text: '' })
+    }
+    // Results in flight when the batch ended have later positions than those stored with its end.
+    for (;;) {
+      const head = this._decodeJson(BatchRecordKeys.result(batchId, results.length), values, batchResultSchema)
+      if (head === undefined) return results
+      results.push({ ...head, text: '' })
+    }
+  }
+
+  /** Decodes the text of a result; undefined if one of its `count` records is missing. Without a count, it ends at the first missing record. */
+  decodeText (batchId: string, position: number, values: RecordValues, count?: number): string | undefined {
+    for (let index = 0; index < (count ?? 0); index++) {
+      if (!values.has(BatchRecordKeys.text(batchId, position, index))) return undefined
+    }
+    return this._decodeText(batchId, position, values, count)
+  }
+
   /** Text records sort after all other records, so a restore stops reading at this key. */
   static readonly firstTextKey = 'text/'
 
@@ -163,31 +195,21 @@
     return `text/${batchId}/`
   }
 
-  private _restoreBatch (id: string, values: ReadonlyMap<string, Uint8Array>): Batch | undefined {
-    const spec = this._decodeJson(`batch/${id}`, values, batchSpecSchema)
+  private _restoreBatch (id: string, values: RecordValues): Batch | undefined {
+    const spec = this.decodeSpec(id, values)
     if (spec === undefined) return undefined
     const items: BatchItem[] = []
-    const end = this._decodeJson(`end/${id}`, values, endSchema)
+    const end = this.decodeEnd(id, values)
     for (let index = 0; items.length < spec.itemCount; index++) {
-      const key = `items/${id}/${pad(index)}`
       // The items of an ended batch have been removed.
-      if (end !== undefined && !values.has(key)) break
-      const chunk = this._decodeJson(key, values, z.array(batchItemSchema))
+      if (end !== undefined && !values.has(BatchRecordKeys.items(id, index))) break
+      const chunk = this.decodeItems(id, index, values)
       if (chunk === undefined) return undefined
       items.push(...chunk)
     }
     const batch = new Batch(spec, items)
     if (end !== undefined) batch.end(end.incompleteGroups)
-    for (const [position, head] of (end?.results ?? []).entries()) {
-      if (head === null) break
-      batch.addResult(position, { ...head, text: '' })
-    }
-    // Results in flight when the batch ended have later positions than those stored with its end.
-    for (let position = batch.results.length; ; position++) {
-      const head = this._decodeJson(`result/${id}/${pad(position)}`, values, batchResultSchema)
-      if (head === undefined) break
-      batch.addResult(position, { ...head, text: '' })
-    }
+    for (const [position, result] of this.decodeResults(id, values, end).entries()) batch.addResult(position, result)
     batch.unloadedTextCount = batch.results.length
     for (const state of batch.items) {
       if (state.status !== 'finished') this._restoreProgress(id, state, values)
@@ -195,9 +217,9 @@
     return batch
   }
 
-  private _restoreProgress (id: string, state: ItemState, values: ReadonlyMap<string, Uint8Array>): void {
+  private _restoreProgress (id: string, state: ItemState, values: RecordValues): void {
     for (let index = 0; ; index++) {
-      const key = `progress/${id}/${pad(state.index)}/${pad(index)}`
+      const key = BatchRecordKeys.progress(id, state.index, index)
       if (!values.has(key)) return
       state.savedParts = index + 1
       const part = this._decodeJson(key, values, progressPartSchema)
@@ -216,11 +238,11 @@
     }
   }
 
-  private _decodeText (id: string, position: number, values: ReadonlyMap<string, Uint8Array>, count = Number.POSITIVE_INFINITY): string {
+  private _decodeText (id: string, position: number, values: RecordValues, count = Number.POSITIVE_INFINITY): string {
     const decoder = new TextDecoder()
     let text = ''
     for (let index = 0; index < count; index++) {
-      const part = values.get(`text/${id}/${pad(position)}/${pad(index)}`)
+      const part = values.get(BatchRecordKeys.text(id, position, index))
       if (part === undefined) break
       text += decoder.decode(part, { stream: true })
     }
@@ -232,7 +254,7 @@
   }
 
   /** Decodes a record from its pieces; undefined if it is missing or unreadable. */
-  private _decodeJson<T extends z.ZodType> (key: string, values: ReadonlyMap<string, Uint8Array>, schema: T): z.output<T> | undefined {
+  private _decodeJson<T extends z.ZodType> (key: string, values: RecordValues, schema: T): z.output<T> | undefined {
     const bytes = joinRecord(key, values)
     return bytes === undefined ? undefined : this._parse(key, bytes, schema)
   }
@@ -247,8 +269,3 @@
     }
   }
 }
-
-/** Pads numbers in keys, so that keys sort numerically. */
-function pad (value: number): string {
-  return String(value).padStart(6, '0')
-}
--- a/src/common/store/readAllNewest.ts
+++ b/src/common/store/readAllNewest.ts
@@ -1,16 +1,14 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { IStoreClient } from './IStoreClient.js'
 import type { KeyedRecord } from './KeyedRecord.js'
+import type { KeyRange } from './KeyRange.js'
 import type { StoreError } from './StoreError.js'
 
-/** Range in key order; both bounds are exclusive. */
-interface KeyRange { afterKey?: string, untilKey?: string }
-
 /**
  * Reads the newest record of every key after `afterKey`, up to and including the first page that reaches `untilKey`.
  * Reading must continue at `endOffset` to miss no record.
  */
-export async function readAllNewest (client: IStoreClient, topic: string, { afterKey, untilKey }: KeyRange = {}): Promise<Result<{ records: KeyedRecord[], endOffset: number }, StoreError>> {
+export async function readAllNewest (client: IStoreClient, topic: string, { afterKey, untilKey }: Partial<KeyRange> = {}): Promise<Result<{ records: KeyedRecord[], endOffset: number }, StoreError>> {
   const records: KeyedRecord[] = []
   let endOffset: number | undefined
   for (;;) {
