--- a/src/common/batch/BatchRecordCodec.ts
+++ b/src/common/batch/BatchRecordCodec.ts
@@ -187,6 +187,9 @@
     return this._decodeText(batchId, position, values, count)
   }
 
+  /** Topic of all batches. */
+  static readonly topic = 'keyed.batches'
+
   /** Text records sort after all other records, so a restore stops reading at this key. */
   static readonly firstTextKey = 'text/'
 
--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -15,12 +15,12 @@
 import type { IVersionOrderStore } from '../version/IVersionOrderStore.js'
 import type { HandoffProgress } from './record/HandoffProgress.js'
 import type { IBatchStore } from './IBatchStore.js'
+import { isVisibleTo } from './isVisibleTo.js'
+import { ResultPage } from './ResultPage.js'
 
 const CLEANUP_INTERVAL_MS = 5000
 /** Back-off after a failed restore. */
 const RESTORE_BACKOFF_MS = 150
-/** Maximum length of the result texts in one response, in characters. */
-const MAX_PAGE_CHARS = 700_000
 /** Time-out for the records of a request to become durable. */
 const WRITE_TIMEOUT_MS = 2500
 /** Time-out for the progress of all runs to become durable at a planned stop. */
@@ -112,15 +112,12 @@
         return { kind: 'unavailable' }
       }
     }
-    const results = []
-    let chars = 0
+    const page = new ResultPage()
     for (let position = fromPosition; position < batch.results.length; position++) {
       const result = batch.results[position]
-      if (result === undefined) break
-      chars += result.text.length
-      if (results.length > 0 && chars > MAX_PAGE_CHARS) break
-      results.push(result)
+      if (result === undefined || !page.add(result)) break
     }
+    const { results } = page
     // Without a valid lease, another leader may have stored more results.
     if (results.length === 0 && this._leadership.validEpoch() === undefined) {
       this._logNotServed(id, 'no_lease')
@@ -167,7 +164,7 @@
   }
 
   private _acceptRepeated (batch: Batch, organisation: string | undefined): WriteOutcome {
-    if (isVisibleTo(batch, organisation)) return 'accepted'
+    if (isVisibleTo(batch.spec, organisation)) return 'accepted'
     this._logger.warn({ batch: batch.spec.id, organisation }, 'batch_id_of_another_organisation')
     return 'refused'
   }
@@ -247,14 +244,9 @@
   }
 }
 
-/** A batch without an organisation comes from a public route, or from before organisations were configured. */
-function isVisibleTo ({ spec }: Batch, organisation: string | undefined): boolean {
-  return spec.organisation === undefined || spec.organisation === organisation
-}
-
 function findVisible (store: BatchStore | undefined, id: string, organisation: string | undefined): Batch | undefined {
   const batch = store?.find(id)
-  return batch !== undefined && isVisibleTo(batch, organisation) ? batch : undefined
+  return batch !== undefined && isVisibleTo(batch.spec, organisation) ? batch : undefined
 }
 
 function expectsMoreResults (batch: Batch): boolean {
