Check two more races of the reader of stored batches

Change: the test of a removal puts spec and end on different pages; a new test has a record of a previous leader behind the results of the end.

--- a/src/common/batch/BatchRecordCodec.ts
+++ b/src/common/batch/BatchRecordCodec.ts
@@ -151,10 +151,12 @@
     batch.unloadedTextCount = 0
   }
 
+  /** Decodes the spec; undefined if it is missing or unreadable. */
   decodeSpec (batchId: string, values: RecordValues): BatchSpec | undefined {
     return this._decodeJson(BatchRecordKeys.spec(batchId), values, batchSpecSchema)
   }
 
+  /** Decodes the end; undefined if it is missing or unreadable. */
   decodeEnd (batchId: string, values: RecordValues): BatchEnd | undefined {
     return this._decodeJson(BatchRecordKeys.end(batchId), values, batchEndSchema)
   }
--- a/src/common/batch/StoredBatchReader.test.ts
+++ b/src/common/batch/StoredBatchReader.test.ts
@@ -95,6 +95,20 @@
     expect(await harness.texts()).toEqual(['text 2', 'text 0'])
   })
 
+  // Guards against an item at two positions, when a record that a previous leader left is behind the results of the end.
+  it('does not list an item again after the end of its batch', async () => {
+    const batch = await harness.submitItems(2)
+    memory.appendOutcome = ({ records }) => records.some(({ key }) => key === 'result/batch-1/000000') ? 'rejected' : 'ok'
+    harness.finish(batch, 0).catch(() => undefined)
+    await time.advance(5)
+    await harness.finish(batch, 1)
+    memory.appendOutcome = () => 'ok'
+    const taken = await harness.takeOver(2)
+    await harness.finish(taken, 1)
+    await harness.leader.end(taken)
+    expect([await harness.texts(), await harness.texts(1)]).toEqual([['text 1'], 'unavailable'])
+  })
+
   // Guards against responses over the platform's limit of 1 MB, and against reading more texts than one response needs.
   it('lists large texts over several pages, at least one on each, and reads only the texts of the page', async () => {
     const batch = await harness.submitItems(4)
--- a/src/common/batch/storedBatchReaderRaces.test.ts
+++ b/src/common/batch/storedBatchReaderRaces.test.ts
@@ -72,6 +72,8 @@
     for (const isEnded of [false, true]) {
       for (let page = 0; page < 14; page++) {
         const batch = await harness.submitItems(6)
+        // The records of other batches put the spec and the end on different pages.
+        for (const id of ['batch-10', 'batch-11', 'batch-12']) await harness.submitItems(1, id)
         for (let index = 0; index < 5; index++) await harness.finish(batch, index)
         if (isEnded) await harness.leader.end(batch)
         client.pagesAfter.length = 0
