Load result texts a few at a time, and keep what was read

What callers saw: after a loss of all power the batches are in the store, but reads through the new leader are held and then fail, for as long as callers repeat them together.

Cause: a read loaded all texts of its batch, all batches loaded at once, and a failed page discarded the pages before it. On a slow link the pages share the bandwidth until each of them exceeds its 2.5 s, and all loads start again. The pages of all loads were in memory together.

Change: TextLoader loads for two batches at a time, in order of arrival. A read asks for the texts of its own page of results (700,000 characters). Texts are kept as their records arrive, also when a later page fails or the read has been refused, and the load continues after the last record. A page is applied to all batches that are asked for, since one page holds the texts of several small batches. A read is refused after 0.3 s if its load has not started, after 1 s in any case, and at once while the store does not respond; then one page at a time finds out whether it does.

Texts in use for less than 5 s are not evicted, and eviction no longer clears the text in a response that was already returned. A text that lacks a record is refused; before, it was returned without its end. Eviction skips positions without a durable result, on which it failed.

--- a/src/common/batch/Batch.ts
+++ b/src/common/batch/Batch.ts
@@ -7,8 +7,6 @@
 export class Batch {
   readonly items: ItemState[]
   readonly results: BatchResult[] = []
-  /** Number of results, counted from position 0, whose texts have to be loaded from the store. */
-  unloadedTextCount = 0
   /** Number of result positions allocated, including those whose records are not durable yet. */
   positionsAllocated = 0
   private _groupsIncompleteAtEnd?: ReadonlySet<string>
@@ -16,6 +14,9 @@
   readonly resubmittedGroups = new Set<string>()
   readonly itemsByGroup = new Map<string, ItemState[]>()
   private readonly _byId = new Map<string, ItemState>()
+  /** Positions of the results whose texts have to be loaded from the store. */
+  private readonly _unloadedTexts = new Set<number>()
+  private _textsUsedAtMs = performance.now()
 
   constructor (readonly spec: BatchSpec, items: readonly BatchItem[]) {
     this.items = items.map((item, index) => new ItemState(item, index))
@@ -35,10 +36,59 @@
     return this._groupsIncompleteAtEnd !== undefined
   }
 
-  /** Evicts the result texts from memory; the store keeps them. */
+  /** Number of results whose texts have to be loaded from the store. */
+  get unloadedTextCount (): number {
+    return this._unloadedTexts.size
+  }
+
+  unloadedTexts (): number[] {
+    return [...this._unloadedTexts]
+  }
+
+  isTextLoaded (position: number): boolean {
+    return !this._unloadedTexts.has(position)
+  }
+
+  /**
+   * First position whose text has to be loaded for a response with the results from `fromPosition` on, which contains
+   * at least one and no more than fit into `maxChars` characters.
+   */
+  nextUnloadedText (fromPosition: number, maxChars: number): number | undefined {
+    let chars = 0
+    for (let position = fromPosition; chars <= maxChars; position++) {
+      const result = this.results[position]
+      if (result === undefined) return undefined
+      if (!this.isTextLoaded(position)) return position
+      chars += result.text.length
+    }
+    return undefined
+  }
+
+  setText (position: number, text: string): void {
+    const result = this.results[position]
+    if (result !== undefined) this.results[position] = { ...result, text }
+    this._unloadedTexts.delete(position)
+    this.markTextsUsed()
+  }
+
+  /** Records that a read needs texts, so that they stay in memory for some time. */
+  markTextsUsed (): void {
+    this._textsUsedAtMs = performance.now()
+  }
+
+  /** Time since a text was last read or loaded, in milliseconds. */
+  textsIdleMs (): number {
+    return performance.now() - this._textsUsedAtMs
+  }
+
+  /** Evicts the result texts from memory; the store keeps them. Results that were already returned keep theirs. */
   evictTexts (): void {
-    for (const result of this.results) result.text = ''
-    this.unloadedTextCount = this.results.length
+    // Skips the gaps of positions whose results are not durable yet.
+    this.results.forEach((result, position) => {
+      if (result.textRecords === 0) return
+      this.results[position] = { ...result, text: '' }
+      this._unloadedTexts.add(position)
+    })
   }
 
   /** Ends the batch; `incompleteGroups` are those that a later batch may resubmit. */
@@ -77,6 +127,7 @@
 
   addResult (position: number, result: BatchResult): void {
     this.results[position] = result
+    this._unloadedTexts.delete(position)
     this.positionsAllocated = Math.max(this.positionsAllocated, position + 1)
     const state = this._byId.get(result.itemId)
     if (state !== undefined) state.status = 'finished'
--- a/src/common/batch/BatchRecordCodec.ts
+++ b/src/common/batch/BatchRecordCodec.ts
@@ -148,11 +148,10 @@
   /** Sets the result texts of a batch from its text records. */
   restoreTexts (batch: Batch, records: ReadonlyArray<{ key: string, value?: Uint8Array }>): void {
     const values = new Map(records.flatMap(({ key, value }) => value === undefined ? [] : [[key, value] as const]))
-    for (let position = 0; position < batch.unloadedTextCount; position++) {
+    for (const position of batch.unloadedTexts()) {
       const result = batch.results[position]
-      if (result !== undefined) result.text = this._decodeText(batch.spec.id, position, values, result.textRecords)
+      batch.setText(position, this._decodeText(batch.spec.id, position, values, result?.textRecords))
     }
-    batch.unloadedTextCount = 0
   }
 
   /** Text records sort after all other records, so a restore stops reading at this key. */
@@ -163,6 +162,31 @@
     return `text/${batchId}/`
   }
 
+  /** Key after which a text is read, behind those of its records that were read before. */
+  static keyBeforeText (batchId: string, position: number, recordsRead: number): string {
+    const key = `text/${batchId}/${pad(position)}`
+    return recordsRead === 0 ? key : `${key}/${pad(recordsRead - 1)}`
+  }
+
+  /** Key after those of all records of a text; '0' is the character after '/'. */
+  static keyAfterText (batchId: string, position: number): string {
+    return `text/${batchId}/${pad(position)}0`
+  }
+
+  /** Result position and record number of the key of a text record; undefined if it belongs to no text of the batch. */
+  static parseTextKey (batchId: string, key: string): { position: number, index: number } | undefined {
+    const prefix = BatchRecordCodec.textKeyPrefix(batchId)
+    if (!key.startsWith(prefix)) return undefined
+    const [position, index] = key.slice(prefix.length).split('/').map(Number)
+    return position === undefined || index === undefined ? undefined : { position, index }
+  }
+
+  /** Decodes a text from all of its records; characters may be split between them. */
+  decodeText (records: readonly Uint8Array[]): string {
+    const decoder = new TextDecoder()
+    return records.map(record => decoder.decode(record, { stream: true })).join('') + decoder.decode()
+  }
+
   private _restoreBatch (id: string, values: ReadonlyMap<string, Uint8Array>): Batch | undefined {
     const spec = this._decodeJson(`batch/${id}`, values, batchSpecSchema)
     if (spec === undefined) return undefined
@@ -188,7 +212,7 @@
       if (head === undefined) break
       batch.addResult(position, { ...head, text: '' })
     }
-    batch.unloadedTextCount = batch.results.length
+    batch.evictTexts()
     for (const state of batch.items) {
       if (state.status !== 'finished') this._restoreProgress(id, state, values)
     }
@@ -217,14 +241,13 @@
   }
 
   private _decodeText (id: string, position: number, values: ReadonlyMap<string, Uint8Array>, count = Number.POSITIVE_INFINITY): string {
-    const decoder = new TextDecoder()
-    let text = ''
+    const records: Uint8Array[] = []
     for (let index = 0; index < count; index++) {
       const part = values.get(`text/${id}/${pad(position)}/${pad(index)}`)
       if (part === undefined) break
-      text += decoder.decode(part, { stream: true })
+      records.push(part)
     }
-    return text + decoder.decode()
+    return this.decodeText(records)
   }
 
   private _encodeJson (key: string, value: unknown): Array<{ key: string, value: Uint8Array }> {
--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -105,8 +105,8 @@
     const batch = findVisible(store, id, organisation)
     if (store === undefined || batch === undefined) return this._absentOrUnavailable(id, store)
     if (batch.results.length <= fromPosition && expectsMoreResults(batch)) await this._waitForResult(store, batch, fromPosition, waitMs)
-    if (batch.unloadedTextCount > fromPosition) {
-      const loaded = await store.loadTexts(batch)
+    if (batch.unloadedTextCount > 0) {
+      const loaded = await store.loadTexts(batch, fromPosition, MAX_PAGE_CHARS)
       if (loaded.isErr()) {
         this._logger.warn({ batch: id, reason: loaded.error.message }, 'batch_texts_not_loaded')
         return { kind: 'unavailable' }
@@ -116,7 +116,7 @@
     let chars = 0
     for (let position = fromPosition; position < batch.results.length; position++) {
       const result = batch.results[position]
-      if (result === undefined) break
+      if (result === undefined || !batch.isTextLoaded(position)) break
       chars += result.text.length
       if (results.length > 0 && chars > MAX_PAGE_CHARS) break
       results.push(result)
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -15,12 +15,15 @@
 import type { IVersionOrderStore } from '../version/IVersionOrderStore.js'
 import type { IBatchStore } from './IBatchStore.js'
 import type { ItemState } from './record/ItemState.js'
+import { TextLoader } from './TextLoader.js'
 
 /** Topic of all batches. */
 const TOPIC = 'keyed.batches'
 const WRITER = 'batches'
 /** Texts of ended batches stay in memory for this time after the submission; later reads load them from the store. */
 const TEXT_RETENTION_MS = 15_000
+/** Texts that were read or loaded within this time are not evicted, since the next page of their batch is likely to be read. */
+const TEXT_IDLE_MS = 5000
 /** Added to the guaranteed retention, because the clocks of readers may differ. */
 const RETENTION_MARGIN_MS = 30_000
 /** A result that the store rejects is written again, because it has its position. */
@@ -38,15 +41,16 @@
   private readonly _orderTimes = new Map<string, number>()
   /** Batches that were accepted, but whose records cannot be read. */
   private _unreadableIds: ReadonlySet<string> = new Set()
-  private readonly _textLoads = new Map<Batch, Promise<Result<void, StoreError>>>()
   private readonly _submissions = new Map<string, Promise<Result<Batch, StoreError>>>()
   private readonly _journal: Journal
   private readonly _codec: BatchRecordCodec
+  private readonly _textLoader: TextLoader
 
   constructor (private readonly _client: IStoreClient, private readonly _epoch: number, private readonly _retentionMs: number, private readonly _logger: ILogger) {
     super()
     this._journal = new Journal(_client, TOPIC, WRITER, _epoch, _logger)
     this._codec = new BatchRecordCodec(_logger)
+    this._textLoader = this._register(new TextLoader(_client, TOPIC, this._codec, _logger))
     this._register({ dispose: () => this._journal.close() })
   }
 
@@ -143,16 +147,12 @@
     return (await this._journal.append(this._codec.encodeOrder(engineId, orderedAtMs))).isOk()
   }
 
-  /** Loads the texts of a batch that the restore left out or that were evicted since. */
-  async loadTexts (batch: Batch): Promise<Result<void, StoreError>> {
-    if (batch.unloadedTextCount === 0) return ok(undefined)
-    const pending = this._textLoads.get(batch)
-    if (pending !== undefined) return await pending
-    const load = this._loadTexts(batch)
-    this._textLoads.set(batch, load)
-    const result = await load
-    this._textLoads.delete(batch)
-    return result
+  /**
+   * Loads the texts that a response with the results from a position on needs, if the restore left them out or they
+   * were evicted since. Fails soon rather than late if the store does not provide the first of them.
+   */
+  async loadTexts (batch: Batch, fromPosition: number, maxChars: number): Promise<Result<void, StoreError>> {
+    return await this._textLoader.load(batch, fromPosition, maxChars)
   }
 
   failingForMs (): number {
@@ -162,7 +162,8 @@
   /** Evicts texts that are unlikely to be read again, and removes batches whose retention has ended. */
   async removeExpired (nowMs: number): Promise<void> {
     for (const [id, { batch, keys }] of this._batches) {
-      if (batch.isEnded && batch.unloadedTextCount === 0 && nowMs > batch.spec.submittedAtMs + TEXT_RETENTION_MS) batch.evictTexts()
+      const areTextsIdle = batch.textsIdleMs() > TEXT_IDLE_MS && nowMs > batch.spec.submittedAtMs + TEXT_RETENTION_MS
+      if (batch.isEnded && areTextsIdle) batch.evictTexts()
       if (nowMs < batch.spec.submittedAtMs + this._retentionMs + RETENTION_MARGIN_MS) continue
       this._batches.delete(id)
       if (!batch.isEnded) this._onEnded.fire(batch)
@@ -184,14 +185,6 @@
       .catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'cleanup_fault'))
   }
 
-  private async _loadTexts (batch: Batch): Promise<Result<void, StoreError>> {
-    const texts = await this._readTexts(batch.spec.id)
-    if (texts.isErr()) return err(texts.error)
-    this._codec.restoreTexts(batch, texts.value)
-    this._logger.info({ batch: batch.spec.id, results: batch.results.length, records: texts.value.length }, 'batch_texts_loaded')
-    return ok(undefined)
-  }
-
   private async _readTexts (id: string): Promise<Result<KeyedRecord[], StoreError>> {
     const prefix = BatchRecordCodec.textKeyPrefix(id)
     // '0' is the character after '/', so the key range ends after the last text of the batch.
--- a/src/common/batch/batchStoreModel.test.ts
+++ b/src/common/batch/batchStoreModel.test.ts
@@ -90,7 +90,9 @@
 
   private async _checkRestored (): Promise<void> {
     const batch = this._batch()
-    await this._store?.loadTexts(batch)
+    const loaded = this._store?.loadTexts(batch, 0, Number.POSITIVE_INFINITY)
+    await this._time.advance(SETTLE_MS, STEP_MS)
+    expect((await loaded)?.isOk()).toEqual(true)
     expect(batch.listedResults().slice(0, this._read.length).map(result => result.text)).toEqual(this._read)
     for (const { item, progress } of batch.items) {
       expect(progress.events.map(data => data.replace(/\.*$/, ''))).toEqual(progress.events.map((_, index) => `${item.id}:${index + 1}`))
--- a/src/common/batch/test/BatchHarness.ts
+++ b/src/common/batch/test/BatchHarness.ts
@@ -4,6 +4,7 @@
 import type { VirtualTime } from '../../log/test/VirtualTime.test.js'
 import type { Route } from '../../routing/Route.js'
 import { RouteTable } from '../../routing/RouteTable.js'
+import type { IStoreClient } from '../../store/IStoreClient.js'
 import { FakeLeadership } from '../../store/test/FakeLeadership.js'
 import { MemoryStore } from '../../store/test/MemoryStore.js'
 import { BatchService } from '../BatchService.js'
@@ -19,16 +20,18 @@
 const EVENT_INTERVAL_MS = 50
 const REWARD_MS = 40
 
-/** Batch services of successive leaders on one store, with two engines and a reward service. */
+/** Batch services of successive leaders on one store, with two engines and a reward service; `toClient` may limit the store. */
 export class BatchHarness extends Disposable {
   readonly store = new MemoryStore()
+  private readonly _client: IStoreClient
   readonly engines = new FakeEngines(EVENT_INTERVAL_MS)
   readonly rewards = new FakeRewards(REWARD_MS)
   readonly fleet = this._register(new FleetTable(logger))
   private readonly _routes = new RouteTable(logger)
 
-  constructor (private readonly _time: VirtualTime) {
+  constructor (private readonly _time: VirtualTime, toClient: (store: MemoryStore) => IStoreClient = store => store) {
     super()
+    this._client = toClient(this.store)
     this.configure([createRoute()])
     for (const id of ['e1', 'e2']) {
       this.fleet.apply({ id, startedAtMs: 1, service: 'engines', address: id, failureDomain: 'd', slots: 4, isDraining: false, versions: new Map([['model-a', 1]]) })
@@ -45,7 +48,7 @@
   /** Starts a service that leads in an epoch. */
   async lead (epoch: number): Promise<{ service: BatchService, leadership: FakeLeadership }> {
     const leadership = new FakeLeadership()
-    const service = this._register(new BatchService(this.store, leadership, batches =>
+    const service = this._register(new BatchService(this._client, leadership, batches =>
       new BatchRunner(batches, this.fleet, this._routes, this.engines, this.rewards, new EngineTracker(this.fleet, this._routes), logger, metrics), RETENTION_MS, logger))
     leadership.gain(epoch)
     await this._time.advance(50)
