Remove a batch only when its retention has passed on the steady clock too

What callers saw: 404 for an accepted batch, for good, after the wall clock of the leader was stepped ahead, or if the clocks of the leader and of the entry that accepted the batch differ by more than the retention and its margin.

Cause: the leader compared its wall clock with the time that the accepting entry had written, and deleted the batch also from the store.

Change: Batch.retentionLeftMs counts the retention on the wall clock and on the steady clock since this process accepted or restored the batch, and the later end counts. A change of the leader therefore delays the removal, by at most one retention each.

--- a/src/common/batch/Batch.ts
+++ b/src/common/batch/Batch.ts
@@ -17,6 +17,8 @@
   /** Positions of the results whose texts have to be loaded from the store. */
   private readonly _unloadedTexts = new Set<number>()
   private _textsUsedAtMs = performance.now()
+  /** When this process accepted or restored the batch, in terms of `performance.now()`. */
+  private readonly _observedAtMs = performance.now()
 
   constructor (readonly spec: BatchSpec, items: readonly BatchItem[]) {
     this.items = items.map((item, index) => new ItemState(item, index))
@@ -91,6 +93,17 @@
     })
   }
 
+  /**
+   * Time until `retentionMs` have passed since the submission, in milliseconds; 0 or less afterwards. Has to pass both on
+   * the wall clock and on the steady clock of this process: the wall clock may be stepped, or differ from that of the
+   * entry that accepted the batch, and work that is given up early is lost.
+   */
+  retentionLeftMs (retentionMs: number, nowUnixMs: number): number {
+    const wallMs = this.spec.submittedAtMs + retentionMs - nowUnixMs
+    const steadyMs = this._observedAtMs + retentionMs - performance.now()
+    return Math.max(wallMs, steadyMs)
+  }
+
   /** Ends the batch; `incompleteGroups` are those that a later batch may resubmit. */
   end (incompleteGroups: readonly string[]): void {
     this._groupsIncompleteAtEnd = new Set(incompleteGroups)
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -164,7 +164,7 @@
     for (const [id, { batch, keys }] of this._batches) {
       const areTextsIdle = batch.textsIdleMs() > TEXT_IDLE_MS && nowMs > batch.spec.submittedAtMs + TEXT_RETENTION_MS
       if (batch.isEnded && areTextsIdle) batch.evictTexts()
-      if (nowMs < batch.spec.submittedAtMs + this._retentionMs + RETENTION_MARGIN_MS) continue
+      if (batch.retentionLeftMs(this._retentionMs + RETENTION_MARGIN_MS, nowMs) > 0) continue
       this._batches.delete(id)
       if (!batch.isEnded) this._onEnded.fire(batch)
       const texts = await this._readTexts(id)
--- a/src/common/log/test/VirtualTime.test.ts
+++ b/src/common/log/test/VirtualTime.test.ts
@@ -4,9 +4,12 @@
 
 /** Replaces timers, `Date` and `performance.now` by one virtual clock. */
 export class VirtualTime {
+  private readonly _nowMs: () => number
+
   constructor () {
     mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'], now: START_MS })
-    mock.method(performance, 'now', () => Date.now())
+    this._nowMs = Date.now.bind(Date)
+    mock.method(performance, 'now', () => this._nowMs())
   }
 
   /** Advances the clock in steps and lets promises settle after each. */
@@ -18,6 +21,11 @@
     }
   }
 
+  /** Steps `Date` away from `performance.now`, as an operator or a time service may do. */
+  stepWallClock (stepMs: number): void {
+    mock.method(Date, 'now', () => this._nowMs() + stepMs)
+  }
+
   /** Advances the clock without running promise callbacks in between, as if the process had been paused. */
   pause (durationMs: number): void {
     mock.timers.tick(durationMs)
