Give up items only when the retention has passed on the steady clock too

What callers saw: items of a batch listed as aborted before the retention of their route had passed, when the wall clock of the leader was stepped ahead, or differed from that of the entry that accepted the batch.

Cause: the runner compared its wall clock with the time that the accepting entry had written. The deadlines of runs and reward calls had the same cause, and were 1 ms or in the past then.

Change: all three use Batch.retentionLeftMs. After a change of the leader an item may be given up later, which is allowed; the trainer ends its batch.

The other uses of the wall clock in src/common/batch stay: the order of items and the report of late steps depend on it, but no work is lost by them, and the end record only stores it.

Evidence, retention.test.ts: an item of 15 s was aborted in all three cases of a clock that is an hour off, and completes now.

--- a/src/common/batch/retention.test.ts
+++ b/src/common/batch/retention.test.ts
@@ -12,6 +12,8 @@
 const STEP_MS = 20
 /** Two intervals of the removal. */
 const REMOVAL_MS = 12_000
+/** Longer than the items run. */
+const RUN_MS = 18_000
 /** Retention of the harness, its margin and one interval of the removal. */
 const RETENTION_END_MS = 120_000 + 30_000 + 6000
 /** More than the link carries in a test. */
@@ -76,6 +78,13 @@
       expect(await statesOf(service)).not.toEqual('absent')
       expect(harness.store.keys(TOPIC)).toInclude('batch/batch-1')
     })
+
+    // Guards against items that are aborted before the retention of their route has passed.
+    it(`runs the items of a batch when ${name}`, async () => {
+      const service = await start()
+      await time.advance(RUN_MS, STEP_MS)
+      expect(await statesOf(service)).toEqual(['a completed true', 'b completed true'])
+    })
   }
 
   it('aborts items after the retention of their route, and removes the batch after that of results', async () => {
@@ -101,7 +110,7 @@
     await time.advance(2 * RETENTION_END_MS, 50)
     expect(harness.store.keys(TOPIC)).toEqual(keys)
     client.isSilent = false
-    await time.advance(REMOVAL_MS, STEP_MS)
-    expect(await statesOf(service)).not.toEqual('absent')
+    await time.advance(RUN_MS, STEP_MS)
+    expect(await statesOf(service)).toEqual(['a completed true', 'b completed true'])
   })
 })
--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -172,7 +172,7 @@
       }
       this._unrouted.clear(batch)
       const { submittedAtMs, model, priority } = batch.spec
-      if (Date.now() > submittedAtMs + route.batchRetentionMs) {
+      if (batch.retentionLeftMs(route.batchRetentionMs, Date.now()) <= 0) {
         this._abandonBatch(batch)
         continue
       }
@@ -209,7 +209,7 @@
     const groupEngines = this._enginesByGroup.get(state.item.group) ?? new Set()
     this._enginesByGroup.set(state.item.group, groupEngines.add(engineId))
     state.status = 'running'
-    const remainingMs = Math.max(1, Math.round(batch.spec.submittedAtMs + route.batchRetentionMs - Date.now()))
+    const remainingMs = Math.max(1, Math.round(batch.retentionLeftMs(route.batchRetentionMs, Date.now())))
     const run = new ItemRun({ batch, state, engine, route, service, remainingMs, outputBudget: this._runs.outputBudget }, this._transport)
     this._runs.add(run)
     run.execute()
@@ -254,7 +254,7 @@
     const { rewardCall } = state.item
     if (rewardCall === undefined) return this._results.complete(batch, state)
     state.status = 'scoring'
-    const remainingMs = batch.spec.submittedAtMs + route.batchRetentionMs - Date.now()
+    const remainingMs = batch.retentionLeftMs(route.batchRetentionMs, Date.now())
     this._rewards.add(batch, state, rewardCall, route.maxAttempts, performance.now() + remainingMs)
   }
 
