Load texts of one batch at a time while the store is slow

What callers saw: on a link of 8 Mbit/s, two pages of 1.33 MB at a time exceed the 2.5 s of the store client together, one page takes 1.3 s. After a failed page one was read alone, and then two timed out again.

Change: a second load starts only after a page that took at most 1 s. The first page after a restore is read alone.

Evidence: six batches of 1 MB over 8 Mbit/s were not all read within 12 s, which is 1.5 times the transfer, and are now, with at most ten pages (new test, failed before).

--- a/src/common/batch/TextLoader.ts
+++ b/src/common/batch/TextLoader.ts
@@ -8,13 +8,13 @@
 import type { Batch } from './Batch.js'
 import { BatchRecordCodec } from './BatchRecordCodec.js'
 
-/** Each load has one page of up to 1.33 MB in flight. More of them share the link until all of them time out. */
+/** Each load has one page of up to 1.33 MB in flight. More of them share the link until all of them time out, on a slow link already two. */
 const MAX_CONCURRENT_LOADS = 2
 /** A read whose load has not started after this time is refused, since its caller may ask another entry. */
 const START_TIMEOUT_MS = 300
 /** Limit on the time for which a read waits for texts; callers wait 1.5 s for a response. */
 const READ_TIMEOUT_MS = 1000
-/** The store counts as unresponsive while a page takes longer than this. */
+/** The store counts as unresponsive while a page takes longer than this, and as slow after such a page. */
 const SLOW_PAGE_MS = 1000
 const RETRY_DELAY_MS = 250
 /** Loads that no read has asked for within this time are dropped; callers ask about twice a second. */
@@ -52,6 +52,8 @@
   private _retryTimer?: NodeJS.Timeout
   /** Time of the last failed page, unless a later one succeeded. */
   private _failedAtMs?: number
+  /** Whether the last page was neither slow nor failed. */
+  private _isFast = false
   private _isDisposed = false
 
   constructor (private readonly _client: IStoreClient, private readonly _topic: string, private readonly _codec: BatchRecordCodec, private readonly _logger: ILogger) {
@@ -113,16 +115,14 @@
 
   private _startLoads (): void {
     if (this._isDisposed || this._retryTimer !== undefined) return
-    // One page is enough to find out whether the store responds again.
-    let free = (this._failedAtMs === undefined ? MAX_CONCURRENT_LOADS : 1) - this._running().length
+    const maxLoads = this._isFast ? MAX_CONCURRENT_LOADS : 1
     for (const load of this._loads.values()) {
-      if (free <= 0) return
+      if (this._running().length >= maxLoads) return
       if (load.pageStartedAtMs !== undefined) continue
       if (performance.now() - load.requestedAtMs > MAX_IDLE_MS) {
         this._loads.delete(load.batch)
         continue
       }
-      free -= 1
       this._run(load).catch((fault: unknown) => {
         this._logger.error({ batch: load.batch.spec.id, reason: String(fault) }, 'text_load_fault')
         this._remove(load, 'load of texts failed')
@@ -133,7 +133,10 @@
   /** Reads pages until all requested texts are there, or until a page fails. */
   private async _run (load: TextLoad): Promise<void> {
     for (let position = nextPosition(load); position !== undefined; position = nextPosition(load)) {
-      load.pageStartedAtMs = performance.now()
+      const startedAtMs = performance.now()
+      load.pageStartedAtMs = startedAtMs
+      // The previous page may have shown that the store is fast enough for another load.
+      this._startLoads()
       const partCount = load.parts.get(position)?.length ?? 0
       const afterKey = BatchRecordCodec.keyBeforeText(load.batch.spec.id, position, partCount)
       const page = await this._client.newest(this._topic, afterKey)
@@ -141,6 +144,7 @@
       if (this._isDisposed) return
       if (page.isErr()) return this._onPageFailed(load, page.error)
       this._failedAtMs = undefined
+      this._isFast = performance.now() - startedAtMs <= SLOW_PAGE_MS
       const { records, hasMore } = page.value
       this._applyToAll({ records, afterKey, endKey: hasMore ? records.at(-1)?.key : undefined })
       // Without progress, the next page would be the same one.
@@ -155,6 +159,7 @@
 
   private _onPageFailed (load: TextLoad, error: StoreError): void {
     this._failedAtMs = performance.now()
+    this._isFast = false
     this._logger.warn({ batch: load.batch.spec.id, reason: error.message }, 'text_page_failed')
     // Another load goes first, in case that only this one fails.
     this._loads.delete(load.batch)
--- a/src/common/batch/textLoads.test.ts
+++ b/src/common/batch/textLoads.test.ts
@@ -13,6 +13,8 @@
 const TOPIC = 'keyed.batches'
 /** 31 Mbit/s. */
 const BYTES_PER_MS = 3875
+/** 8 Mbit/s: two pages at a time exceed the time-out of the store client, one does not. */
+const SLOW_BYTES_PER_MS = 1000
 const BASE64_FACTOR = 4 / 3
 const RESULTS = 20
 const TEXT_CHARS = 50_000
@@ -115,6 +117,19 @@
     expect(client.maxConcurrentPages).toBeLessThanOrEqual(2)
   })
 
+  // Guards against two pages that time out together again and again, while one alone would succeed.
+  it('serves large batches over a link that carries only one page within the time-out', async () => {
+    const texts = Array.from({ length: 6 }, (_, index) => writeBatch(idOf(index)))
+    const service = await lead()
+    client.bytesPerMs = SLOW_BYTES_PER_MS
+    const callers = texts.map((_, index) => new Caller(service, idOf(index)))
+    for (const caller of callers) caller.readAll().catch(() => undefined)
+    const linkMs = texts.length * RESULTS * TEXT_CHARS * BASE64_FACTOR / SLOW_BYTES_PER_MS
+    await time.advance(linkMs * 1.5, CALL_START_MS)
+    expect(callers.map(caller => caller.texts)).toEqual(texts)
+    expect(client.pages).toBeLessThanOrEqual(10)
+  })
+
   // Guards against small batches that each need a page of 1 MB, most of which is texts of other batches.
   it('uses the texts of other requested batches in a page', async () => {
     const texts = Array.from({ length: BATCHES }, (_, index) => writeBatch(idOf(index), 500))
--- a/src/common/store/test/LimitedStoreClient.ts
+++ b/src/common/store/test/LimitedStoreClient.ts
@@ -29,7 +29,7 @@
   private _isStepScheduled = false
   private _steppedAtMs = 0
 
-  constructor (private readonly _store: IStoreClient, private readonly _bytesPerMs: number) {}
+  constructor (private readonly _store: IStoreClient, public bytesPerMs: number) {}
 
   append (request: StoreAppendRequest): ResultAsync<AppendedRange, StoreError> {
     return this._store.append(request)
@@ -98,7 +98,7 @@
     const elapsedMs = performance.now() - this._steppedAtMs
     const active = [...this._transfers].filter(({ remainingBytes }) => Number.isFinite(remainingBytes))
     for (const transfer of active) {
-      transfer.remainingBytes -= this._bytesPerMs * elapsedMs / active.length
+      transfer.remainingBytes -= this.bytesPerMs * elapsedMs / active.length
       if (transfer.remainingBytes <= 0) transfer.finish()
     }
     this._scheduleStep()
