--- a/src/common/batch/textLoads.test.ts
+++ b/src/common/batch/textLoads.test.ts
@@ -3,6 +3,7 @@
 import { testServices } from '../log/test/testServices.js'
 import { VirtualTime } from '../log/test/VirtualTime.test.js'
 import { LimitedStoreClient } from '../store/test/LimitedStoreClient.js'
+import { Batch } from './Batch.js'
 import type { BatchReadOutcome } from './BatchReadOutcome.js'
 import { BatchRecordCodec } from './BatchRecordCodec.js'
 import type { BatchService } from './BatchService.js'
@@ -250,4 +251,25 @@
     await time.advance(CALLER_TIMEOUT_MS)
     expect(reads.map(textsOf)).toEqual([texts.slice(0, 1), 'unavailable'])
   })
+
+  // Guards against reads that are held until their time-out by a leader that serves no longer.
+  it('refuses the reads that wait for texts when the leadership is lost', async () => {
+    writeBatch(idOf(0))
+    const service = await lead()
+    client.isSilent = true
+    const read = startRead(service, idOf(0), 0)
+    await time.advance(CALL_START_MS)
+    service.dispose()
+    await time.advance(CALL_START_MS)
+    expect(textsOf(read)).toEqual('unavailable')
+  })
+
+  // Guards against an eviction that fails, and with it every later removal of batches.
+  it('evicts the texts of a batch with a position whose result is not durable', () => {
+    const batch = new Batch(createSpec({ itemCount: 3 }), [])
+    for (const position of [0, 2]) batch.addResult(position, { itemId: `i${position}`, state: 'completed', versions: [1], text: 'x', textRecords: 1 })
+    batch.evictTexts()
+    expect([0, 1, 2].map(position => batch.results[position]?.text ?? 'none')).toEqual(['', 'none', ''])
+    expect(batch.unloadedTexts()).toEqual([0, 2])
+  })
 })
