--- a/src/common/batch/textLoads.test.ts
+++ b/src/common/batch/textLoads.test.ts
@@ -25,7 +25,7 @@
 const CALLER_PAUSE_MS = 500
 /** Time after which a read without texts has been refused, so that its caller can ask another entry. */
 const REFUSAL_MS = 1000
-const CALL_START_MS = 10
+const STEP_MS = 10
 const RESTORE_MS = 1000
 const codec = new BatchRecordCodec(testServices().logger)
 
@@ -109,11 +109,11 @@
     const startedAtMs = performance.now()
     for (const caller of callers) caller.readAll().catch(() => undefined)
     const linkMs = BATCHES * RESULTS * TEXT_CHARS * BASE64_FACTOR / BYTES_PER_MS
-    await time.advance(linkMs * 1.5, CALL_START_MS)
+    await time.advance(linkMs * 1.5, STEP_MS)
     expect(callers.filter(caller => caller.doneAtMs === undefined).length).toEqual(0)
     expect(callers.map(caller => caller.texts)).toEqual(texts)
     expect(callers.reduce((sum, caller) => sum + caller.lateCount, 0)).toEqual(0)
-    expect(Math.max(...callers.map(caller => caller.longestMs))).toBeLessThanOrEqual(REFUSAL_MS + CALL_START_MS)
+    expect(Math.max(...callers.map(caller => caller.longestMs))).toBeLessThanOrEqual(REFUSAL_MS + STEP_MS)
     expect(Math.min(...callers.map(caller => caller.doneAtMs ?? Number.POSITIVE_INFINITY)) - startedAtMs).toBeLessThan(CALLER_TIMEOUT_MS)
     expect(client.maxConcurrentPages).toBeLessThanOrEqual(2)
   })
@@ -126,7 +126,7 @@
     const callers = texts.map((_, index) => new Caller(service, idOf(index)))
     for (const caller of callers) caller.readAll().catch(() => undefined)
     const linkMs = texts.length * RESULTS * TEXT_CHARS * BASE64_FACTOR / SLOW_BYTES_PER_MS
-    await time.advance(linkMs * 1.5, CALL_START_MS)
+    await time.advance(linkMs * 1.5, STEP_MS)
     expect(callers.map(caller => caller.texts)).toEqual(texts)
     expect(client.pages).toBeLessThanOrEqual(10)
   })
@@ -190,12 +190,12 @@
     const service = await lead()
     client.isSilent = true
     const first = startRead(service, idOf(0), 0)
-    await time.advance(REFUSAL_MS + CALL_START_MS)
+    await time.advance(REFUSAL_MS + STEP_MS)
     expect(textsOf(first)).toEqual('unavailable')
     for (let count = 0; count < 20; count++) {
       await time.advance(CALLER_PAUSE_MS)
       const read = startRead(service, idOf(0), 0)
-      await time.advance(CALL_START_MS)
+      await time.advance(STEP_MS)
       expect(textsOf(read)).toEqual('unavailable')
     }
     client.isSilent = false
@@ -258,9 +258,9 @@
     const service = await lead()
     client.isSilent = true
     const read = startRead(service, idOf(0), 0)
-    await time.advance(CALL_START_MS)
+    await time.advance(STEP_MS)
     service.dispose()
-    await time.advance(CALL_START_MS)
+    await time.advance(STEP_MS)
     expect(textsOf(read)).toEqual('unavailable')
   })
 
