--- a/src/common/batch/BatchRecordCodec.ts
+++ b/src/common/batch/BatchRecordCodec.ts
@@ -144,11 +144,10 @@
   /** Sets the result texts of a batch from its text records. */
   restoreTexts (batch: Batch, records: ReadonlyArray<{ key: string, value?: Uint8Array }>): void {
     const values = new Map(records.flatMap(({ key, value }) => value === undefined ? [] : [[key, value] as const]))
-    for (let position = 0; position < batch.unloadedTextCount; position++) {
+    for (const position of batch.unloadedTexts()) {
       const result = batch.results[position]
-      if (result !== undefined) result.text = this._decodeText(batch.spec.id, position, values, result.textRecords)
+      batch.setText(position, this._decodeText(batch.spec.id, position, values, result?.textRecords))
     }
-    batch.unloadedTextCount = 0
   }
 
   /** Decodes the spec; undefined if it is missing or unreadable. */
@@ -200,6 +199,12 @@
     return `text/${batchId}/`
   }
 
+  /** Decodes a text from all of its records; characters may be split between them. */
+  joinText (records: readonly Uint8Array[]): string {
+    const decoder = new TextDecoder()
+    return records.map(record => decoder.decode(record, { stream: true })).join('') + decoder.decode()
+  }
+
   private _restoreBatch (id: string, values: RecordValues): Batch | undefined {
     const spec = this.decodeSpec(id, values)
     if (spec === undefined) return undefined
@@ -215,7 +220,7 @@
     const batch = new Batch(spec, items)
     if (end !== undefined) batch.end(end.incompleteGroups)
     for (const [position, result] of this.decodeResults(id, values, end).entries()) batch.addResult(position, result)
-    batch.unloadedTextCount = batch.results.length
+    batch.evictTexts()
     for (const state of batch.items) {
       if (state.status !== 'finished') this._restoreProgress(id, state, values)
     }
@@ -244,14 +249,13 @@
   }
 
   private _decodeText (id: string, position: number, values: RecordValues, count = Number.POSITIVE_INFINITY): string {
-    const decoder = new TextDecoder()
-    let text = ''
+    const records: Uint8Array[] = []
     for (let index = 0; index < count; index++) {
       const part = values.get(BatchRecordKeys.text(id, position, index))
       if (part === undefined) break
-      text += decoder.decode(part, { stream: true })
+      records.push(part)
     }
-    return text + decoder.decode()
+    return this.joinText(records)
   }
 
   private _encodeJson (key: string, value: unknown): Array<{ key: string, value: Uint8Array }> {
--- a/src/common/batch/BatchRecordKeys.ts
+++ b/src/common/batch/BatchRecordKeys.ts
@@ -57,6 +57,24 @@
   static textsRange (batchId: string, fromPosition: number, untilPosition: number): KeyRange {
     return { afterKey: `text/${batchId}/${pad(fromPosition)}`, untilKey: `text/${batchId}/${pad(untilPosition)}` }
   }
+
+  /** Key after which a text is read, behind those of its records that were read before. */
+  static beforeText (batchId: string, position: number, recordsRead: number): string {
+    return recordsRead === 0 ? `text/${batchId}/${pad(position)}` : BatchRecordKeys.text(batchId, position, recordsRead - 1)
+  }
+
+  /** Key after those of all records of a text. */
+  static afterText (batchId: string, position: number): string {
+    return `text/${batchId}/${pad(position)}${AFTER_SLASH}`
+  }
+
+  /** Result position and record number of the key of a text record; undefined if it belongs to no text of the batch. */
+  static parseText (batchId: string, key: string): { position: number, index: number } | undefined {
+    const prefix = `text/${batchId}/`
+    if (!key.startsWith(prefix)) return undefined
+    const [position, index] = key.slice(prefix.length).split('/').map(Number)
+    return position === undefined || index === undefined ? undefined : { position, index }
+  }
 }
 
 /** Range of a record and its further pieces. No key precedes another one directly, so the range starts at a prefix. */
--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -105,8 +105,8 @@
     const batch = findVisible(store, id, organisation)
     if (store === undefined || batch === undefined) return this._absentOrUnavailable(id, store)
     if (batch.results.length <= fromPosition && expectsMoreResults(batch)) await this._waitForResult(store, batch, fromPosition, waitMs)
-    if (batch.unloadedTextCount > fromPosition) {
-      const loaded = await store.loadTexts(batch)
+    if (batch.unloadedTextCount > 0) {
+      const loaded = await store.loadTexts(batch, fromPosition, ResultPage.maxChars)
       if (loaded.isErr()) {
         this._logger.warn({ batch: id, reason: loaded.error.message }, 'batch_texts_not_loaded')
         return { kind: 'unavailable' }
@@ -115,7 +115,7 @@
     const page = new ResultPage()
     for (let position = fromPosition; position < batch.results.length; position++) {
       const result = batch.results[position]
-      if (result === undefined || !page.add(result)) break
+      if (result === undefined || !batch.isTextLoaded(position) || !page.add(result)) break
     }
     const { results } = page
     // Without a valid lease, another leader may have stored more results.
