--- a/src/common/contract/ContractSnapshotRenewer.ts
+++ b/src/common/contract/ContractSnapshotRenewer.ts
@@ -1,5 +1,5 @@
 import { Disposable } from '../kernel/Disposable.js'
-import { toDisposable } from '../kernel/toDisposable.js'
+import { startInterval } from '../kernel/startInterval.js'
 import type { ILogHub } from '../log/ILogHub.js'
 import { logHubId } from '../log/logHubId.js'
 import type { ILogger } from '../metrics/ILogger.js'
@@ -40,8 +40,7 @@
 
   start (): void {
     const intervalMs = Math.max(MIN_CHECK_INTERVAL_MS, this._settings.retentionMs / CHECKS_PER_RETENTION)
-    const timer = setInterval(() => this._check(), intervalMs)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._check(), intervalMs))
   }
 
   private _check (): void {
--- a/src/common/lease/LeaseService.ts
+++ b/src/common/lease/LeaseService.ts
@@ -1,6 +1,6 @@
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
-import { toDisposable } from '../kernel/toDisposable.js'
+import { startInterval } from '../kernel/startInterval.js'
 import type { ILogHub } from '../log/ILogHub.js'
 import { logHubId } from '../log/logHubId.js'
 import type { ILogger } from '../metrics/ILogger.js'
@@ -55,8 +55,7 @@
   }
 
   start (): void {
-    const timer = setInterval(() => this._check(), this._settings.leaseMs / CHECKS_PER_LEASE)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._check(), this._settings.leaseMs / CHECKS_PER_LEASE))
   }
 
   acquire (name: string): void {
--- a/src/common/metrics/LimitedLogger.ts
+++ b/src/common/metrics/LimitedLogger.ts
@@ -1,5 +1,5 @@
 import { Disposable } from '../kernel/Disposable.js'
-import { toDisposable } from '../kernel/toDisposable.js'
+import { startInterval } from '../kernel/startInterval.js'
 import type { ILogger } from './ILogger.js'
 
 /** Sustained rate of info and debug lines of a process. Warnings and errors have a separate budget of the same size. */
@@ -19,8 +19,7 @@
   /** `backlogBytes` returns the size of the output that is waiting for a slow reader. */
   constructor (private readonly _logger: ILogger, private readonly _backlogBytes: () => number = () => 0) {
     super()
-    const timer = setInterval(() => this._refill(), REFILL_INTERVAL_MS)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._refill(), REFILL_INTERVAL_MS))
   }
 
   info (fields: Record<string, unknown>, event: string): void { this._write('info', 'routine', fields, event) }
--- a/src/common/metrics/Metrics.ts
+++ b/src/common/metrics/Metrics.ts
@@ -1,6 +1,6 @@
 import { Counter, Gauge, Registry } from 'prom-client'
 import { Disposable } from '../kernel/Disposable.js'
-import { toDisposable } from '../kernel/toDisposable.js'
+import { startInterval } from '../kernel/startInterval.js'
 import { DurationSeries } from './DurationSeries.js'
 import type { IMetrics } from './IMetrics.js'
 import type { IMetricsSource } from './IMetricsSource.js'
@@ -22,8 +22,7 @@
   readonly contentType = this._registry.contentType
 
   start (): void {
-    const timer = setInterval(() => this._rotate(), DURATION_INTERVAL_MS)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._rotate(), DURATION_INTERVAL_MS))
   }
 
   count (name: string, labels: Labels = {}, by = 1): void {
--- a/src/common/organisation/ConfigFreshness.ts
+++ b/src/common/organisation/ConfigFreshness.ts
@@ -1,6 +1,6 @@
 import { ClockJumpDetector } from '../kernel/ClockJumpDetector.js'
 import { Disposable } from '../kernel/Disposable.js'
-import { toDisposable } from '../kernel/toDisposable.js'
+import { startInterval } from '../kernel/startInterval.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IMetrics } from '../metrics/IMetrics.js'
 
@@ -29,8 +29,7 @@
   ) {
     super()
     if (_maxAgeMs === undefined) return
-    const timer = setInterval(() => this._check(_maxAgeMs), CHECK_INTERVAL_MS)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._check(_maxAgeMs), CHECK_INTERVAL_MS))
   }
 
   /** Checks the clocks and the age; to be called for each request, since timers fire late after a freeze. */
--- a/src/common/peer/ContractSync.ts
+++ b/src/common/peer/ContractSync.ts
@@ -1,7 +1,7 @@
 import type { IReplicatedContractStore } from '../contract/IReplicatedContractStore.js'
 import { replicatedContractStoreId } from '../contract/replicatedContractStoreId.js'
 import { Disposable } from '../kernel/Disposable.js'
-import { toDisposable } from '../kernel/toDisposable.js'
+import { startInterval } from '../kernel/startInterval.js'
 import type { ILogHub } from '../log/ILogHub.js'
 import { logHubId } from '../log/logHubId.js'
 import type { ILogger } from '../metrics/ILogger.js'
@@ -43,8 +43,7 @@
   }
 
   start (): void {
-    const timer = setInterval(() => this._startRoundIfDue(), CHECK_INTERVAL_MS)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._startRoundIfDue(), CHECK_INTERVAL_MS))
   }
 
   fetchFrom (peerId: string): void {
--- a/src/common/peer/Gossip.ts
+++ b/src/common/peer/Gossip.ts
@@ -4,7 +4,7 @@
 import type { ISuspectGossip } from '../crash/ISuspectGossip.js'
 import { suspectGossipId } from '../crash/suspectGossipId.js'
 import { Disposable } from '../kernel/Disposable.js'
-import { toDisposable } from '../kernel/toDisposable.js'
+import { startInterval } from '../kernel/startInterval.js'
 import type { EntrySettings } from '../settings/EntrySettings.js'
 import { entrySettingsId } from '../settings/entrySettingsId.js'
 import type { IUpstreamTable } from '../upstream/IUpstreamTable.js'
@@ -44,8 +44,7 @@
   start (): void {
     this._register(this._socket.onGossip(({ message, address }) => this._applyMessage(message, address)))
     this._register(this._suspects.onRunsChanged(() => this.announce()))
-    const timer = setInterval(() => this._onInterval(), this._settings.gossipIntervalMs)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._onInterval(), this._settings.gossipIntervalMs))
   }
 
   announce (): void {
--- a/src/common/peer/PeerTable.ts
+++ b/src/common/peer/PeerTable.ts
@@ -1,6 +1,6 @@
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
-import { toDisposable } from '../kernel/toDisposable.js'
+import { startInterval } from '../kernel/startInterval.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import { loggerId } from '../metrics/loggerId.js'
 import type { Member } from '../schema/Member.js'
@@ -47,8 +47,7 @@
   }
 
   start (): void {
-    const timer = setInterval(() => this._updateLiveIds(), this._settings.heartbeatTimeoutMs / CHECKS_PER_TIMEOUT)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._updateLiveIds(), this._settings.heartbeatTimeoutMs / CHECKS_PER_TIMEOUT))
   }
 
   startDraining (): void {
--- a/src/common/scaling/Autoscaler.ts
+++ b/src/common/scaling/Autoscaler.ts
@@ -1,7 +1,7 @@
 import type { FleetUpstream } from '../fleet/FleetUpstream.js'
 import type { IFleet } from '../fleet/IFleet.js'
 import { Disposable } from '../kernel/Disposable.js'
-import { toDisposable } from '../kernel/toDisposable.js'
+import { startInterval } from '../kernel/startInterval.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IMetrics } from '../metrics/IMetrics.js'
 import type { IRouteTable } from '../routing/IRouteTable.js'
@@ -50,8 +50,7 @@
     private readonly _metrics: IMetrics
   ) {
     super()
-    const timer = setInterval(() => this._tick(), TICK_MS)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._tick(), TICK_MS))
   }
 
   private _tick (): void {
--- a/src/common/training/snapshot/TrainerSnapshotRenewer.ts
+++ b/src/common/training/snapshot/TrainerSnapshotRenewer.ts
@@ -1,4 +1,5 @@
 import { Disposable } from '../../kernel/Disposable.js'
+import { startInterval } from '../../kernel/startInterval.js'
 import { toDisposable } from '../../kernel/toDisposable.js'
 import type { ILogHub } from '../../log/ILogHub.js'
 import { logHubId } from '../../log/logHubId.js'
@@ -49,8 +50,7 @@
 
   start (): void {
     const intervalMs = Math.min(MAX_CHECK_INTERVAL_MS, Math.max(1, this._settings.retentionMs / CHECKS_PER_RETENTION))
-    const timer = setInterval(() => this._checkRenewals(), intervalMs)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._checkRenewals(), intervalMs))
     this._register(this._table.onSnapshotRequest((offset) => {
       this._schedule(Math.random() * SNAPSHOT_RESPONSE_JITTER_MS, () => this._respondToSnapshotRequest(offset))
     }))
--- a/src/common/training/step/StepRunner.ts
+++ b/src/common/training/step/StepRunner.ts
@@ -3,6 +3,7 @@
 import { generatorId } from '../../generation/generatorId.js'
 import type { IGenerator } from '../../generation/IGenerator.js'
 import { Disposable } from '../../kernel/Disposable.js'
+import { startInterval } from '../../kernel/startInterval.js'
 import { toDisposable } from '../../kernel/toDisposable.js'
 import type { ILogHub } from '../../log/ILogHub.js'
 import { logHubId } from '../../log/logHubId.js'
@@ -71,8 +72,7 @@
     this._register(this._table.onChange(() => this._scheduleCheck()))
     this._register(this._contracts.onChange(() => this._scheduleCheck()))
     this._register(this._ownership.onChange(() => this._scheduleCheck()))
-    const timer = setInterval(() => this._check(), CHECK_INTERVAL_MS)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._check(), CHECK_INTERVAL_MS))
     this._scheduleCheck()
   }
 
--- a/src/common/usage/UsageService.ts
+++ b/src/common/usage/UsageService.ts
@@ -1,6 +1,7 @@
 import { DutyHolder } from '../duty/DutyHolder.js'
 import type { IDutyClient } from '../duty/IDutyClient.js'
 import { Disposable } from '../kernel/Disposable.js'
+import { startInterval } from '../kernel/startInterval.js'
 import { toDisposable } from '../kernel/toDisposable.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IMetrics } from '../metrics/IMetrics.js'
@@ -60,11 +61,10 @@
   }
 
   start (): void {
-    const timer = setInterval(() => {
+    this._register(startInterval(() => {
       this._contributor.tick()
       this._reporter?.tick(this._leadership.validEpoch() === this._reporter.epoch)
-    }, TICK_INTERVAL_MS)
-    this._register(toDisposable(() => clearInterval(timer)))
+    }, TICK_INTERVAL_MS))
   }
 
   /** Takes the counts of an entry; undefined unless this entry leads and knows the time, so that they have to be sent again. */
--- a/src/common/version/VersionRollout.ts
+++ b/src/common/version/VersionRollout.ts
@@ -2,7 +2,7 @@
 import type { FleetUpstream } from '../fleet/FleetUpstream.js'
 import type { IFleet } from '../fleet/IFleet.js'
 import { Disposable } from '../kernel/Disposable.js'
-import { toDisposable } from '../kernel/toDisposable.js'
+import { startInterval } from '../kernel/startInterval.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IMetrics } from '../metrics/IMetrics.js'
 import type { IVersionOrderStore } from './IVersionOrderStore.js'
@@ -59,8 +59,7 @@
     private readonly _metrics: IMetrics
   ) {
     super()
-    const timer = setInterval(() => this._tick(), TICK_MS)
-    this._register(toDisposable(() => clearInterval(timer)))
+    this._register(startInterval(() => this._tick(), TICK_MS))
   }
 
   private _tick (): void {
