Parse JSON from bytes in one place

Decoders that report the parser's message keep their own. The platform's decoders now skip a byte order mark, as the others did before; nothing else changes.

--- a/src/common/suspect/SuspectStore.ts
+++ b/src/common/suspect/SuspectStore.ts
@@ -1,6 +1,7 @@
 import { Backoff } from '../kernel/Backoff.js'
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
+import { parseJson } from '../kernel/parseJson.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IStoreClient } from '../store/IStoreClient.js'
 import type { KeyedRecord } from '../store/KeyedRecord.js'
@@ -118,7 +119,7 @@
       if (crash !== undefined) this._onRecord.fire({ kind: 'crash', ...crash, atMs: Date.now(), isDeleted: true })
       return
     }
-    const atMs = decodeTime(value)
+    const atMs = suspectRecordSchema.safeParse(parseJson(value)).data?.at_ms
     if (atMs === undefined) this._logger.warn({ key, offset }, 'suspect_record_unreadable')
     else if (crash !== undefined) this._onRecord.fire({ kind: 'crash', ...crash, atMs, isDeleted: false })
     else if (trialOf !== undefined) this._onRecord.fire({ kind: 'trial', fingerprint: trialOf, atMs })
@@ -128,11 +129,3 @@
 function encodeNow (): Uint8Array {
   return new TextEncoder().encode(JSON.stringify({ at_ms: Date.now() }))
 }
-
-function decodeTime (value: Uint8Array): number | undefined {
-  try {
-    return suspectRecordSchema.parse(JSON.parse(new TextDecoder().decode(value))).at_ms
-  } catch {
-    return undefined
-  }
-}
--- a/src/common/training/sample/SampleScorer.ts
+++ b/src/common/training/sample/SampleScorer.ts
@@ -4,6 +4,7 @@
 import { hashId } from '../../hash/hashId.js'
 import type { IHash } from '../../hash/IHash.js'
 import { withTimeout } from '../../generation/withTimeout.js'
+import { parseJson } from '../../kernel/parseJson.js'
 import type { IUpstreamClient } from '../../upstream/client/IUpstreamClient.js'
 import { upstreamClientId } from '../../upstream/client/upstreamClientId.js'
 import type { ISampleScorer } from './ISampleScorer.js'
@@ -64,14 +65,6 @@
     const { status, body: content } = response.value
     const isServed = status < 500 && status !== 429
     slot.release(isServed ? { kind: 'completed', durationMs: performance.now() - startedAtMs, units: 1 } : { kind: 'failed', sent: true })
-    return status === 200 ? parseReward(content) : undefined
-  }
-}
-
-function parseReward (content: Uint8Array): number | undefined {
-  try {
-    return rewardSchema.safeParse(JSON.parse(new TextDecoder().decode(content))).data?.reward
-  } catch {
-    return undefined
+    return status === 200 ? rewardSchema.safeParse(parseJson(content)).data?.reward : undefined
   }
 }
--- a/src/common/usage/UsageLedger.ts
+++ b/src/common/usage/UsageLedger.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { UsageReport } from '../duty/UsageReport.js'
 import { Disposable } from '../kernel/Disposable.js'
+import { parseJson } from '../kernel/parseJson.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IStoreClient } from '../store/IStoreClient.js'
 import { Journal } from '../store/Journal.js'
@@ -125,11 +126,3 @@
 function encode (content: unknown): Uint8Array {
   return new TextEncoder().encode(JSON.stringify(content))
 }
-
-function parseJson (bytes: Uint8Array | undefined): unknown {
-  try {
-    return JSON.parse(new TextDecoder().decode(bytes))
-  } catch {
-    return undefined
-  }
-}
--- a/src/common/weights/EngineOrderClient.ts
+++ b/src/common/weights/EngineOrderClient.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'neverthrow'
+import { parseJson } from '../kernel/parseJson.js'
 import type { IUpstreamClient } from '../upstream/client/IUpstreamClient.js'
 import type { UpstreamResponse } from '../upstream/client/UpstreamResponse.js'
 import type { UpstreamError } from '../upstream/client/UpstreamError.js'
@@ -16,11 +17,7 @@
   async readState (address: string, signal: AbortSignal): Promise<EngineState | undefined> {
     const response = await this._call(address, 'GET', '/v1/state', undefined, signal)
     if (response.isErr() || response.value.status !== 200) return undefined
-    try {
-      return engineStateSchema.safeParse(JSON.parse(new TextDecoder().decode(response.value.body))).data
-    } catch {
-      return undefined
-    }
+    return engineStateSchema.safeParse(parseJson(response.value.body)).data
   }
 
   /** Orders an engine to load weights; only `readState` shows whether it has loaded them. */
--- a/src/node/front/UsageRelay.ts
+++ b/src/node/front/UsageRelay.ts
@@ -1,3 +1,4 @@
+import { parseJson } from '../../common/kernel/parseJson.js'
 import type { ILogger } from '../../common/metrics/ILogger.js'
 import type { ILeadership } from '../../common/store/ILeadership.js'
 import type { IUpstreamClient } from '../../common/upstream/client/IUpstreamClient.js'
@@ -55,11 +56,3 @@
     return receipt.data.sentAtUnixMs === contribution.sentAtUnixMs ? receipt.data : undefined
   }
 }
-
-function parseJson (bytes: Uint8Array): unknown {
-  try {
-    return JSON.parse(Buffer.from(bytes).toString())
-  } catch {
-    return undefined
-  }
-}
