Start the HTTP and peer servers through one function

Both split the address, listened, waited and formatted the bound address in the same lines. listenAt does so for any TCP server.

--- a/src/node/http/HttpServer.ts
+++ b/src/node/http/HttpServer.ts
@@ -1,6 +1,4 @@
-import { once } from 'node:events'
 import { createServer, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { getRequestListener, RequestError } from '@hono/node-server'
 import type { Context, Next } from 'hono'
@@ -14,8 +12,7 @@
 import { peerRegistryId } from '../../common/peer/peerRegistryId.js'
 import type { EntrySettings } from '../../common/settings/EntrySettings.js'
 import { entrySettingsId } from '../../common/settings/entrySettingsId.js'
-import { formatAddress } from '../peer/formatAddress.js'
-import { parseAddress } from '../peer/parseAddress.js'
+import { listenAt } from '../peer/listenAt.js'
 import type { AppEnv } from './request/AppEnv.js'
 import { createApp } from './createApp.js'
 import type { IHttpServer } from './IHttpServer.js'
@@ -55,12 +52,9 @@
   }
 
   async start (): Promise<string> {
-    const { host, port } = parseAddress(this._settings.listenAddress)
-    this._server.listen(port, host)
-    await once(this._server, 'listening')
+    const boundAddress = await listenAt(this._server, this._settings.listenAddress)
     this._server.on('error', error => this._logger.error({ reason: error.message }, 'listener_error'))
-    const boundAddress = this._server.address() as AddressInfo
-    return formatAddress(boundAddress.address, boundAddress.port)
+    return boundAddress
   }
 
   inFlight (): number {
--- a/src/node/peer/PeerServer.ts
+++ b/src/node/peer/PeerServer.ts
@@ -1,6 +1,4 @@
-import { once } from 'node:events'
 import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2'
-import type { AddressInfo } from 'node:net'
 import { Code, ConnectError, type ConnectRouter, type Interceptor } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import type { IContractStore } from '../../common/contract/IContractStore.js'
@@ -12,9 +10,8 @@
 import type { EntrySettings } from '../../common/settings/EntrySettings.js'
 import { entrySettingsId } from '../../common/settings/entrySettingsId.js'
 import { PeerService } from '../../gen/peer_pb.js'
-import { formatAddress } from './formatAddress.js'
 import { isPeerTokenValid } from './isPeerTokenValid.js'
-import { parseAddress } from './parseAddress.js'
+import { listenAt } from './listenAt.js'
 
 // Peer requests have no fields, so anything larger does not come from a peer.
 const MAX_REQUEST_BYTES = 4096
@@ -48,12 +45,9 @@
 
   /** Starts listening and returns the `ip:port`; rejects when the address is in use. */
   async start (): Promise<string> {
-    const { host, port } = parseAddress(this._settings.rpcAddress)
-    this._server.listen(port, host)
-    await once(this._server, 'listening')
+    const boundAddress = await listenAt(this._server, this._settings.rpcAddress)
     this._server.on('error', error => this._logger.warn({ reason: error.message }, 'peer_server_error'))
-    const boundAddress = this._server.address() as AddressInfo
-    return formatAddress(boundAddress.address, boundAddress.port)
+    return boundAddress
   }
 
   private _route (router: ConnectRouter): void {
