--- a/src/node/front/ProgressRelay.ts
+++ b/src/node/front/ProgressRelay.ts
@@ -2,9 +2,9 @@
 import type { ILogger } from '../../common/metrics/ILogger.js'
 import type { ILeadership } from '../../common/store/ILeadership.js'
 import type { IUpstreamClient } from '../../common/upstream/client/IUpstreamClient.js'
+import { postToPeer } from './postToPeer.js'
 
 const PROGRESS_PATH = '/progress'
-const SEND_TIMEOUT_MS = 800
 const RETRY_DELAY_MS = 100
 /** After this time the new leader has regenerated as much output itself. */
 const RETRY_FOR_MS = 3000
@@ -41,8 +41,7 @@
   }
 
   private async _post (address: string, body: Uint8Array): Promise<boolean> {
-    const request = { requestId: 'progress', method: 'POST', path: PROGRESS_PATH, headers: {}, body, deadlineAtMs: performance.now() + SEND_TIMEOUT_MS }
-    const result = await this._client.call(address, request, new AbortController().signal)
+    const result = await postToPeer(this._client, address, PROGRESS_PATH, body)
     return result.isOk() && result.value.status === 200
   }
 }
--- a/src/node/front/UsageRelay.ts
+++ b/src/node/front/UsageRelay.ts
@@ -9,9 +9,9 @@
 import { usageReceiptSchema } from '../../common/usage/usageReceiptSchema.js'
 import type { ListenerRequest } from './ListenerRequest.js'
 import type { ListenerResponse } from './ListenerResponse.js'
+import { postToPeer } from './postToPeer.js'
 
 const USAGE_PATH = '/usage'
-const SEND_TIMEOUT_MS = 800
 
 /** Sends the counts of an entry to the leader over the peer listener, and serves them there. */
 export class UsageRelay implements IContributionSender {
@@ -40,9 +40,7 @@
   async send (contribution: UsageContribution): Promise<UsageReceipt | undefined> {
     const address = this._leadership.leaderAddress()
     if (address === undefined || address === this._ownAddress) return undefined
-    const body = Buffer.from(JSON.stringify(contribution))
-    const request = { requestId: 'usage', method: 'POST', path: USAGE_PATH, headers: {}, body, deadlineAtMs: performance.now() + SEND_TIMEOUT_MS }
-    const result = await this._client.call(address, request, new AbortController().signal)
+    const result = await postToPeer(this._client, address, USAGE_PATH, Buffer.from(JSON.stringify(contribution)))
     if (result.isErr() || result.value.status !== 200) {
       this._logger.info({ leader: address, status: result.isOk() ? result.value.status : undefined, reason: result.isErr() ? result.error.kind : undefined }, 'usage_send_failed')
       return undefined
