Split the writing of responses off the HTTP listener

ResponseWriter writes them and returns their memory to the budget, and toListenerRequest has its own file.

--- a/src/node/front/HttpListener.ts
+++ b/src/node/front/HttpListener.ts
@@ -17,6 +17,8 @@
 import type { ListenerResponse } from './ListenerResponse.js'
 import type { ListenerRequest } from './ListenerRequest.js'
 import { RejectionLog } from './RejectionLog.js'
+import { ResponseWriter } from './ResponseWriter.js'
+import { toListenerRequest } from './toListenerRequest.js'
 
 /** Resolves with undefined to close the connection without a response. */
 type Handler = (request: ListenerRequest) => Promise<ListenerResponse | undefined>
@@ -41,12 +43,12 @@
 export class HttpListener extends Disposable {
   private readonly _server: Server
   private _limits?: CallerLimits
-  private _isClosing = false
   private _runningCount = 0
   private readonly _pending = new Set<ClientRequest>()
   private readonly _pacer = this._register(new ChunkPacer())
   private readonly _rejections: RejectionLog
   private readonly _connections: ConnectionTable
+  private readonly _writer: ResponseWriter
 
   constructor (
     private readonly _name: ListenerName,
@@ -58,6 +60,7 @@
     super()
     this._rejections = new RejectionLog(_name, _logger, _metrics)
     this._connections = new ConnectionTable(_name, _budget, this._rejections, () => this._timeouts)
+    this._writer = new ResponseWriter(_name, _budget, _metrics)
     this._server = createServer({ maxHeaderSize: DEFAULT_MAX_HEADER_BYTES, noDelay: true, requireHostHeader: false, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS }, (request, response) => {
       this._serve(request, response).catch((fault: unknown) => this._logger.error({ listener: this._name, reason: String(fault) }, 'request_fault'))
     })
@@ -99,7 +102,7 @@
 
   /** Adds `connection: close` to all further responses. */
   disableKeepAlive (): void {
-    this._isClosing = true
+    this._writer.disableKeepAlive()
   }
 
   /** Stops accepting connections, and closes those that are idle between two requests. */
@@ -117,7 +120,7 @@
       const { incoming, isRead } = request
       this._logger.warn({ listener: this._name, target: incoming.url, request_read: isRead }, 'request_cut_off')
       request.abortReading()
-      this._write(request, isRead ? { status: 504 } : { status: 503, headers: { 'retry-after': CUT_OFF_RETRY_AFTER_S } })
+      this._writer.write(request, isRead ? { status: 504 } : { status: 503, headers: { 'retry-after': CUT_OFF_RETRY_AFTER_S } })
     }
   }
 
@@ -145,10 +148,10 @@
         return
       }
       const response = body instanceof Uint8Array ? await this._run(request, body, arrivedAtMs, disconnected.signal) : body
-      this._write(request, response)
+      this._writer.write(request, response)
     } catch (error) {
       this._logger.error({ listener: this._name, target: incoming.url, reason: String((error as Error).stack ?? error) }, 'request_fault')
-      this._write(request, { status: 500 })
+      this._writer.write(request, { status: 500 })
     }
   }
 
@@ -187,27 +190,6 @@
     return undefined
   }
 
-  private _write (request: ClientRequest, response: ListenerResponse | undefined): void {
-    const { incoming, outgoing } = request
-    if (outgoing.destroyed || outgoing.headersSent || response === undefined) {
-      if (!outgoing.headersSent) outgoing.destroy()
-      this._budget.release(request)
-      return
-    }
-    const body = typeof response.body === 'string' ? Buffer.from(response.body) : response.body
-    const headers: Record<string, string> = { ...response.headers }
-    if (this._isClosing) headers['connection'] = 'close'
-    const hasNoBody = incoming.method === 'HEAD' || response.status === 204 || response.status === 304
-    if (!hasNoBody) headers['content-length'] = String(body?.length ?? 0)
-    this._metrics.count('http_answers', { listener: this._name, status: String(response.status) })
-    outgoing.once('close', () => {
-      this._budget.release(request)
-      if (body !== undefined) releaseBytes(body)
-    })
-    outgoing.writeHead(response.status, headers)
-    request.writeBody(hasNoBody ? undefined : body)
-  }
-
   private _sweep (): void {
     const nowMs = performance.now()
     this._connections.sweep(nowMs)
@@ -230,23 +212,3 @@
     else this._connections.respondAndClose(socket, status)
   }
 }
-
-function toListenerRequest (incoming: IncomingMessage, body: Buffer, arrivedAtMs: number, signal: AbortSignal): ListenerRequest {
-  const target = incoming.url ?? '/'
-  const queryIndex = target.indexOf('?')
-  const headers: Record<string, string> = {}
-  for (const [name, value] of Object.entries(incoming.headers)) {
-    if (value !== undefined) headers[name] = Array.isArray(value) ? value.join(', ') : value
-  }
-  return {
-    method: incoming.method ?? 'GET',
-    target,
-    path: queryIndex < 0 ? target : target.slice(0, queryIndex),
-    query: new URLSearchParams(queryIndex < 0 ? '' : target.slice(queryIndex + 1)),
-    host: headers['host'] ?? '',
-    headers,
-    body,
-    arrivedAtMs,
-    signal
-  }
-}
