--- a/src/common/admission/Admission.ts
+++ b/src/common/admission/Admission.ts
@@ -21,16 +21,15 @@
 import { upstreamUsageId } from '../upstream/upstreamUsageId.js'
 import type { AdmissionError } from './AdmissionError.js'
 import type { AdmissionRequest } from './AdmissionRequest.js'
+import { checkArrival } from './checkArrival.js'
 import { createCapacityPolicy } from './createCapacityPolicy.js'
 import { OrganisationCounts } from './OrganisationCounts.js'
 import { estimateService } from './estimateService.js'
 import type { IAdmission } from './IAdmission.js'
 import { wouldMissDeadline } from './wouldMissDeadline.js'
 import type { ISlot } from './ISlot.js'
-import { LimitController } from './LimitController.js'
 import { ServiceQueue } from './ServiceQueue.js'
-import { Slot } from './Slot.js'
-import type { SlotResult } from './SlotResult.js'
+import { SlotOpener } from './SlotOpener.js'
 import { SuspectGuard } from './SuspectGuard.js'
 import type { Waiter } from './Waiter.js'
 import { applySlowStart } from './applySlowStart.js'
@@ -47,8 +46,8 @@
 export class Admission extends Disposable implements IAdmission {
   private readonly _services = new Map<string, ServiceQueue>()
   private readonly _counts = new OrganisationCounts()
-  private readonly _limitController = new LimitController()
   private readonly _guard: SuspectGuard
+  private readonly _slots: SlotOpener
   private _timer?: ReturnType<typeof setInterval>
   private _isDispatching = false
 
@@ -56,7 +55,7 @@
   constructor (
     private readonly _random: () => number,
     @upstreamTableId private readonly _table: IUpstreamTable,
-    @upstreamUsageId private readonly _usage: IUpstreamUsage,
+    @upstreamUsageId _usage: IUpstreamUsage,
     @contractStoreId private readonly _contracts: IContractStore,
     @suspectTableId private readonly _suspects: ISuspectTable,
     @hashId private readonly _hasher: IHash,
@@ -65,6 +64,7 @@
   ) {
     super()
     this._guard = new SuspectGuard(_suspects)
+    this._slots = new SlotOpener(this._counts, this._guard, _usage, _metrics)
     this._register(_table.onCrash((crash) => _suspects.recordCrash(crash.upstream.id, crash.bootId, crash.fingerprints)))
     this._register(_table.onChange(() => this._dispatchAll()))
     this._register(toDisposable(() => clearInterval(this._timer)))
@@ -73,7 +73,7 @@
   acquire (request: AdmissionRequest): ResultAsync<ISlot, AdmissionError> {
     return new ResultAsync(new Promise<Result<ISlot, AdmissionError>>((resolve) => {
       const queue = this._serviceQueue(request.service)
-      const refusal = this._findRefusal(request, queue)
+      const refusal = checkArrival(request, queue, this._table, this._suspects)
       if (refusal !== undefined) {
         this._countRefusal(request, refusal)
         resolve(err(refusal))
@@ -87,26 +87,6 @@
     return this._services.get(service)?.size ?? 0
   }
 
-  private _findRefusal (request: AdmissionRequest, queue: ServiceQueue): AdmissionError | undefined {
-    if (request.signal?.aborted === true) {
-      return { kind: 'caller_gone', message: 'caller disconnected' }
-    }
-    if (this._suspects.isBlocked(request.fingerprint)) {
-      return { kind: 'request_blocked', message: 'this request crashed the upstreams that ran it' }
-    }
-    const isCandidate = (item: Upstream): boolean => !item.isLeaving && request.excluded?.has(item.id) !== true
-    if (!this._table.all(request.service).some(isCandidate)) {
-      return { kind: 'no_upstream', message: `service ${request.service} has no upstream for this request` }
-    }
-    const { minServiceTimeMs, slotIntervalMs } = estimateService(this._table.available(request.service), request)
-    const queueOfSize = queue.queueOf(request.size)
-    const waitMs = queueOfSize.size === 0 ? 0 : queueOfSize.countAhead(request.organisation, request.deadlineAtMs) * slotIntervalMs
-    if (performance.now() + waitMs + minServiceTimeMs >= request.deadlineAtMs) {
-      return { kind: 'deadline_unreachable', message: `estimated time of ${Math.round(waitMs + minServiceTimeMs)} ms exceeds the deadline` }
-    }
-    return undefined
-  }
-
   private _enqueue (request: AdmissionRequest, queue: ServiceQueue, resolve: (result: Result<ISlot, AdmissionError>) => void): void {
     const nowMs = performance.now()
     const onAbort = (): void => this._drop(queue, waiter, { kind: 'caller_gone', message: 'caller disconnected' })
@@ -178,7 +158,7 @@
     if (taken === undefined) {
       return false
     }
-    taken.waiter.settle(ok(this._openSlot(taken.waiter, taken.selected, nowMs)))
+    taken.waiter.settle(ok(this._slots.open(taken.waiter, taken.selected, nowMs, () => this._dispatchAll())))
     return true
   }
 
@@ -218,37 +198,6 @@
     return upstream
   }
 
-  private _openSlot (waiter: Waiter, upstream: Upstream, nowMs: number): ISlot {
-    const { request } = waiter
-    const { organisation, service, size, units, fingerprint } = request
-    const endSuspectRun = this._guard.isSuspect(fingerprint) ? this._guard.startRun(service, fingerprint) : undefined
-    const inFlight = this._usage.beginRequest(upstream.id, { size, units, fingerprint })
-    this._counts.addInFlight(organisation, 1)
-    const queuedMs = nowMs - waiter.enqueuedAtMs
-    this._metrics.duration('queue_wait', queuedMs, { service, size })
-    return new Slot(upstream, queuedMs, (result) => {
-      const outstanding = upstream.outstanding
-      this._counts.addInFlight(organisation, -1)
-      endSuspectRun?.(result)
-      this._recordResult(upstream, request, result)
-      this._usage.endRequest(upstream.id, inFlight, result)
-      if (result.kind === 'completed') {
-        this._limitController.onCompleted(upstream, size, outstanding, result.durationMs, performance.now())
-      }
-      this._dispatchAll()
-    })
-  }
-
-  private _recordResult (upstream: Upstream, request: AdmissionRequest, result: SlotResult): void {
-    if (result.kind === 'completed') {
-      this._guard.onCompleted(request.fingerprint)
-    } else if (result.kind === 'failed' && result.sent) {
-      this._guard.onReset(request.fingerprint, upstream)
-    } else if (result.kind === 'timeout') {
-      this._limitController.onTimeout(upstream, performance.now())
-    }
-  }
-
   /** Refuses the queued requests of a service whose upstreams have all been down or leaving for too long. */
   private _dropUnavailable (queue: ServiceQueue, nowMs: number): void {
     if (this._table.available(queue.service).length > 0 || queue.size === 0) {
