--- a/src/common/admission/Admission.test.ts
+++ b/src/common/admission/Admission.test.ts
@@ -29,7 +29,7 @@
   })
   const flush = async (): Promise<void> => { for (let turn = 0; turn < 10; turn++) await Promise.resolve() }
 
-  /** Requests a slot; logs the name when the slot is granted, or the name and error kind when it is refused. */
+  /** Requests a slot; logs the name when the slot is granted, or the name and error kind when it is rejected. */
   function request (name: string, patch: Partial<AdmissionRequest> = {}): void {
     admission.acquire({
       organisation: 'c', service: 's', workClass: 'w', size: 'short', units: 1, fingerprint: name, deadlineAtMs: performance.now() + 60_000, ...patch
@@ -135,7 +135,7 @@
     expect(await takeLog()).toEqual(['b'])
   })
 
-  it('refuses at once a request that cannot meet its deadline according to measured times', async () => {
+  it('rejects at once a request that cannot meet its deadline according to measured times', async () => {
     setUp(['u'], 1)
     request('warm')
     await takeLog()
@@ -186,7 +186,7 @@
     expect(await takeLog()).toEqual(['p'])
   })
 
-  it('refuses a blocked request and holds back one that awaits crash records of other entries', async () => {
+  it('rejects a blocked request and holds back one that awaits crash records of other entries', async () => {
     setUp(['u'], 8)
     suspects.blocked.add('p')
     suspects.awaitingRecords.add('q')
@@ -209,7 +209,7 @@
     expect(suspects.crashes).toEqual([['p']])
   })
 
-  it('refuses at once without an upstream, and after two seconds when all are down', async () => {
+  it('rejects at once without an upstream, and after two seconds when all are down', async () => {
     request('none')
     setUp(['u'], 8)
     request('excluded', { excluded: new Set(['u']) })
@@ -264,7 +264,7 @@
     expect(table.get('u')!.limit).toEqual(2)
   })
 
-  it('does not refuse a short call because longer calls of its size raise the average', async () => {
+  it('does not reject a short call because longer calls of its size raise the average', async () => {
     setUp(['u'], 4)
     for (const durationMs of [10, ...Array.from({ length: 40 }, () => 500)]) {
       request('r')
--- a/src/common/admission/Admission.ts
+++ b/src/common/admission/Admission.ts
@@ -73,10 +73,10 @@
   acquire (request: AdmissionRequest): ResultAsync<ISlot, AdmissionError> {
     return new ResultAsync(new Promise<Result<ISlot, AdmissionError>>((resolve) => {
       const queue = this._serviceQueue(request.service)
-      const refusal = checkArrival(request, queue, this._table, this._suspects)
-      if (refusal !== undefined) {
-        this._countRefusal(request, refusal)
-        resolve(err(refusal))
+      const rejection = checkArrival(request, queue, this._table, this._suspects)
+      if (rejection !== undefined) {
+        this._countRejection(request, rejection)
+        resolve(err(rejection))
         return
       }
       this._enqueue(request, queue, resolve)
@@ -118,7 +118,7 @@
 
   private _drop (queue: ServiceQueue, waiter: Waiter, error: AdmissionError): void {
     if (queue.queueOf(waiter.request.size).remove(waiter)) {
-      this._countRefusal(waiter.request, error)
+      this._countRejection(waiter.request, error)
       waiter.settle(err(error))
     }
   }
@@ -198,7 +198,7 @@
     return upstream
   }
 
-  /** Refuses the queued requests of a service whose upstreams have all been down or leaving for too long. */
+  /** Rejects the queued requests of a service whose upstreams have all been down or leaving for too long. */
   private _dropUnavailable (queue: ServiceQueue, nowMs: number): void {
     if (this._table.available(queue.service).length > 0 || queue.size === 0) {
       queue.unavailableSinceMs = undefined
@@ -223,7 +223,7 @@
     }
   }
 
-  private _countRefusal (request: AdmissionRequest, error: AdmissionError): void {
+  private _countRejection (request: AdmissionRequest, error: AdmissionError): void {
     this._metrics.count('admission_refused_total', { service: request.service, kind: error.kind })
   }
 
--- a/src/common/admission/AdmissionError.ts
+++ b/src/common/admission/AdmissionError.ts
@@ -1,4 +1,4 @@
-/** Reasons for which admission refuses a request; none of them lets the request run. */
+/** Reasons for which admission rejects a request; none of them lets the request run. */
 export type AdmissionError =
   | { kind: 'queue_full', message: string, retryAfterMs: number }
   | { kind: 'deadline_unreachable', message: string }
--- a/src/common/admission/wouldMissDeadline.test.ts
+++ b/src/common/admission/wouldMissDeadline.test.ts
@@ -20,7 +20,7 @@
     expect([wouldMissDeadline(waiter(99), upstream, 0), wouldMissDeadline(waiter(101), upstream, 0)]).toEqual([true, false])
   })
 
-  // Guards against a wrong estimate that refuses every call and so is never corrected by a completed one.
+  // Guards against a wrong estimate that rejects every call and so is never corrected by a completed one.
   it('is false early in the wait, for a generation, and without a measurement', () => {
     const upstream = { times } as unknown as Upstream
     expect(wouldMissDeadline(waiter(90, { totalMs: 90 }), upstream, 0)).toEqual(false)
--- a/src/common/admission/wouldMissDeadline.ts
+++ b/src/common/admission/wouldMissDeadline.ts
@@ -1,8 +1,8 @@
 import type { Upstream } from '../upstream/Upstream.js'
 import type { Waiter } from './Waiter.js'
 
-/** Bounds the effect of a wrong estimate: nothing is refused in the first three quarters of the time to its deadline. */
-const MAX_REFUSABLE_FRACTION = 0.25
+/** Bounds the effect of a wrong estimate: nothing is rejected in the first three quarters of the time to its deadline. */
+const MAX_REJECTABLE_FRACTION = 0.25
 
 /**
  * True when a call would most likely miss its deadline on the upstream, so that running it would only take
@@ -13,5 +13,5 @@
   const smoothedMs = upstream.times?.smoothed(request.size)
   if (request.units !== 1 || smoothedMs === undefined) return false
   const totalMs = request.deadlineAtMs - enqueuedAtMs
-  return request.deadlineAtMs - nowMs < Math.min(smoothedMs, totalMs * MAX_REFUSABLE_FRACTION)
+  return request.deadlineAtMs - nowMs < Math.min(smoothedMs, totalMs * MAX_REJECTABLE_FRACTION)
 }
--- a/src/common/call/CallRun.test.ts
+++ b/src/common/call/CallRun.test.ts
@@ -134,9 +134,9 @@
     const lost = start({ a: { afterMs: 1, outcome: broken }, b: { afterMs: 1, outcome: answer() } }, { kind: 'once' })
     await time.advance(50)
     expect((await lost).kind).toEqual('unknown')
-    const refused = start({ a: { afterMs: 1, outcome: full }, b: { afterMs: 1, outcome: answer() } }, { kind: 'once' })
+    const rejected = start({ a: { afterMs: 1, outcome: full }, b: { afterMs: 1, outcome: answer() } }, { kind: 'once' })
     await time.advance(50)
-    expect((await refused).kind).toEqual('answer')
+    expect((await rejected).kind).toEqual('answer')
     expect(sentTo).toEqual(['a', 'a', 'b'])
   })
 
--- a/src/common/call/CallRun.ts
+++ b/src/common/call/CallRun.ts
@@ -15,7 +15,7 @@
 const MIN_HEDGE_DELAY_MS = 40
 /** Status with which an upstream reports that it ran a request and failed. */
 const FAILED_STATUS = 500
-/** Attempts allowed in addition to the route's limit, for upstreams that refuse the request as full. */
+/** Attempts allowed in addition to the route's limit, for upstreams that reject the request as full. */
 const EXTRA_ATTEMPTS = 2
 /** Retry-After for callers when all upstreams are full. */
 const FULL_RETRY_AFTER_MS = 150
@@ -29,11 +29,11 @@
 export class CallRun {
   /** Ids of the upstreams in the order in which they were tried. */
   readonly attemptedUpstreamIds: string[] = []
-  /** Whether the upstream that was tried first refused the request as full. */
-  isFirstAttemptRefused = false
+  /** Whether the upstream that was tried first rejected the request as full. */
+  isFirstAttemptRejected = false
   private readonly _running = new Set<Attempt>()
   private readonly _attemptedIdSet = new Set<string>()
-  /** Upstreams that refused the request as full and have not been asked again. */
+  /** Upstreams that rejected the request as full and have not been asked again. */
   private readonly _fullIdSet = new Set<string>()
   private _mayHaveRunCount = 0
   private _fullCount = 0
@@ -104,8 +104,8 @@
   }
 
   /**
-   * Chooses an upstream that refused the request as full before others failed. A call that no upstream may have run is
-   * refused instead, so that its caller can come back later.
+   * Chooses an upstream that rejected the request as full before others failed. A call that no upstream may have run is
+   * rejected instead, so that its caller can come back later.
    */
   private _chooseFullUpstream (candidates: FleetUpstream[]): FleetUpstream | undefined {
     if (this._mayHaveRunCount === 0 || this._running.size > 0) return undefined
@@ -122,7 +122,7 @@
     onSettled?.(outcome.kind !== 'not_run')
     if (outcome.load !== undefined) upstream.recordLoad(outcome.load)
     if (outcome.isLeaving === true) upstream.recordLeaving()
-    if (isFromUpstream(outcome)) upstream.recordAnswer(startedAtMs)
+    if (isFromUpstream(outcome)) upstream.recordResponse(startedAtMs)
     const end = toRunEnd(outcome)
     if (end !== undefined) this._guard.onEnded(upstream, end, startedAtMs)
     if (outcome.kind === 'answer') upstream.recordResponseTime(performance.now() - startedAtMs)
@@ -187,7 +187,7 @@
     this._fullCount += 1
     const attemptCount = this.attemptedUpstreamIds.filter(id => id === upstreamId).length
     if (attemptCount === 1) this._fullIdSet.add(upstreamId)
-    if (upstreamId === this.attemptedUpstreamIds[0]) this.isFirstAttemptRefused = true
+    if (upstreamId === this.attemptedUpstreamIds[0]) this.isFirstAttemptRejected = true
   }
 
   private _logFailedAttempt (upstream: string, reason: string): void {
@@ -222,6 +222,6 @@
 /** How the run at the upstream ended; undefined if there was none. */
 function toRunEnd (outcome: CallAttemptOutcome): RunEnd | undefined {
   if (outcome.kind === 'not_run') return undefined
-  if (outcome.kind === 'answer') return 'answered'
+  if (outcome.kind === 'answer') return 'responded'
   return outcome.isAbandoned ? 'abandoned' : 'broken'
 }
--- a/src/common/call/CallService.test.ts
+++ b/src/common/call/CallService.test.ts
@@ -44,7 +44,7 @@
   }
 
   // Guards against a caller that is told 502 although its request was not sent.
-  it('refuses a suspect truthfully as not run, with the time at which it may come back', async () => {
+  it('rejects a suspect truthfully as not run, with the time at which it may come back', async () => {
     expect(await run({ kind: 'refused', retryAfterMs: RETRY_AFTER_MS }))
       .toEqual({ kind: 'not_run', reason: 'the request crashed the upstreams that ran it', retryAfterMs: RETRY_AFTER_MS })
     expect(sendings).toEqual(0)
@@ -57,7 +57,7 @@
     expect(sendings).toEqual(3)
   })
 
-  // Guards against counts of public calls, of refused ones, and of each attempt.
+  // Guards against counts of public calls, of rejected ones, and of each attempt.
   it('counts a call of an organisation once if it was sent', async () => {
     await run({ kind: 'admitted' }, 'org')
     expect([sendings, counted]).toEqual([3, ['org']])
@@ -68,7 +68,7 @@
   })
 
   // Guards against a spread of calls over upstreams that an operator cannot see.
-  it('counts the upstream that was tried first and whether it refused', async () => {
+  it('counts the upstream that was tried first and whether it rejected the call', async () => {
     const counted: Array<Record<string, string> | undefined> = []
     const counting = { count: (name: string, labels?: Record<string, string>) => { if (name === 'call_first_attempts') counted.push(labels) }, gauge: () => {}, duration: () => {} }
     const fleet = new FleetTable(logger)
--- a/src/common/call/CallService.ts
+++ b/src/common/call/CallService.ts
@@ -50,11 +50,11 @@
     }
   }
 
-  /** Counts the first choice, so that the spread of calls over upstreams and the refused share are visible. */
+  /** Counts the first choice, so that the spread of calls over upstreams and the rejected share are visible. */
   private _countFirstAttempt (call: Call, run: CallRun): void {
     const upstream = run.attemptedUpstreamIds[0]
     if (upstream === undefined) return
-    this._metrics.count('call_first_attempts', { service: call.service, upstream, refused: String(run.isFirstAttemptRefused) })
+    this._metrics.count('call_first_attempts', { service: call.service, upstream, refused: String(run.isFirstAttemptRejected) })
   }
 
   /** Logs and counts the outcome of a call, and returns it. */
--- a/src/common/claim/ClaimFold.test.ts
+++ b/src/common/claim/ClaimFold.test.ts
@@ -67,14 +67,14 @@
   it('ignores results and releases of claims that do not hold the key, and malformed records', () => {
     const { fold, apply } = createFold()
     const base = { organisation: 'a', service: 's', key: 'k', claim_id: 'other' }
-    const answer = { status: 200, headers: {}, body_base64: '' }
+    const response = { status: 200, headers: {}, body_base64: '' }
     apply(0, 1, claim('c'))
     apply(1, 2, { type: 'release', id: 'r', ...base })
-    apply(2, 3, { type: 'result', id: 'x', ...base, answer })
+    apply(2, 3, { type: 'result', id: 'x', ...base, answer: response })
     apply(3, 4, { type: 'claim', id: 5 })
-    expect([fold.find('a/s/k')?.claimId, fold.find('a/s/k')?.answer]).toEqual(['c', undefined])
+    expect([fold.find('a/s/k')?.claimId, fold.find('a/s/k')?.response]).toEqual(['c', undefined])
     // A release must not free a key whose call has run.
-    apply(4, 5, { type: 'result', id: 'y', ...base, claim_id: 'c', answer })
+    apply(4, 5, { type: 'result', id: 'y', ...base, claim_id: 'c', answer: response })
     apply(5, 6, { type: 'release', id: 'z', ...base, claim_id: 'c' })
     expect(fold.find('a/s/k')?.claimId).toEqual('c')
   })
--- a/src/common/claim/ClaimFold.ts
+++ b/src/common/claim/ClaimFold.ts
@@ -11,10 +11,10 @@
 type ResultRecord = Extract<ClaimRecord, { type: 'result' }>
 type ReleaseRecord = Extract<ClaimRecord, { type: 'release' }>
 
-// About 50 MB without answers.
+// About 50 MB without responses.
 const MAX_KEYS = 100_000
-// Base64 characters of all stored answers. Beyond it the oldest bodies are evicted and reported as not kept.
-const MAX_ANSWERS_LENGTH = 32_000_000
+// Base64 characters of all stored responses. Beyond it the oldest bodies are evicted and reported as not kept.
+const MAX_RESPONSES_LENGTH = 32_000_000
 // Affects only memory; whether a claim has expired is decided by its own times.
 const SWEEP_INTERVAL_MS = 5000
 // Bounds the cost of sweeping while the number of keys is at its limit.
@@ -27,9 +27,9 @@
  */
 export class ClaimFold implements ILogFold {
   private readonly _claims = new Map<string, StoredClaim>()
-  /** Length of the stored answer body by key name, oldest answer first. */
-  private readonly _answerLengths = new Map<string, number>()
-  private _totalAnswerLength = 0
+  /** Length of the stored response body by key name, oldest response first. */
+  private readonly _responseLengths = new Map<string, number>()
+  private _totalResponseLength = 0
   /** Log time of the last applied record. */
   private _timeMs = 0
   private _lastSweepAtMs = Number.NEGATIVE_INFINITY
@@ -74,8 +74,8 @@
   onGap (): void {
     const keyNames = [...this._claims.keys()]
     this._claims.clear()
-    this._answerLengths.clear()
-    this._totalAnswerLength = 0
+    this._responseLengths.clear()
+    this._totalResponseLength = 0
     for (const keyName of keyNames) this._listener.onSettled(keyName, 'removed')
   }
 
@@ -103,18 +103,18 @@
   private _applyResult (record: ResultRecord): void {
     const keyName = claimKeyName(record)
     const claim = this._claims.get(keyName)
-    if (claim === undefined || claim.claimId !== record.claim_id || claim.answer !== undefined) return
-    claim.answer = record.answer
-    this._answerLengths.set(keyName, record.answer.body_base64.length)
-    this._totalAnswerLength += record.answer.body_base64.length
-    this._evictAnswers()
-    this._listener.onSettled(keyName, 'answered')
+    if (claim === undefined || claim.claimId !== record.claim_id || claim.response !== undefined) return
+    claim.response = record.answer
+    this._responseLengths.set(keyName, record.answer.body_base64.length)
+    this._totalResponseLength += record.answer.body_base64.length
+    this._evictResponses()
+    this._listener.onSettled(keyName, 'completed')
   }
 
   private _applyRelease (record: ReleaseRecord): void {
     const keyName = claimKeyName(record)
     const claim = this._claims.get(keyName)
-    if (claim === undefined || claim.claimId !== record.claim_id || claim.answer !== undefined) return
+    if (claim === undefined || claim.claimId !== record.claim_id || claim.response !== undefined) return
     this._remove(keyName)
     this._listener.onSettled(keyName, 'released')
   }
@@ -126,8 +126,8 @@
 
   private _remove (keyName: string): void {
     this._claims.delete(keyName)
-    this._totalAnswerLength -= this._answerLengths.get(keyName) ?? 0
-    this._answerLengths.delete(keyName)
+    this._totalResponseLength -= this._responseLengths.get(keyName) ?? 0
+    this._responseLengths.delete(keyName)
   }
 
   /** Removes keys whose window has passed. */
@@ -156,13 +156,13 @@
     this._listener.onSettled(keyName, 'removed')
   }
 
-  private _evictAnswers (): void {
-    for (const [keyName, length] of this._answerLengths) {
-      if (this._totalAnswerLength <= MAX_ANSWERS_LENGTH) return
+  private _evictResponses (): void {
+    for (const [keyName, length] of this._responseLengths) {
+      if (this._totalResponseLength <= MAX_RESPONSES_LENGTH) return
       const claim = this._claims.get(keyName)
-      if (claim?.answer !== undefined) claim.answer = { ...claim.answer, body_base64: '', body_omitted: true }
-      this._totalAnswerLength -= length
-      this._answerLengths.delete(keyName)
+      if (claim?.response !== undefined) claim.response = { ...claim.response, body_base64: '', body_omitted: true }
+      this._totalResponseLength -= length
+      this._responseLengths.delete(keyName)
     }
   }
 }
--- a/src/common/claim/ClaimOutcome.ts
+++ b/src/common/claim/ClaimOutcome.ts
@@ -1,7 +1,7 @@
-import type { StoredAnswer } from '../schema/StoredAnswer.js'
+import type { StoredResponse } from '../schema/StoredResponse.js'
 import type { IClaimTicket } from './IClaimTicket.js'
 
-/** Result of claiming a key: this entry may run the call, or the call has already been answered. */
+/** Result of claiming a key: this entry may run the call, or the call has already completed. */
 export type ClaimOutcome =
   | { kind: 'won', ticket: IClaimTicket }
-  | { kind: 'answered', answer: StoredAnswer }
+  | { kind: 'completed', response: StoredResponse }
--- a/src/common/claim/ClaimService.test.ts
+++ b/src/common/claim/ClaimService.test.ts
@@ -8,7 +8,7 @@
 import type { IClaimTicket } from './IClaimTicket.js'
 import { ClaimEntry } from './test/ClaimEntry.js'
 
-const ANSWER = { status: 200, headers: {}, body_base64: 'eA==', body_omitted: false }
+const RESPONSE = { status: 200, headers: {}, body_base64: 'eA==', body_omitted: false }
 
 describe('ClaimService', () => {
   let time: VirtualTime
@@ -40,19 +40,19 @@
     return log.entries('claims').filter(entry => (entry.value as { type: string }).type === type)
   }
 
-  it('lets one of two racing requests win and gives the other its answer', async () => {
+  it('lets one of two racing requests win and gives the other its response', async () => {
     const claims = [entryA.claim('k', 2000), entryB.claim('k', 2000)]
     await time.advance(300)
     const winners = claims.filter(item => item.outcome?.kind === 'won')
     expect(winners.length).toEqual(1)
     const [winner] = winners
-    if (winner?.outcome?.kind === 'won') winner.outcome.ticket.complete(ANSWER)
+    if (winner?.outcome?.kind === 'won') winner.outcome.ticket.complete(RESPONSE)
     await time.advance(300)
     const [other] = claims.filter(item => item !== winner)
-    expect(other?.outcome).toEqual({ kind: 'answered', answer: ANSWER })
+    expect(other?.outcome).toEqual({ kind: 'completed', response: RESPONSE })
   })
 
-  it('refuses a repeat with a different body and a repeat of a request that never records a result', async () => {
+  it('rejects a repeat with a different body and a repeat of a request that never records a result', async () => {
     const ticket = await win(entryA, 'k')
     const differs = entryB.claim('k', 1000, 'y')
     const repeat = entryB.claim('k', 1000)
@@ -74,20 +74,20 @@
   })
 
   it('omits a body over 64 KiB from the log', async () => {
-    (await win(entryA, 'k')).complete({ ...ANSWER, body_base64: 'A'.repeat(90_000) })
+    (await win(entryA, 'k')).complete({ ...RESPONSE, body_base64: 'A'.repeat(90_000) })
     await time.advance(200)
     const repeat = entryB.claim('k', 500)
     await time.advance(100)
-    expect(repeat.outcome?.kind === 'answered' && repeat.outcome.answer.body_omitted).toEqual(true)
+    expect(repeat.outcome?.kind === 'completed' && repeat.outcome.response.body_omitted).toEqual(true)
   })
 
   // Otherwise a claim that is written after the caller received not_run would block the key for its window.
-  it('releases a claim that is read back after its caller was refused', async () => {
-    log.decideOutcome = () => 'answer_lost'
+  it('releases a claim that is read back after its caller was rejected', async () => {
+    log.decideOutcome = () => 'response_lost'
     log.latencyMs = 300
-    const refused = entryA.claim('k', 200)
+    const rejected = entryA.claim('k', 200)
     await time.advance(500)
-    expect(refused.error?.outcome).toEqual('not_run')
+    expect(rejected.error?.outcome).toEqual('not_run')
     log.decideOutcome = () => 'ok'
     log.latencyMs = 0
     await time.advance(4000, 20)
@@ -123,22 +123,22 @@
   it('may not start a call after the claim was settled, and settles once', async () => {
     const ticket = await win(entryA, 'k')
     ticket.release()
-    ticket.complete(ANSWER)
+    ticket.complete(RESPONSE)
     await time.advance(200)
     expect([ticket.mayStart(), records('release').length, records('result').length]).toEqual([false, 1, 0])
   })
 
   it('frees a key after its window, also when the stream is idle', async () => {
-    (await win(entryA, 'k')).complete(ANSWER)
+    (await win(entryA, 'k')).complete(RESPONSE)
     await time.advance(14_000, 100)
     const early = entryB.claim('k', 500)
     await time.advance(100)
-    expect(early.outcome?.kind).toEqual('answered')
+    expect(early.outcome?.kind).toEqual('completed')
     await time.advance(1500, 100)
     await win(entryB, 'k')
   })
 
-  it('refuses claims as not_run before it has caught up and while the log is unavailable', async () => {
+  it('rejects claims as not_run before it has caught up and while the log is unavailable', async () => {
     log.isDown = true
     const fresh = new ClaimEntry(log, 'entry-c')
     const early = fresh.claim('k', 2000)
@@ -176,7 +176,7 @@
   then: fc.constantFrom('complete' as const, 'release' as const, 'abandon' as const),
   timeoutMs: fc.integer({ min: 50, max: 2000 })
 })
-const appendOutcomeArbitrary = fc.constantFrom<AppendOutcome>('ok', 'ok', 'refused', 'answer_lost', 'request_lost')
+const appendOutcomeArbitrary = fc.constantFrom<AppendOutcome>('ok', 'ok', 'rejected', 'response_lost', 'request_lost')
 
 /** Runs calls on two entries over one faulty log; returns how often each key ran. */
 async function simulate (calls: Call[], appendOutcomes: AppendOutcome[], outageAtMs: number, latencyMs: number): Promise<Map<string, number>> {
@@ -196,7 +196,7 @@
       const { ticket } = outcome
       if (call.then === 'release' || !ticket.mayStart()) return ticket.release()
       runs.set(call.key, (runs.get(call.key) ?? 0) + 1)
-      if (call.then === 'complete') ticket.complete(ANSWER)
+      if (call.then === 'complete') ticket.complete(RESPONSE)
       else ticket.abandon()
     }, () => {}).catch(() => {})
   }
--- a/src/common/claim/ClaimService.ts
+++ b/src/common/claim/ClaimService.ts
@@ -28,7 +28,7 @@
 // Greatest age at which a claim may be acted on, as a ratio of the key window. A holder that was paused must find its
 // claim too old well before any entry removes the key or the log drops the claim; windows are under a third of retention.
 const MAX_AGE_RATIO = 1 / 2
-// Allows several append retries, but refuses callers with long deadlines early in an outage.
+// Allows several append retries, but rejects callers with long deadlines early in an outage.
 const APPEND_TIMEOUT_MS = 5000
 // Time since the end of the stream was last reached, after which failing reads or appends count as an outage.
 const OUTAGE_THRESHOLD_MS = 2000
@@ -54,7 +54,7 @@
   ) {
     super()
     this._fold = new ClaimFold(organisation => this._windowMs(organisation), {
-      onWon: (key, claim) => this._releaseIfRefused(key, claim),
+      onWon: (key, claim) => this._releaseIfRejected(key, claim),
       onSettled: (keyName, reason) => this._waiters.wake(keyName, reason)
     }, _logger)
     this._hub.addFold('claims', this._fold)
@@ -73,7 +73,7 @@
       const reason = this._unavailableReason(request)
       if (reason !== undefined) return err(unavailable(reason))
       const existing = this._findCurrent(request)
-      const result = existing === undefined ? await this._appendClaim(request) : await this._awaitAnswer(request, existing)
+      const result = existing === undefined ? await this._appendClaim(request) : await this._awaitResponse(request, existing)
       if (result !== undefined) return result
     }
   }
@@ -94,14 +94,14 @@
     return performance.now() - existing.appliedAtMs < this._windowMs(request.organisation) ? existing : undefined
   }
 
-  /** Waits for the answer of the request that holds the key; undefined if the key has to be looked up again. */
-  private async _awaitAnswer (request: ClaimRequest, existing: StoredClaim): Promise<ClaimResult | undefined> {
+  /** Waits for the response to the request that holds the key; undefined if the key has to be looked up again. */
+  private async _awaitResponse (request: ClaimRequest, existing: StoredClaim): Promise<ClaimResult | undefined> {
     if (existing.bodySha256 !== request.bodySha256) {
       return err({ kind: 'claim_body_differs', message: 'the Idempotency-Key was used with a different body', outcome: 'not_run' })
     }
-    if (existing.answer !== undefined) return ok({ kind: 'answered', answer: existing.answer })
+    if (existing.response !== undefined) return ok({ kind: 'completed', response: existing.response })
     const reason = await this._waiters.wait(claimKeyName(request), request.deadlineAtMs)
-    if (reason === 'answered' || reason === 'released') return undefined
+    if (reason === 'completed' || reason === 'released') return undefined
     const message = 'an earlier request with this Idempotency-Key has not recorded a result'
     return err({ kind: 'claim_unknown', message, outcome: 'unknown' })
   }
@@ -137,7 +137,7 @@
   }
 
   /** Releases a claim that wins after its caller received `not_run`, because it would block the key. */
-  private _releaseIfRefused (key: ClaimKey, claim: StoredClaim): void {
+  private _releaseIfRejected (key: ClaimKey, claim: StoredClaim): void {
     if (!claim.claimId.startsWith(this._processId) || this._pendingIds.has(claim.claimId)) return
     this._createTicket(claim.claimId, key, 0).release()
   }
--- a/src/common/claim/ClaimSettlement.ts
+++ b/src/common/claim/ClaimSettlement.ts
@@ -2,4 +2,4 @@
  * How a claim ended: its result was stored, its holder released it, or this entry removed it from its state
  * (`removed`) because it expired, was evicted or precedes a gap in the log.
  */
-export type ClaimSettlement = 'answered' | 'released' | 'removed'
+export type ClaimSettlement = 'completed' | 'released' | 'removed'
--- a/src/common/claim/IClaimService.ts
+++ b/src/common/claim/IClaimService.ts
@@ -5,6 +5,6 @@
 
 /** Decides through the log which entry may run a call that must run at most once. */
 export interface IClaimService {
-  /** Claims the key. If another request holds it, waits for the answer of that request until the deadline. */
+  /** Claims the key. If another request holds it, waits for the response to that request until the deadline. */
   claim (request: ClaimRequest): ResultAsync<ClaimOutcome, ClaimError>
 }
--- a/src/common/claim/StoredClaim.ts
+++ b/src/common/claim/StoredClaim.ts
@@ -1,4 +1,4 @@
-import type { StoredAnswer } from '../schema/StoredAnswer.js'
+import type { StoredResponse } from '../schema/StoredResponse.js'
 
 /** The winning claim of a key, according to the log. */
 export interface StoredClaim {
@@ -8,6 +8,6 @@
   lastClaimAtMs: number
   /** `performance.now()` at which this entry applied that record. */
   appliedAtMs: number
-  /** Answer of the call, once a result has been recorded. */
-  answer?: StoredAnswer
+  /** Response to the call, once a result has been recorded. */
+  response?: StoredResponse
 }
--- a/src/common/claim/WonClaim.ts
+++ b/src/common/claim/WonClaim.ts
@@ -1,6 +1,6 @@
 import type { ILogHub } from '../log/ILogHub.js'
 import type { ILogger } from '../metrics/ILogger.js'
-import type { StoredAnswer } from '../schema/StoredAnswer.js'
+import type { StoredResponse } from '../schema/StoredResponse.js'
 import type { ClaimKey } from './ClaimKey.js'
 import type { IClaimTicket } from './IClaimTicket.js'
 
@@ -23,10 +23,10 @@
     return !this._isSettled && this._isRecent()
   }
 
-  complete (answer: StoredAnswer): void {
+  complete (response: StoredResponse): void {
     if (!this._settle('complete')) return
-    const isTooLong = answer.body_base64.length > MAX_BODY_BASE64_LENGTH
-    const stored = isTooLong ? { ...answer, body_base64: '', body_omitted: true } : answer
+    const isTooLong = response.body_base64.length > MAX_BODY_BASE64_LENGTH
+    const stored = isTooLong ? { ...response, body_base64: '', body_omitted: true } : response
     this._hub.appendEventually('claims', { type: 'result', ...this._fields(), answer: stored } as { id: string })
   }
 
--- a/src/common/contract/ContractPublisher.ts
+++ b/src/common/contract/ContractPublisher.ts
@@ -26,8 +26,8 @@
   ) {}
 
   publish (organisation: string, baseRevision: number, operator: string, text: string): ResultAsync<ContractRevision, ContractError> {
-    const refusal = this._check(organisation, baseRevision, text)
-    if (refusal !== undefined) return errAsync(refusal)
+    const rejection = this._check(organisation, baseRevision, text)
+    if (rejection !== undefined) return errAsync(rejection)
     const id = crypto.randomUUID()
     const record = { type: 'publish', id, organisation, base_revision: baseRevision, operator, at_ms: Date.now(), text }
     return this._hub.append('contracts', record, PUBLISH_TIMEOUT_MS)
--- a/src/common/contract/ContractStore.test.ts
+++ b/src/common/contract/ContractStore.test.ts
@@ -81,8 +81,8 @@
     const { publisher } = createEntry()
     await time.advance(100)
     log.isDown = true
-    const refused = (await publish(publisher, 0, contractText('a', 1), 11_000)).error
-    expect(refused?.kind === 'contract_unavailable' && refused.mayTakeEffect).toEqual(false)
+    const rejected = (await publish(publisher, 0, contractText('a', 1), 11_000)).error
+    expect(rejected?.kind === 'contract_unavailable' && rejected.mayTakeEffect).toEqual(false)
   })
 
   it('accepts only higher revisions from peers, and prefers the fold for equal ones', async () => {
--- a/src/common/crash/ISuspectTable.ts
+++ b/src/common/crash/ISuspectTable.ts
@@ -1,6 +1,6 @@
 /** Requests suspected of crashing the upstreams that run them, by fingerprint. */
 export interface ISuspectTable {
-  /** True when the request must be refused. */
+  /** True when the request must be rejected. */
   isBlocked (fingerprint: string): boolean
   /** True when the request was in flight on an upstream that crashed and has not completed since, or a peer reports so. */
   isSuspect (fingerprint: string): boolean
--- a/src/common/fleet/FleetMember.ts
+++ b/src/common/fleet/FleetMember.ts
@@ -9,7 +9,7 @@
   /** `ip:port` */
   address: string
   failureDomain: string
-  /** Number of requests that the upstream runs at the same time; further ones wait or are refused. */
+  /** Number of requests that the upstream runs at the same time; further ones wait or are rejected. */
   slots: number
   isDraining: boolean
   /** Whether the platform may reclaim the upstream at any time. */
--- a/src/common/fleet/FleetUpstream.ts
+++ b/src/common/fleet/FleetUpstream.ts
@@ -23,7 +23,7 @@
   averageMs?: number
   /** `performance.now()` at which the upstream list last named this incarnation. */
   heartbeatAtMs = 0
-  private _lastAnsweredSentAtMs = Number.NEGATIVE_INFINITY
+  private _lastRespondedSentAtMs = Number.NEGATIVE_INFINITY
   private _load?: LoadReading & { atMs: number }
   private _loadAverages: LoadAverages = { total: 0, own: 0 }
   private _consecutiveFailures = 0
@@ -74,13 +74,13 @@
   }
 
   /** Records that this incarnation has responded to a request that was sent at `sentAtMs`, in terms of `performance.now()`. */
-  recordAnswer (sentAtMs: number): void {
-    this._lastAnsweredSentAtMs = Math.max(this._lastAnsweredSentAtMs, sentAtMs)
+  recordResponse (sentAtMs: number): void {
+    this._lastRespondedSentAtMs = Math.max(this._lastRespondedSentAtMs, sentAtMs)
   }
 
   /** Whether this incarnation has responded to a request that was sent after `atMs`. */
-  hasAnsweredSince (atMs: number): boolean {
-    return this._lastAnsweredSentAtMs > atMs
+  hasRespondedSince (atMs: number): boolean {
+    return this._lastRespondedSentAtMs > atMs
   }
 
   recordResponseTime (durationMs: number): void {
--- a/src/common/fleet/selection/LoadAverages.ts
+++ b/src/common/fleet/selection/LoadAverages.ts
@@ -2,6 +2,6 @@
 export interface LoadAverages {
   /** Requests of all processes at the upstream. */
   total: number
-  /** Requests of this process there when the reading arrived, with the answered one. */
+  /** Requests of this process there when the reading arrived, with the one whose response brought it. */
   own: number
 }
--- a/src/common/fleet/selection/selectionUnderLoad.test.ts
+++ b/src/common/fleet/selection/selectionUnderLoad.test.ts
@@ -11,7 +11,7 @@
  * the length the noise exceeded it for two loads, so the tests use the whole durations.
  */
 const P99_TOLERANCE = 0.05
-const REFUSED_TOLERANCE = 0.005
+const REJECTED_TOLERANCE = 0.005
 
 const known = new Map<string, SimulationResult>()
 
@@ -25,27 +25,27 @@
 function simulateNow (loadName: string, deciders: number, selector: string): SimulationResult {
   const results = SEEDS.map(seed => simulateSelection(simulatedLoads[loadName]!(deciders), alternativeSelectors[selector]!, seed))
   const mean = (key: keyof SimulationResult): number => results.reduce((sum, result) => sum + result[key], 0) / results.length
-  return { busiestToMean: mean('busiestToMean'), p50Ms: mean('p50Ms'), p99Ms: mean('p99Ms'), refusedFirstShare: mean('refusedFirstShare'), failedShare: mean('failedShare') }
+  return { busiestToMean: mean('busiestToMean'), p50Ms: mean('p50Ms'), p99Ms: mean('p99Ms'), rejectedFirstShare: mean('rejectedFirstShare'), failedShare: mean('failedShare') }
 }
 
 describe('selection under load', () => {
   for (const loadName of Object.keys(simulatedLoads)) {
     for (const deciders of [12, 82, 370]) {
       // Guards against a selection that evens out the load at the cost of callers.
-      it(`has no higher p99 and no more refusals than the selection before: ${loadName}, ${deciders} deciders`, () => {
+      it(`has no higher p99 and no more rejections than the selection before: ${loadName}, ${deciders} deciders`, () => {
         const before = simulate(loadName, deciders, 'before')
         const chosen = simulate(loadName, deciders, 'chosen')
         expect(chosen.p99Ms).toBeLessThanOrEqual(before.p99Ms * (1 + P99_TOLERANCE))
-        expect(chosen.refusedFirstShare).toBeLessThanOrEqual(before.refusedFirstShare + REFUSED_TOLERANCE)
-        expect(chosen.failedShare).toBeLessThanOrEqual(before.failedShare + REFUSED_TOLERANCE)
+        expect(chosen.rejectedFirstShare).toBeLessThanOrEqual(before.rejectedFirstShare + REJECTED_TOLERANCE)
+        expect(chosen.failedShare).toBeLessThanOrEqual(before.failedShare + REJECTED_TOLERANCE)
       })
     }
   }
 
-  // Guards against deciders that send to the same server again before its next figure, so that it refuses while others idle.
+  // Guards against deciders that send to the same server again before its next figure, so that it rejects while others idle.
   for (const loadName of ['half of capacity', 'figures 200 ms old', 'figures 1000 ms old', 'bursts after idle periods']) {
-    it(`has a quarter fewer refused first attempts: ${loadName}, 12 deciders`, () => {
-      expect(simulate(loadName, 12, 'chosen').refusedFirstShare).toBeLessThan(0.75 * simulate(loadName, 12, 'before').refusedFirstShare)
+    it(`has a quarter fewer rejected first attempts: ${loadName}, 12 deciders`, () => {
+      expect(simulate(loadName, 12, 'chosen').rejectedFirstShare).toBeLessThan(0.75 * simulate(loadName, 12, 'before').rejectedFirstShare)
     })
   }
 
--- a/src/common/fleet/selection/test/SimulatedLoad.ts
+++ b/src/common/fleet/selection/test/SimulatedLoad.ts
@@ -11,7 +11,7 @@
   /** Delay until a load reading counts, in addition to the hop. */
   figureAgeMs: number
   /** Whether a load reading contains the request whose response carries it. */
-  countsAnswered: boolean
+  countsOwnRequest: boolean
   isReachable: (server: number, decider: number, nowMs: number) => boolean
   measureFromMs: number
   durationMs: number
--- a/src/common/fleet/selection/test/compareSelectors.ts
+++ b/src/common/fleet/selection/test/compareSelectors.ts
@@ -11,7 +11,7 @@
     for (const [name, select] of Object.entries(alternativeSelectors)) {
       const results = SEEDS.map(seed => simulateSelection(createLoad(deciders), select, seed))
       const mean = (key: keyof SimulationResult): number => results.reduce((sum, result) => sum + result[key], 0) / results.length
-      const cells = [loadName, deciders, name, mean('busiestToMean').toFixed(2), mean('p50Ms').toFixed(1), mean('p99Ms').toFixed(1), (100 * mean('refusedFirstShare')).toFixed(2), (100 * mean('failedShare')).toFixed(2)]
+      const cells = [loadName, deciders, name, mean('busiestToMean').toFixed(2), mean('p50Ms').toFixed(1), mean('p99Ms').toFixed(1), (100 * mean('rejectedFirstShare')).toFixed(2), (100 * mean('failedShare')).toFixed(2)]
       console.log(`| ${cells.join(' | ')} |`)
     }
   }
--- a/src/common/fleet/selection/test/simulateSelection.ts
+++ b/src/common/fleet/selection/test/simulateSelection.ts
@@ -16,7 +16,7 @@
 interface Server { running: number, queue: Array<() => void>, slowdownFactor: number, busyMs: number, reserved: number }
 interface SimulatedCall { decider: number, tried: Set<number>, startedAtMs: number }
 
-/** Runs a selection alone in virtual time, with deciders that learn from answers only and servers with slots and a short queue. */
+/** Runs a selection alone in virtual time, with deciders that learn from responses only and servers with slots and a short queue. */
 export function simulateSelection (load: SimulatedLoad, select: UpstreamSelector, seed = 1): SimulationResult {
   return new Simulation(load, select, seed).run()
 }
@@ -31,7 +31,7 @@
   private readonly _deciders: FleetUpstream[][]
   private _hints: number[] = []
   private readonly _latenciesMs: number[] = []
-  private readonly _counts = { calls: 0, refusedFirst: 0, failed: 0 }
+  private readonly _counts = { calls: 0, rejectedFirst: 0, failed: 0 }
 
   constructor (private readonly _load: SimulatedLoad, private readonly _select: UpstreamSelector, seed: number) {
     this._random = createRandom(seed)
@@ -57,7 +57,7 @@
       busiestToMean: Math.max(...busyMs) * busyMs.length / busyMs.reduce((sum, each) => sum + each, 0),
       p50Ms: sorted[Math.floor(sorted.length * 0.5)] ?? 0,
       p99Ms: sorted[Math.floor(sorted.length * 0.99)] ?? 0,
-      refusedFirstShare: this._counts.refusedFirst / this._counts.calls,
+      rejectedFirstShare: this._counts.rejectedFirst / this._counts.calls,
       failedShare: this._counts.failed / this._counts.calls
     }
   }
@@ -97,15 +97,15 @@
     const server = this._servers[index]!
     const { slots, isReachable } = this._load
     if (!isReachable(index, call.decider, this._events.nowMs)) {
-      this._answer(upstream, server, 'unreachable', () => {
+      this._respond(upstream, server, 'unreachable', () => {
         upstream.recordFailure()
         this._attempt(call)
       })
     } else if (server.running >= slots && server.queue.length >= QUEUE_LIMIT) {
-      if (call.tried.size === 1) this._count('refusedFirst', call)
-      this._answer(upstream, server, 'refused', () => this._attempt(call))
+      if (call.tried.size === 1) this._count('rejectedFirst', call)
+      this._respond(upstream, server, 'rejected', () => this._attempt(call))
     } else {
-      const start = (): void => this._work(index, () => this._answer(upstream, server, 'done', () => {
+      const start = (): void => this._work(index, () => this._respond(upstream, server, 'done', () => {
         upstream.recordResponseTime(this._events.nowMs - sentAtMs)
         if (call.startedAtMs >= this._load.measureFromMs) this._latenciesMs.push(this._events.nowMs - call.startedAtMs)
       }))
@@ -128,15 +128,15 @@
     })
   }
 
-  /** The load reading counts from `figureAgeMs` after the answer. */
-  private _answer (upstream: FleetUpstream, server: Server, kind: 'done' | 'refused' | 'unreachable', onAnswered: () => void): void {
-    const answered = kind === 'done' && this._load.countsAnswered ? 1 : 0
-    const reading = { running: server.running + answered, waiting: server.queue.length, slots: this._load.slots, slowdownFactor: server.slowdownFactor }
+  /** The load reading counts from `figureAgeMs` after the response. */
+  private _respond (upstream: FleetUpstream, server: Server, kind: 'done' | 'rejected' | 'unreachable', onResponded: () => void): void {
+    const ownCount = kind === 'done' && this._load.countsOwnRequest ? 1 : 0
+    const reading = { running: server.running + ownCount, waiting: server.queue.length, slots: this._load.slots, slowdownFactor: server.slowdownFactor }
     const atMs = this._events.nowMs
     server.reserved -= 1
     this._events.after(HOP_MS, () => {
       upstream.outstanding -= 1
-      onAnswered()
+      onResponded()
     })
     if (kind !== 'unreachable') this._events.after(HOP_MS + this._load.figureAgeMs, () => upstream.recordLoad(reading, atMs))
   }
--- a/src/common/fleet/selection/test/simulatedLoads.ts
+++ b/src/common/fleet/selection/test/simulatedLoads.ts
@@ -9,7 +9,7 @@
   callsPerS: 400,
   burst: 1,
   figureAgeMs: 0,
-  countsAnswered: false,
+  countsOwnRequest: false,
   isReachable: () => true,
   measureFromMs: 5000,
   durationMs: 60_000
@@ -20,7 +20,7 @@
   'few calls': deciders => ({ ...BASE, deciders, callsPerS: 8, measureFromMs: 100_000, durationMs: 500_000 }),
   'few calls, one server three times slower': deciders => ({ ...BASE, deciders, speeds: [1, 1, 1, 1 / 3].map(speed => () => speed), callsPerS: 8, measureFromMs: 100_000, durationMs: 500_000 }),
   'half of capacity': deciders => ({ ...BASE, deciders }),
-  'half of capacity, figures with the answered request': deciders => ({ ...BASE, deciders, countsAnswered: true }),
+  'half of capacity, figures with the answered request': deciders => ({ ...BASE, deciders, countsOwnRequest: true }),
   'near capacity': deciders => ({ ...BASE, deciders, callsPerS: 600 }),
   'figures 200 ms old': deciders => ({ ...BASE, deciders, figureAgeMs: 200 }),
   'figures 1000 ms old': deciders => ({ ...BASE, deciders, figureAgeMs: 1000 }),
--- a/src/common/fleet/selection/updateLoadAverages.ts
+++ b/src/common/fleet/selection/updateLoadAverages.ts
@@ -5,9 +5,9 @@
 const READING_WEIGHT = 0.05
 
 /**
- * Averages after a further load reading, which arrived while `outstanding` other own requests were in flight. The answered
- * request counts as an own one: servers differ in whether their readings contain it, and the ratio must not exceed 1 for
- * the only process in either case.
+ * Averages after a further load reading, which arrived while `outstanding` other own requests were in flight. The request
+ * whose response brought it counts as an own one: servers differ in whether their readings contain it, and the ratio must
+ * not exceed 1 for the only process in either case.
  */
 export function updateLoadAverages (previous: LoadAverages, load: LoadReading, outstanding: number): LoadAverages {
   return {
--- a/src/common/forward/AtMostOnceCall.test.ts
+++ b/src/common/forward/AtMostOnceCall.test.ts
@@ -14,7 +14,7 @@
 
   beforeEach(() => { harness = currentHarness() })
 
-  it('sends an at-most-once call once and stores its answer', async () => {
+  it('sends an at-most-once call once and stores its response', async () => {
     await harness.warmUp(40)
     const outcome = await harness.start({}, 'never')
     mock.timers.tick(5000)
@@ -51,7 +51,7 @@
     expect([harness.sent.length, harness.settlements]).toEqual([0, ['release', 'release', 'release', 'release']])
   })
 
-  it('completes an at-most-once call after its caller has disconnected, to answer a repeat of the request', async () => {
+  it('completes an at-most-once call after its caller has disconnected, to respond to a repeat of the request', async () => {
     const controller = new AbortController()
     const outcome = await harness.start({ signal: controller.signal }, 'never')
     controller.abort()
@@ -64,10 +64,10 @@
     expect(harness.settlements).toEqual(['complete false ZG9uZQ=='])
   })
 
-  it('answers a repeat from the log, or reports that the answer was not kept', async () => {
-    harness.claimResult = ok({ kind: 'answered', answer: { status: 200, headers: {}, body_base64: 'ZG9uZQ==', body_omitted: false } })
+  it('responds to a repeat from the log, or reports that the response was not kept', async () => {
+    harness.claimResult = ok({ kind: 'completed', response: { status: 200, headers: {}, body_base64: 'ZG9uZQ==', body_omitted: false } })
     expect(await (await harness.start({}, 'never'))()).toEqual('done')
-    harness.claimResult = ok({ kind: 'answered', answer: { status: 200, headers: {}, body_base64: '', body_omitted: true } })
+    harness.claimResult = ok({ kind: 'completed', response: { status: 200, headers: {}, body_base64: '', body_omitted: true } })
     expect(await (await harness.start({}, 'never'))()).toEqual('answer_not_kept unknown 409')
     harness.claimResult = err({ kind: 'claim_unavailable', message: '', outcome: 'not_run' })
     expect(await (await harness.start({}, 'never'))()).toEqual('claim_unavailable not_run 503')
--- a/src/common/forward/AtMostOnceCall.ts
+++ b/src/common/forward/AtMostOnceCall.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { IClaimTicket } from '../claim/IClaimTicket.js'
-import type { StoredAnswer } from '../schema/StoredAnswer.js'
+import type { StoredResponse } from '../schema/StoredResponse.js'
 import type { UpstreamResponse } from '../upstream/client/UpstreamResponse.js'
 import type { AttemptFailure } from './AttemptFailure.js'
 import type { AttemptRunner } from './AttemptRunner.js'
@@ -9,13 +9,13 @@
 import { toBase64 } from './toBase64.js'
 import { toCallError } from './toCallError.js'
 
-/** Largest body that is stored in the log to answer repeats of the request. */
+/** Largest body that is stored in the log to respond to repeats of the request. */
 const MAX_STORED_BODY_BYTES = 65_536
 
 /** A call whose claim this entry has won. It is sent at most once, and the claim is always settled. */
 export class AtMostOnceCall {
   private readonly _unreachableUpstreams = new Set<string>()
-  /** Never aborted: the call continues after its caller has disconnected, so that a repeat of the request gets the answer. */
+  /** Never aborted: the call continues after its caller has disconnected, so that a repeat of the request gets the response. */
   private readonly _callSignal = new AbortController().signal
 
   constructor (
@@ -29,7 +29,7 @@
     for (;;) {
       const result = await this._attempt()
       if (result.isOk()) {
-        this._ticket.complete(toStoredAnswer(result.value))
+        this._ticket.complete(toStoredResponse(result.value))
         return ok(result.value)
       }
       const failure = result.error
@@ -80,7 +80,7 @@
   }
 }
 
-function toStoredAnswer (response: UpstreamResponse): StoredAnswer {
+function toStoredResponse (response: UpstreamResponse): StoredResponse {
   const isOmitted = response.body.length > MAX_STORED_BODY_BYTES
   return {
     status: response.status,
--- a/src/common/forward/AttemptRunner.ts
+++ b/src/common/forward/AttemptRunner.ts
@@ -42,10 +42,10 @@
   }
 
   private async _send (request: CallRequest, options: AttemptOptions, slot: ISlot): Promise<Result<UpstreamResponse, AttemptFailure>> {
-    const refusal = options.checkBeforeSend?.()
-    if (refusal !== undefined) {
+    const rejection = options.checkBeforeSend?.()
+    if (rejection !== undefined) {
       slot.release({ kind: 'cancelled' })
-      return err({ stage: 'stopped', message: refusal })
+      return err({ stage: 'stopped', message: rejection })
     }
     options.onDispatched?.(slot.upstream.id)
     const startedAtMs = performance.now()
--- a/src/common/forward/Forwarder.ts
+++ b/src/common/forward/Forwarder.ts
@@ -11,7 +11,7 @@
 import type { IMetrics } from '../metrics/IMetrics.js'
 import { loggerId } from '../metrics/loggerId.js'
 import { metricsId } from '../metrics/metricsId.js'
-import type { StoredAnswer } from '../schema/StoredAnswer.js'
+import type { StoredResponse } from '../schema/StoredResponse.js'
 import type { EntrySettings } from '../settings/EntrySettings.js'
 import { entrySettingsId } from '../settings/entrySettingsId.js'
 import type { IUpstreamClient } from '../upstream/client/IUpstreamClient.js'
@@ -119,8 +119,8 @@
       const { kind, message, outcome } = claimed.error
       return err({ kind, message, outcome, status: CLAIM_STATUS[kind] })
     }
-    if (claimed.value.kind === 'answered') {
-      return fromStoredAnswer(claimed.value.answer)
+    if (claimed.value.kind === 'completed') {
+      return fromStoredResponse(claimed.value.response)
     }
     return await new AtMostOnceCall(this._runner, request, this._fingerprint(request), claimed.value.ticket).run()
   }
@@ -150,10 +150,10 @@
   }
 }
 
-function fromStoredAnswer (answer: StoredAnswer): Result<UpstreamResponse, CallError> {
-  if (answer.body_omitted) {
-    const message = 'the call ran, but its answer was too large to store or has been evicted'
+function fromStoredResponse (response: StoredResponse): Result<UpstreamResponse, CallError> {
+  if (response.body_omitted) {
+    const message = 'the call ran, but its response was too large to store or has been evicted'
     return err({ kind: 'answer_not_kept', message, outcome: 'unknown', status: 409 })
   }
-  return ok({ status: answer.status, headers: answer.headers, body: fromBase64(answer.body_base64) })
+  return ok({ status: response.status, headers: response.headers, body: fromBase64(response.body_base64) })
 }
--- a/src/common/forward/testing/ForwarderHarness.ts
+++ b/src/common/forward/testing/ForwarderHarness.ts
@@ -6,7 +6,7 @@
 import type { ClaimError } from '../../claim/ClaimError.js'
 import type { ClaimOutcome } from '../../claim/ClaimOutcome.js'
 import type { ISuspectTable } from '../../crash/ISuspectTable.js'
-import type { StoredAnswer } from '../../schema/StoredAnswer.js'
+import type { StoredResponse } from '../../schema/StoredResponse.js'
 import type { IUpstreamClient } from '../../upstream/client/IUpstreamClient.js'
 import type { EntrySettings } from '../../settings/EntrySettings.js'
 import type { Upstream } from '../../upstream/Upstream.js'
@@ -50,7 +50,7 @@
       ticket: {
         claimId: 'c',
         mayStart: () => this.mayStart,
-        complete: (answer: StoredAnswer) => { this.settlements.push(`complete ${answer.body_omitted} ${answer.body_base64}`) },
+        complete: (response: StoredResponse) => { this.settlements.push(`complete ${response.body_omitted} ${response.body_base64}`) },
         release: () => { this.settlements.push('release') },
         abandon: () => { this.settlements.push('abandon') }
       }
@@ -80,7 +80,7 @@
     })
     await this.flush()
     return async () => await result.match(
-      (answer) => new TextDecoder().decode(answer.body),
+      (response) => new TextDecoder().decode(response.body),
       (error) => `${error.kind} ${error.outcome} ${error.status}`)
   }
 
--- a/src/common/generation/AttemptEnd.ts
+++ b/src/common/generation/AttemptEnd.ts
@@ -2,7 +2,7 @@
 
 /** How an attempt of a generation on one engine ended. */
 export interface AttemptEnd {
-  kind: 'done' | 'broken' | 'slow' | 'refused' | 'origin_unknown' | 'cancelled' | 'deadline'
+  kind: 'done' | 'broken' | 'slow' | 'rejected' | 'origin_unknown' | 'cancelled' | 'deadline'
   message: string
   /** Result with which the slot is released. */
   result: SlotResult
--- a/src/common/generation/GenerationAttempt.ts
+++ b/src/common/generation/GenerationAttempt.ts
@@ -68,7 +68,7 @@
       return this._failureEnd(opened.error)
     }
     this.wasSent = true
-    if (opened.value.status !== 200) return this._refusalEnd(opened.value.status)
+    if (opened.value.status !== 200) return this._rejectionEnd(opened.value.status)
     return yield * this._readEvents(opened.value.events[Symbol.asyncIterator]())
   }
 
@@ -161,12 +161,12 @@
     return { kind: 'broken', message: error.message, result: { kind: 'failed', sent: error.sent }, isConnectionLost }
   }
 
-  private _refusalEnd (status: number): AttemptEnd {
+  private _rejectionEnd (status: number): AttemptEnd {
     const message = `the engine responded with status ${status}`
     // Another engine has accepted the request before, so the error is one of this engine.
     const hasBegun = this._tokens.length > 0
     if (status === 429 || status >= 500 || hasBegun) return { kind: 'broken', message, result: { kind: 'failed', sent: true }, status }
-    return { kind: 'refused', message, result: { kind: 'cancelled' }, status }
+    return { kind: 'rejected', message, result: { kind: 'cancelled' }, status }
   }
 
   private _brokenEnd (message: string): AttemptEnd {
--- a/src/common/generation/Generator.test.ts
+++ b/src/common/generation/Generator.test.ts
@@ -77,7 +77,7 @@
   })
 
   // Guards against a stream that ends with the error of the engine that was to continue it, while others can.
-  it('goes on at another engine when the next one answers a stream that has begun with an error of any kind', async () => {
+  it('goes on at another engine when the next one responds to a stream that has begun with an error of any kind', async () => {
     for (const status of [400, 404, 421, 422, 429, 500, 503]) {
       const engines = new FakeEngines({ a: [[...tokenEvents(0, 2, 3), 'reset']], b: [status], c: [[{ token: 2, version: 3, last: true }, 'done']] })
       const result = await collect(engines)
@@ -145,8 +145,8 @@
   })
 
   it('reports not_run only if no engine can have received the request', async () => {
-    const refused = await collect(new FakeEngines({ a: [] }), { service: 'none' })
-    expect(refused.error).toEqual({ kind: 'no_upstream', message: 'none', outcome: 'not_run', status: 503, retryAfterMs: undefined })
+    const rejected = await collect(new FakeEngines({ a: [] }), { service: 'none' })
+    expect(rejected.error).toEqual({ kind: 'no_upstream', message: 'none', outcome: 'not_run', status: 503, retryAfterMs: undefined })
     const outcomeAfter = async (script: EngineEvent[] | 'refuse_connection' | 'reset_on_open') => {
       const engines = new FakeEngines({ a: [script] })
       const stream = engines.client.stream
@@ -161,7 +161,7 @@
     expect(await outcomeAfter('refuse_connection')).toEqual('not_run')
   })
 
-  it('refuses a blocked request with 422 and returns the status of an engine that refuses', async () => {
+  it('rejects a blocked request with 422 and returns the status of an engine that rejects it', async () => {
     const blocked = new FakeEngines({ a: [] })
     blocked.admissionError = { kind: 'request_blocked', message: 'crashes engines' }
     expect((await collect(blocked)).error).toEqual({ kind: 'request_blocked', message: 'crashes engines', outcome: 'not_run', status: 422, retryAfterMs: undefined })
@@ -194,7 +194,7 @@
 })
 
 describe('OriginRanges', () => {
-  it('merges adjacent ranges of equal versions and refuses gaps and overlaps', () => {
+  it('merges adjacent ranges of equal versions and rejects gaps and overlaps', () => {
     const ranges = new OriginRanges()
     ranges.append({ from: 0, to: 2, version: 3, kv_version: 2 })
     ranges.append({ from: 2, to: 4, version: 3, kv_version: 2 })
--- a/src/common/generation/Generator.ts
+++ b/src/common/generation/Generator.ts
@@ -157,7 +157,7 @@
     switch (end.kind) {
       case 'cancelled': return { kind: 'caller_gone', message, outcome, status: 499 }
       case 'deadline': return { kind: 'deadline_exceeded', message, outcome, status: 504 }
-      case 'refused': return { kind: 'engine_refused', message, outcome, status: end.status ?? 502 }
+      case 'rejected': return { kind: 'engine_refused', message, outcome, status: end.status ?? 502 }
     }
     this._metrics.count('generation_attempts_broken', { service: request.service })
     this._logger.warn({
--- a/src/common/lease/LeaseService.test.ts
+++ b/src/common/lease/LeaseService.test.ts
@@ -145,7 +145,7 @@
   })
 })
 
-const appendOutcomeArbitrary = fc.constantFrom<AppendOutcome>('ok', 'ok', 'refused', 'answer_lost', 'request_lost')
+const appendOutcomeArbitrary = fc.constantFrom<AppendOutcome>('ok', 'ok', 'rejected', 'response_lost', 'request_lost')
 const outageArbitrary = fc.record({ atMs: fc.nat(12_000), durationMs: fc.nat(4000) })
 
 /** Runs three entries over one faulty log; returns the fencing tokens held in order and whether two entries held at once. */
--- a/src/common/log/ILogHub.ts
+++ b/src/common/log/ILogHub.ts
@@ -19,7 +19,7 @@
    * Appends a record with a unique `id` and waits until this entry has read it back and applied it to the folds.
    * If the response to an append is lost, the same record is appended again; readers drop the duplicate by its `id`.
    * Fails with `log_unavailable` after `timeoutMs`; `mayTakeEffect` then tells whether the record may still appear in the stream.
-   * Fails with `log_refused` if the log rejects the record and no earlier attempt may have appended it.
+   * Fails with `log_rejected` if the log rejects the record and no earlier attempt may have appended it.
    */
   append (stream: StreamName, record: { id: string }, timeoutMs: number): ResultAsync<LogEntry, LogError>
   /** Queues a record and retries the append until it succeeds or the hub is disposed. A record is dropped if the queue is full or the log rejects it. */
--- a/src/common/log/LogError.ts
+++ b/src/common/log/LogError.ts
@@ -4,5 +4,5 @@
  */
 export type LogError =
   | { kind: 'log_unavailable', message: string, mayTakeEffect: boolean }
-  | { kind: 'log_refused', message: string, mayTakeEffect: false }
+  | { kind: 'log_rejected', message: string, mayTakeEffect: false }
   | { kind: 'out_of_retention', message: string, mayTakeEffect: false, earliestOffset: number, nextOffset: number }
--- a/src/common/log/LogHub.test.ts
+++ b/src/common/log/LogHub.test.ts
@@ -56,7 +56,7 @@
   })
 
   it('appends again after a lost response and applies the record once', async () => {
-    const outcomes = ['answer_lost', 'request_lost', 'answer_lost', 'ok'] as const
+    const outcomes = ['response_lost', 'request_lost', 'response_lost', 'ok'] as const
     let outcomeIndex = 0
     log.decideOutcome = () => outcomes[outcomeIndex++] ?? 'ok'
     // The tail is started later, so that at first only the responses can complete the append.
@@ -68,12 +68,12 @@
     expect(applied).toEqual(['a'])
   })
 
-  it('reports mayTakeEffect false when every attempt was refused and true after a lost request', async () => {
+  it('reports mayTakeEffect false when every attempt was rejected and true after a lost request', async () => {
     hub.start()
-    log.decideOutcome = () => 'refused'
-    const refused = observe(hub.append('steps', { id: 'a' }, 500))
+    log.decideOutcome = () => 'rejected'
+    const rejected = observe(hub.append('steps', { id: 'a' }, 500))
     await time.advance(600)
-    expect(refused.result?._unsafeUnwrapErr().mayTakeEffect).toEqual(false)
+    expect(rejected.result?._unsafeUnwrapErr().mayTakeEffect).toEqual(false)
     // Longer than the maximum back-off, so that the next record is sent; mayTakeEffect is false for a record that was never sent.
     await time.advance(3000)
     log.decideOutcome = () => 'request_lost'
@@ -84,7 +84,7 @@
 
   it('does not append a record again after reporting mayTakeEffect false to the caller', async () => {
     hub.start()
-    log.decideOutcome = () => 'refused'
+    log.decideOutcome = () => 'rejected'
     observe(hub.append('steps', { id: 'a' }, 500))
     await time.advance(600)
     log.decideOutcome = () => 'ok'
@@ -92,10 +92,10 @@
     expect(log.entries('steps')).toEqual([])
   })
 
-  it('does not append a record again that timed out while a refused append was in flight', async () => {
+  it('does not append a record again that timed out while a rejected append was in flight', async () => {
     hub.start()
     log.latencyMs = 400
-    log.decideOutcome = () => log.appendCount === 1 ? 'refused' : 'ok'
+    log.decideOutcome = () => log.appendCount === 1 ? 'rejected' : 'ok'
     const observed = observe(hub.append('steps', { id: 'a' }, 300))
     await time.advance(3000, 20)
     expect(observed.result?._unsafeUnwrapErr().mayTakeEffect).toEqual(true)
@@ -145,13 +145,13 @@
     expect(applied).toEqual(['good'])
   })
 
-  it('isolates the refused record of a batch without losing the others', async () => {
+  it('isolates the rejected record of a batch without losing the others', async () => {
     hub.start()
     log.decideOutcome = values => values.some(value => (value as { id: string }).id === 'x') ? 'malformed' : 'ok'
     const observed = observe(hub.append('steps', { id: 'x' }, 2000))
     hub.appendEventually('steps', { id: 'y' })
     await time.advance(1000)
-    expect(observed.result?._unsafeUnwrapErr().kind).toEqual('log_refused')
+    expect(observed.result?._unsafeUnwrapErr().kind).toEqual('log_rejected')
     expect(applied).toEqual(['y'])
   })
 
--- a/src/common/log/StreamAppender.ts
+++ b/src/common/log/StreamAppender.ts
@@ -148,8 +148,8 @@
       record.isInFlight = false
       record.mayTakeEffect ||= error.mayTakeEffect
     }
-    if (error.kind === 'log_refused') {
-      this._onRefused(batch, error)
+    if (error.kind === 'log_rejected') {
+      this._onRejected(batch, error)
       return
     }
     this.failedAtMs = performance.now()
@@ -158,7 +158,7 @@
     await new Promise(resolve => setTimeout(resolve, this._backoff.nextDelayMs()))
   }
 
-  private _onRefused (batch: PendingRecord[], error: LogError): void {
+  private _onRejected (batch: PendingRecord[], error: LogError): void {
     const [first] = batch
     if (batch.length > 1 || first === undefined) {
       for (const record of batch) record.mustAppendAlone = true
--- a/src/common/organisation/CallerAuthenticator.test.ts
+++ b/src/common/organisation/CallerAuthenticator.test.ts
@@ -33,7 +33,7 @@
   const outcome = (apiKey: string | undefined, isPublic = false): string =>
     authenticator.authenticate(apiKey, isPublic, 'orders').match(organisation => organisation?.name ?? '', error => error)
 
-  it('accepts a known key and refuses unknown, empty and missing ones', () => {
+  it('accepts a known key and rejects unknown, empty and missing ones', () => {
     expect([KEY, UNKNOWN_KEY, '', undefined].map(key => outcome(key))).toEqual(['huka', 'unknown_key', 'unknown_key', 'unknown_key'])
   })
 
@@ -48,20 +48,20 @@
   })
 
   // Guards against 401 for a key that was added in a configuration that this process has not read.
-  it('refuses all keys alike while the configuration is stale, but serves public routes', () => {
+  it('rejects all keys alike while the configuration is stale, but serves public routes', () => {
     isFresh = false
     expect([KEY, UNKNOWN_KEY, undefined].map(key => outcome(key))).toEqual(Array(3).fill('config_stale'))
     expect(outcome(undefined, true)).toEqual('')
   })
 
   // Guards against access for all at a process that has just started.
-  it('refuses everything without a configuration, and never because of the key', () => {
+  it('rejects everything without a configuration, and never because of the key', () => {
     organisations.isConfigured = false
     organisations.isEnabled = false
     expect([outcome(KEY), outcome(undefined), outcome(undefined, true)]).toEqual(Array(3).fill('config_stale'))
   })
 
-  it('counts each refusal by route and reason, and logs them without the key', async () => {
+  it('counts each rejection by route and reason, and logs them without the key', async () => {
     for (const key of [UNKNOWN_KEY, undefined, KEY]) outcome(key)
     isFresh = false
     outcome(KEY)
@@ -71,7 +71,7 @@
   })
 
   // Guards against callers without a key who fill the log, so that other warnings are dropped.
-  it('logs at most one line per second for a route and reason, with the number of refusals', async () => {
+  it('logs at most one line per second for a route and reason, with the number of rejections', async () => {
     for (let count = 0; count < 500; count++) outcome(UNKNOWN_KEY)
     await time.advance(1000)
     outcome(UNKNOWN_KEY)
--- a/src/common/peer/RoundRobinCursor.ts
+++ b/src/common/peer/RoundRobinCursor.ts
@@ -2,7 +2,7 @@
 export class RoundRobinCursor<T> {
   private _nextIndex = 0
 
-  /** Offers items to `accept`, each at most once per call, until it returns false; the refused item comes first in the next call. */
+  /** Offers items to `accept`, each at most once per call, until it returns false; the rejected item comes first in the next call. */
   take (items: readonly T[], accept: (item: T) => boolean): void {
     for (let count = 0; count < items.length; count++) {
       const index = this._nextIndex % items.length
--- a/src/common/schema/claimRecordSchema.ts
+++ b/src/common/schema/claimRecordSchema.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod'
 import { acceptLegacyNames } from './acceptLegacyNames.js'
 import { identifierSchema } from './identifierSchema.js'
-import { storedAnswerSchema } from './storedAnswerSchema.js'
+import { storedResponseSchema } from './storedResponseSchema.js'
 
 const claimKeyFields = {
   id: z.string(),
@@ -20,7 +20,7 @@
     entry: z.string(),
     at_ms: z.number()
   }),
-  z.object({ type: z.literal('result'), ...claimKeyFields, claim_id: z.string(), answer: storedAnswerSchema }),
+  z.object({ type: z.literal('result'), ...claimKeyFields, claim_id: z.string(), answer: storedResponseSchema }),
   z.object({ type: z.literal('release'), ...claimKeyFields, claim_id: z.string() }),
   z.object({
     type: z.literal('crash'),
--- a/src/common/schema/storedAnswerSchema.ts
+++ b/src/common/schema/storedResponseSchema.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod'
 
 /** Response of an upstream as stored in the log and returned to repetitions of the same request. */
-export const storedAnswerSchema = z.object({
+export const storedResponseSchema = z.object({
   status: z.int(),
   headers: z.record(z.string(), z.string()),
   body_base64: z.string(),
--- a/src/common/suspect/AbandonedRuns.ts
+++ b/src/common/suspect/AbandonedRuns.ts
@@ -1,6 +1,6 @@
 import { formatIncarnation } from './formatIncarnation.js'
 import type { IncarnationJudge } from './IncarnationJudge.js'
-import type { UnansweredRun } from './UnansweredRun.js'
+import type { RunWithoutResponse } from './RunWithoutResponse.js'
 
 /** After this time the end of an upstream is not attributed to a run that was abandoned there. */
 const MAX_AGE_MS = 10_000
@@ -11,9 +11,9 @@
  * closing its connections looks the same until it is missed in the upstream list.
  */
 export class AbandonedRuns {
-  private readonly _runs = new Map<string, UnansweredRun>()
+  private readonly _runs = new Map<string, RunWithoutResponse>()
 
-  add (run: UnansweredRun): void {
+  add (run: RunWithoutResponse): void {
     this._runs.set(`${run.fingerprint}/${formatIncarnation(run)}`, run)
     const [oldest] = this._runs.keys()
     if (this._runs.size > MAX_RUNS && oldest !== undefined) this._runs.delete(oldest)
@@ -29,8 +29,8 @@
   }
 
   /** Removes and returns the runs whose upstreams have ended, and forgets those at upstreams that proved to be alive. */
-  takeCrashed (judge: IncarnationJudge): UnansweredRun[] {
-    const crashed: UnansweredRun[] = []
+  takeCrashed (judge: IncarnationJudge): RunWithoutResponse[] {
+    const crashed: RunWithoutResponse[] = []
     for (const [key, run] of this._runs) {
       const state = judge.judge(run, run.sinceMs)
       if (state === 'unknown' && performance.now() - run.sinceMs < MAX_AGE_MS) continue
--- a/src/common/suspect/CallSuspects.test.ts
+++ b/src/common/suspect/CallSuspects.test.ts
@@ -79,7 +79,7 @@
   }
 
   // Guards against entries that each let a request crash three upstreams.
-  it('refuses a request at every entry once it has crashed three upstreams, whichever entries saw the crashes', async () => {
+  it('rejects a request at every entry once it has crashed three upstreams, whichever entries saw the crashes', async () => {
     crash(first, POISON, 'u1', 'u2')
     crash(second, POISON, 'u3')
     expect(await first.admit(POISON)).toEqual('admitted')
@@ -121,18 +121,18 @@
   it('publishes nothing of a request that completes at another upstream soon after', async () => {
     crash(first, SOUND, 'u1')
     await time.advance(100)
-    first.suspects.recordRun(SOUND, first.upstream('u2'), 'answered', performance.now())
+    first.suspects.recordRun(SOUND, first.upstream('u2'), 'responded', performance.now())
     await time.advance(1000)
     expect(memoryStore.appends).toEqual(0)
   })
 
-  // Guards against sound requests that stay refused because they ran where others crashed the upstreams.
-  it('lets a refused request run once more at one entry, and clears it everywhere when it completes', async () => {
+  // Guards against sound requests that stay rejected because they ran where others crashed the upstreams.
+  it('lets a rejected request run once more at one entry, and clears it everywhere when it completes', async () => {
     crash(first, SOUND, 'u1', 'u2', 'u3')
     await time.advance(5500)
     expect((await Promise.all([first.admit(SOUND), second.admit(SOUND)])).sort()).toEqual(['refused', 'trial'])
     expect(await second.admit(SOUND)).toEqual('refused')
-    second.suspects.recordRun(SOUND, second.upstream('u4'), 'answered', performance.now())
+    second.suspects.recordRun(SOUND, second.upstream('u4'), 'responded', performance.now())
     await time.advance(100)
     expect([await first.admit(SOUND), await second.admit(SOUND), memoryStore.keys(TOPIC)]).toEqual(['admitted', 'admitted', []])
   })
@@ -153,12 +153,12 @@
     expect(trials).toEqual(3)
   })
 
-  // A lost answer, a reset connection and a cut look like a crash until the upstream is heard of again.
+  // A lost response, a reset connection and a cut look like a crash until the upstream is heard of again.
   it('clears a break when the upstream responds again, or writes heartbeats', async () => {
     for (const id of ['u1', 'u2', 'u3']) first.suspects.recordRun(SOUND, first.upstream(id), 'broken', performance.now())
     await time.advance(500)
     expect(await first.admit(SOUND)).toEqual('refused')
-    first.upstream('u1').recordAnswer(performance.now())
+    first.upstream('u1').recordResponse(performance.now())
     await time.advance(500)
     expect(await first.admit(SOUND)).toEqual('admitted')
     await time.advance(2000)
@@ -225,7 +225,7 @@
     restarted.dispose()
   })
 
-  it('refuses while the store is away what this entry knows, and tells the others afterwards', async () => {
+  it('rejects while the store is away what this entry knows, and tells the others afterwards', async () => {
     memoryStore.isDown = true
     crash(first, POISON, 'u1', 'u2', 'u3')
     await time.advance(2000)
@@ -251,7 +251,7 @@
     expect(memoryStore.keys(TOPIC)).toEqual([])
   })
 
-  it('keeps the memory of refused requests when too many others are suspects', async () => {
+  it('keeps the memory of rejected requests when too many others are suspects', async () => {
     crash(first, POISON, 'u1', 'u2', 'u3')
     for (let number = 0; number < 3000; number++) {
       first.fleet.apply(member('crowd'))
--- a/src/common/suspect/CallSuspects.ts
+++ b/src/common/suspect/CallSuspects.ts
@@ -12,15 +12,15 @@
 import { Suspect } from './Suspect.js'
 import type { SuspectAdmission } from './SuspectAdmission.js'
 import type { SuspectRecord } from './SuspectRecord.js'
-import type { UnansweredRun } from './UnansweredRun.js'
+import type { RunWithoutResponse } from './RunWithoutResponse.js'
 
 const CHECK_INTERVAL_MS = 250
 /** A check that is later than this shows that the process was paused. */
 const PAUSE_MS = 1000
 /** Time for a request to complete at another upstream before its crash is published; sound requests mostly do. */
 const PUBLISH_DELAY_MS = 200
-/** Time after which a request that was refused is forgotten if it has not come again. */
-const REFUSED_RETENTION_MS = 3_600_000
+/** Time after which a request that was rejected is forgotten if it has not come again. */
+const REJECTED_RETENTION_MS = 3_600_000
 /** Time after its last crash after which another suspect is forgotten. */
 const RETENTION_MS = 600_000
 /** Time after which a break is forgotten if nothing tells whether its upstream has ended. */
@@ -29,7 +29,7 @@
 /** Retry-After of a request whose trial another entry makes. */
 const CLAIMED_RETRY_AFTER_MS = 1000
 /** Retry-After of a request that has failed its last trial. */
-const REFUSED_RETRY_AFTER_MS = 60_000
+const REJECTED_RETRY_AFTER_MS = 60_000
 
 /**
  * ICallSuspects with crashes that the store shares between all entries. A run that broke counts as a crash at once, and no
@@ -56,13 +56,13 @@
 
   async admit (fingerprint: string): Promise<SuspectAdmission> {
     const suspect = this._suspects.get(fingerprint)
-    if (suspect === undefined || !suspect.isRefused) return { kind: 'admitted' }
+    if (suspect === undefined || !suspect.isRejected) return { kind: 'admitted' }
     const waitMs = suspect.trialAtMs - performance.now()
     if (waitMs === Number.POSITIVE_INFINITY) this._renew(suspect)
-    if (waitMs > 0) return this._refuse(suspect, Math.min(waitMs, REFUSED_RETRY_AFTER_MS))
-    // Other sendings that arrive while the claim is decided are refused.
+    if (waitMs > 0) return this._reject(suspect, Math.min(waitMs, REJECTED_RETRY_AFTER_MS))
+    // Other sendings that arrive while the claim is decided are rejected.
     suspect.recordTrial(performance.now())
-    if (!await this._shared.claimTrial(fingerprint)) return this._refuse(suspect, CLAIMED_RETRY_AFTER_MS)
+    if (!await this._shared.claimTrial(fingerprint)) return this._reject(suspect, CLAIMED_RETRY_AFTER_MS)
     this._logger.warn({ fingerprint, crashes: suspect.crashCount }, 'suspect_trial_started')
     this._metrics.count('suspect_calls', { outcome: 'trial' })
     return { kind: 'trial' }
@@ -73,7 +73,7 @@
   }
 
   recordRun (fingerprint: string, upstream: FleetUpstream, end: RunEnd, sentAtMs: number): void {
-    if (end === 'answered') return this._clear(fingerprint)
+    if (end === 'responded') return this._clear(fingerprint)
     // The stop of an upstream that leaves cuts off its last runs, whatever they are.
     if (upstream.isLeaving) return
     const { id, startedAtMs } = upstream.member
@@ -85,19 +85,19 @@
 
   /** Keeps the memory of a suspect that keeps coming after its last trial. */
   private _renew (suspect: Suspect): void {
-    if (performance.now() - suspect.lastActivityAtMs < REFUSED_RETENTION_MS / 2) return
+    if (performance.now() - suspect.lastActivityAtMs < REJECTED_RETENTION_MS / 2) return
     suspect.recordActivity(performance.now())
     this._shared.renewTrial(suspect.fingerprint)
   }
 
-  private _refuse (suspect: Suspect, retryAfterMs: number): SuspectAdmission {
+  private _reject (suspect: Suspect, retryAfterMs: number): SuspectAdmission {
     const { fingerprint, crashCount } = suspect
     this._logger.warn({ fingerprint, crashes: crashCount, retry_after_ms: Math.round(retryAfterMs) }, 'suspect_refused')
     this._metrics.count('suspect_calls', { outcome: 'refused' })
     return { kind: 'refused', retryAfterMs }
   }
 
-  private _addOwnCrash ({ fingerprint, upstreamId, startedAtMs, sentAtMs, sinceMs }: UnansweredRun): void {
+  private _addOwnCrash ({ fingerprint, upstreamId, startedAtMs, sentAtMs, sinceMs }: RunWithoutResponse): void {
     const suspect = this._getOrAdd(fingerprint)
     const incarnation = suspect.nextIncarnation({ upstreamId, startedAtMs, restarts: 0 }, sentAtMs)
     suspect.add({ ...incarnation, sinceMs, isOwn: true, isPublished: false }, sinceMs)
@@ -114,10 +114,10 @@
     return suspect
   }
 
-  /** Evicts the oldest suspect, one that is refused only if all are. */
+  /** Evicts the oldest suspect, one that is rejected only if all are. */
   private _evictOne (): void {
     const suspects = [...this._suspects.values()]
-    const oldest = suspects.find(suspect => !suspect.isRefused) ?? suspects[0]
+    const oldest = suspects.find(suspect => !suspect.isRejected) ?? suspects[0]
     if (oldest !== undefined) this._forget(oldest, this._isSweeper())
   }
 
@@ -169,7 +169,7 @@
       }
     }
     if (suspect.crashCount === 0) this._suspects.delete(fingerprint)
-    else if (nowMs - suspect.lastActivityAtMs > (suspect.isRefused ? REFUSED_RETENTION_MS : RETENTION_MS)) this._forget(suspect, this._isSweeper())
+    else if (nowMs - suspect.lastActivityAtMs > (suspect.isRejected ? REJECTED_RETENTION_MS : RETENTION_MS)) this._forget(suspect, this._isSweeper())
   }
 
   private _onRecord (record: SuspectRecord): void {
--- a/src/common/suspect/IncarnationJudge.ts
+++ b/src/common/suspect/IncarnationJudge.ts
@@ -50,7 +50,7 @@
   judge ({ upstreamId, startedAtMs }: Incarnation, sinceMs: number): IncarnationState {
     const upstream = this._fleet.find(upstreamId)
     if (upstream === undefined || upstream.member.startedAtMs !== startedAtMs) return 'ended'
-    if (upstream.hasAnsweredSince(sinceMs)) return 'alive'
+    if (upstream.hasRespondedSince(sinceMs)) return 'alive'
     const proofDelayMs = PROOF_INTERVALS * this._heartbeatMs + HEARTBEAT_LAG_MS
     if (upstream.heartbeatAtMs > Math.max(sinceMs, this._freshSinceMs) + proofDelayMs) return 'alive'
     if (this._addressOwners.get(upstream.member.address) !== upstream) return 'ended'
--- a/src/common/suspect/RunEnd.ts
+++ b/src/common/suspect/RunEnd.ts
@@ -1,7 +1,7 @@
 /** How the run of a call at an upstream ended. */
 export type RunEnd =
   /** The upstream responded. */
-  | 'answered'
+  | 'responded'
   /** The upstream or the connection to it broke off. */
   | 'broken'
   /** This entry stopped waiting, and the upstream may still be running it. */
--- a/src/common/suspect/Suspect.ts
+++ b/src/common/suspect/Suspect.ts
@@ -2,9 +2,9 @@
 import type { Incarnation } from './Incarnation.js'
 import type { SuspectedCrash } from './SuspectedCrash.js'
 
-/** Number of crashes after which a request is refused. */
+/** Number of crashes after which a request is rejected. */
 const MAX_CRASHES = 3
-/** Time since the last crash after which a refused request may run once more, by the number of crashes beyond the limit. */
+/** Time since the last crash after which a rejected request may run once more, by the number of crashes beyond the limit. */
 const TRIAL_DELAYS_MS = [5000, 20_000, 600_000]
 
 /** A request under which upstreams have crashed since it last completed. */
@@ -77,11 +77,11 @@
   }
 
   /** Whether the request may run as a trial only. */
-  get isRefused (): boolean {
+  get isRejected (): boolean {
     return this.crashCount >= MAX_CRASHES
   }
 
-  /** `performance.now()` from which a refused request may run once more; infinite after the last trial has failed. */
+  /** `performance.now()` from which a rejected request may run once more; infinite after the last trial has failed. */
   get trialAtMs (): number {
     const delayMs = TRIAL_DELAYS_MS[this.crashCount - MAX_CRASHES] ?? Number.POSITIVE_INFINITY
     return this._lastActivityAtMs + delayMs
--- a/src/common/training/step/StepRunner.test.ts
+++ b/src/common/training/step/StepRunner.test.ts
@@ -217,7 +217,7 @@
     generator.open[0]!.send(err({ kind: 'request_blocked', message: '', outcome: 'unknown', status: 422 }))
     generator.open[1]!.send(ok({ text: '', tokenIds: [], finishReason: 'stop' }))
     await advance(40)
-    // The block may be lifted after the first refusal, so the sample is retried once before it is recorded as failed.
+    // The block may be lifted after the first rejection, so the sample is retried once before it is recorded as failed.
     expect(table.get('felt', 'brim')?.group(1, 'g')?.samples[0]).toEqual(undefined)
     await advance(11_900)
     expect(generator.open.length).toEqual(2)
--- a/src/common/upstream/UpstreamTable.ts
+++ b/src/common/upstream/UpstreamTable.ts
@@ -17,7 +17,7 @@
 
 /** Number of failed requests without a completed one in between after which an upstream is marked down. */
 const MAX_CONSECUTIVE_FAILURES = 6
-/** Number of unanswered polls after which an upstream without recent completions is marked down. */
+/** Number of polls without a response after which an upstream without recent completions is marked down. */
 const MAX_CONSECUTIVE_POLL_TIMEOUTS = 3
 /** Age up to which a completion counts as recent. */
 const RECENT_COMPLETION_MS = 2_000
--- a/src/common/usage/UsageCollector.test.ts
+++ b/src/common/usage/UsageCollector.test.ts
@@ -34,7 +34,7 @@
   })
 
   // Guards against counts of an entry with a wrong clock, and against changes after the commit.
-  it('refuses windows far from the present and closed ones', () => {
+  it('rejects windows far from the present and closed ones', () => {
     expect(add('a', 'p', WINDOW + 2, { x: 1 })).toEqual('refused')
     expect(add('a', 'p', WINDOW - 100, { x: 1 })).toEqual('refused')
     expect(add('a', 'p', WINDOW - 50, { x: 1 })).toEqual('taken')
--- a/src/common/usage/UsageContributor.test.ts
+++ b/src/common/usage/UsageContributor.test.ts
@@ -94,7 +94,7 @@
   })
 
   // Guards against messages without end for a window that the holder does not take.
-  it('sends a refused window again only to a new leader, and a grown one again', async () => {
+  it('sends a rejected window again only to a new leader, and a grown one again', async () => {
     const startMs = Date.now()
     meter.recordStart('x', startMs)
     await time.advance(9000, 50)
@@ -211,7 +211,7 @@
     expect(cleared.mock.calls.some(call => call.arguments[0] === timers[0])).toEqual(true)
   })
 
-  // Guards against requests that are missing from the report although a planned stop has answered them as possibly run.
+  // Guards against requests that are missing from the report although a planned stop has responded that they may have run.
   it('counts attempts that are pending at a planned stop, once', async () => {
     await time.advance(4800, 50)
     const start = new CallStart(meter, 'x')
--- a/src/common/usage/UsageContributor.ts
+++ b/src/common/usage/UsageContributor.ts
@@ -15,9 +15,9 @@
 const MAX_ROUND_TRIP_MS = 500
 
 interface SentWindow {
-  /** Term of the holder that took or refused the counts. */
+  /** Term of the holder that took or rejected the counts. */
   epoch: number
-  isRefused: boolean
+  isRejected: boolean
 }
 
 /** Sends the counts of this entry to the holder of the usage reports until they are committed. */
@@ -56,7 +56,7 @@
   /** Sends all counts, also those of the present window, repeatedly until they are taken or the time has passed. */
   async flush (timeoutMs: number): Promise<void> {
     const untilMs = performance.now() + timeoutMs
-    // The entry has answered their callers that they may have run.
+    // The entry has responded to their callers that they may have run.
     this._meter.settlePending()
     let timer: NodeJS.Timeout | undefined
     const expired = new Promise<void>(resolve => { timer = setTimeout(resolve, timeoutMs) })
@@ -104,7 +104,7 @@
 
   private _isDue ({ window, revision, takenRevision }: MeteredWindow): boolean {
     const sent = this._sent.get(window)
-    return sent === undefined || (!sent.isRefused && takenRevision !== revision) || sent.epoch < (this._leadership.latestKnownEpoch ?? Number.NEGATIVE_INFINITY)
+    return sent === undefined || (!sent.isRejected && takenRevision !== revision) || sent.epoch < (this._leadership.latestKnownEpoch ?? Number.NEGATIVE_INFINITY)
   }
 
   private _onFailed (windows: number): void {
@@ -116,18 +116,18 @@
   private _onReceipt (receipt: UsageReceipt, revisions: ReadonlyMap<number, number>, sentAtUnixMs: number): void {
     const roundTripMs = Date.now() - sentAtUnixMs
     if (roundTripMs >= 0 && roundTripMs <= MAX_ROUND_TRIP_MS) this._meter.adoptTime(receipt.unixMs + roundTripMs / 2)
-    const answered = new Set([...receipt.taken, ...receipt.refused, ...receipt.committed])
+    const decided = new Set([...receipt.taken, ...receipt.refused, ...receipt.committed])
     for (const [window, revision] of revisions) {
-      const isRefused = receipt.refused.includes(window)
-      if (!isRefused && !receipt.taken.includes(window)) continue
-      // A holder that refuses a window has the counts that it took before, but none that an earlier holder took.
-      if (!isRefused) this._meter.recordTaken(window, revision)
+      const isRejected = receipt.refused.includes(window)
+      if (!isRejected && !receipt.taken.includes(window)) continue
+      // A holder that rejects a window has the counts that it took before, but none that an earlier holder took.
+      if (!isRejected) this._meter.recordTaken(window, revision)
       else if (this._sent.get(window)?.epoch !== receipt.epoch) this._meter.recordTaken(window, 0)
-      this._sent.set(window, { epoch: receipt.epoch, isRefused })
+      this._sent.set(window, { epoch: receipt.epoch, isRejected })
     }
     for (const window of receipt.committed) this._onCommitted(window, receipt.epoch)
-    const unanswered = [...revisions.keys()].filter(window => !answered.has(window)).length
-    if (unanswered > 0) this._onFailed(unanswered)
+    const undecided = [...revisions.keys()].filter(window => !decided.has(window)).length
+    if (undecided > 0) this._onFailed(undecided)
     else this._backoff.reset()
   }
 
--- a/src/common/usage/UsageReporter.test.ts
+++ b/src/common/usage/UsageReporter.test.ts
@@ -126,7 +126,7 @@
   })
 
   // Guards against counts that the entry keeps although they are durable, and removes although they are not.
-  it('confirms a window once its report is durable, and refuses additions to it', async () => {
+  it('confirms a window once its report is durable, and rejects additions to it', async () => {
     await run(2000)
     expect(contribute('b', WINDOW, { x: 1 }).taken).toEqual([WINDOW])
     await run(7000)
@@ -143,7 +143,7 @@
   })
 
   // Guards against one report that is never accepted and holds up all others.
-  it('sends the other reports while one is refused again and again', async () => {
+  it('sends the other reports while one is rejected again and again', async () => {
     outcome = ({ window }) => window === WINDOW ? 'retry' : 'accepted'
     await run(40_000)
     expect(reportsOf(WINDOW).length > 5).toEqual(true)
--- a/src/common/version/VersionOrder.ts
+++ b/src/common/version/VersionOrder.ts
@@ -6,6 +6,6 @@
   mode: 'finish_runs' | 'keep_runs'
   holder: string
   epoch: number
-  /** Number of orders that the engine must have accepted before this one; it refuses the order if another came first. */
+  /** Number of orders that the engine must have accepted before this one; it rejects the order if another came first. */
   expectedCount: number
 }
--- a/src/node/front/ChunkPacer.test.ts
+++ b/src/node/front/ChunkPacer.test.ts
@@ -13,7 +13,7 @@
   afterEach(() => pacer.dispose())
 
   // Guards against bodies that wait longer than their clients do.
-  it('gives turns in order, and refuses a body when too many wait', async () => {
+  it('gives turns in order, and rejects a body when too many wait', async () => {
     const turns: number[] = []
     const isAccepted = Array.from({ length: MAX_WAITING + 1 }, (_, index) => pacer.wait(() => turns.push(index)) !== undefined)
     expect(isAccepted).toEqual([...Array<boolean>(MAX_WAITING).fill(true), false])
--- a/src/node/front/ClientBudget.test.ts
+++ b/src/node/front/ClientBudget.test.ts
@@ -21,7 +21,7 @@
     return { listener: options.listener ?? 'front', lastProgressMs: performance.now() - (options.idleMs ?? 0), isSheddable: options.isSheddable ?? true, shed: () => { shed.push(name) } }
   }
 
-  // Guards against a derivation that refuses what callers are promised.
+  // Guards against a derivation that rejects what callers are promised.
   it('has room for one body of the largest permitted size on the smallest host, from a caller or from a peer', () => {
     for (const listener of ['front', 'peers'] as const) {
       const holder = hold('body', { listener })
@@ -49,7 +49,7 @@
     expect(shed).toEqual(['older', 'old', 'large'])
   })
 
-  it('sheds no holder whose request may run, and refuses a new one if there is no other', () => {
+  it('sheds no holder whose request may run, and rejects a new one if there is no other', () => {
     budget.add(hold('running', { isSheddable: false, idleMs: STALLED_MS }), MAX_BODY_BYTES)
     expect(budget.add(hold('new'), MAX_BODY_BYTES)).toEqual(false)
     expect(shed).toEqual([])
--- a/src/node/front/ClientBudget.ts
+++ b/src/node/front/ClientBudget.ts
@@ -74,7 +74,7 @@
     return true
   }
 
-  /** Adds bytes that are in memory already and cannot be refused, and sheds others as far as possible. */
+  /** Adds bytes that are in memory already and cannot be rejected, and sheds others as far as possible. */
   addUnconditionally (holder: IBudgetHolder, bytes: number): void {
     while (!this._hasRoom(holder, bytes)) {
       const victim = this._findVictim(holder)
--- a/src/node/front/ClientRequest.ts
+++ b/src/node/front/ClientRequest.ts
@@ -73,7 +73,7 @@
     return createOverloadResponse({ connection: 'close' })
   }
 
-  /** Reads the body. Resolves with a response if the request is refused, or with `aborted` if it has been ended. */
+  /** Reads the body. Resolves with a response if the request is rejected, or with `aborted` if it has been ended. */
   async readBody (maxBodyBytes: number): Promise<Uint8Array | ListenerResponse | 'aborted'> {
     const body = new ByteAccumulator(maxBodyBytes)
     return await new Promise(resolve => {
--- a/src/node/front/HttpListener.test.ts
+++ b/src/node/front/HttpListener.test.ts
@@ -59,7 +59,7 @@
     expect(await exchange('POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n')).toInclude('POST /x abc')
   })
 
-  it('refuses requests that exceed the configured limits or have ambiguous framing', async () => {
+  it('rejects requests that exceed the configured limits or have ambiguous framing', async () => {
     expect(await exchange(`GET / HTTP/1.1\r\nHost: h\r\nX: ${'x'.repeat(600)}\r\n\r\n`)).toInclude(' 431 ')
     expect(await exchange('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n')).toInclude(' 413 ')
     expect(await exchange(`POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n80\r\n${'x'.repeat(128)}\r\n0\r\n\r\n`)).toInclude(' 413 ')
@@ -113,7 +113,7 @@
     listener.cutOffPending()
     const callers = Array.from({ length: LATER_CALLERS }, () => open())
     for (const { socket } of callers) socket.write(`${head}${tinyChunks}0\r\n\r\n`)
-    await waitUntil('all are answered', () => callers.every(({ text }) => text().includes('\r\n\r\n')))
+    await waitUntil('all have a response', () => callers.every(({ text }) => text().includes('\r\n\r\n')))
     expect(callers.map(({ text }) => text().slice(0, 12))).toEqual(Array<string>(LATER_CALLERS).fill('HTTP/1.1 200'))
   })
 })
--- a/src/node/front/HttpListener.ts
+++ b/src/node/front/HttpListener.ts
@@ -25,7 +25,7 @@
 
 /** Limit of the parser until limits are configured. */
 const DEFAULT_MAX_HEADER_BYTES = 65_536
-/** The parser refuses a header section that reaches its limit, and counts no separators. */
+/** The parser rejects a header section that reaches its limit, and counts no separators. */
 const PARSER_MARGIN_BYTES = 1
 /** Callers may reuse a connection until shortly before the idle limit, so it is closed this much later. */
 const IDLE_MARGIN_MS = 1000
@@ -95,7 +95,7 @@
     Object.assign(this._server, { maxHeaderSize: limits.maxHeaderBytes + PARSER_MARGIN_BYTES })
   }
 
-  /** Requests received but not yet fully answered. */
+  /** Requests received but not yet fully responded to. */
   get inFlight (): number {
     return this._pending.size
   }
@@ -141,8 +141,8 @@
       if (!outgoing.writableFinished) disconnected.abort()
     })
     try {
-      const refusal = this._checkHeaders(request) ?? request.admit()
-      const body = refusal ?? await request.readBody(this._limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES)
+      const rejection = this._checkHeaders(request) ?? request.admit()
+      const body = rejection ?? await request.readBody(this._limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES)
       if (body === 'aborted') {
         this._budget.release(request)
         return
@@ -175,7 +175,7 @@
     }
   }
 
-  /** Returns a refusal if the header section or the announced body exceeds a limit. */
+  /** Returns a rejection if the header section or the announced body exceeds a limit. */
   private _checkHeaders (request: ClientRequest): ListenerResponse | undefined {
     const limits = this._limits
     if (limits === undefined) return undefined
--- a/src/node/front/RejectionReason.ts
+++ b/src/node/front/RejectionReason.ts
@@ -1,4 +1,4 @@
-/** Why a client was refused or its connection closed. */
+/** Why a client was rejected or its connection closed. */
 export type RejectionReason =
   /** The configured limit of a header section. */
   | 'header_bytes'
--- a/src/node/front/StopWindow.ts
+++ b/src/node/front/StopWindow.ts
@@ -3,7 +3,7 @@
   /** Until `noticeEndsAtMs` the load balancer still selects this process; at `endsAtMs` requests in flight are cut off. */
   constructor (readonly noticeEndsAtMs: number, readonly endsAtMs: number) {}
 
-  /** Whether a request that may take `neededMs` may be begun now. One that is refused can go to another process. */
+  /** Whether a request that may take `neededMs` may be begun now. One that is rejected can go to another process. */
   accepts (neededMs: number): boolean {
     const nowMs = performance.now()
     return nowMs < this.noticeEndsAtMs || nowMs + neededMs <= this.endsAtMs
--- a/src/node/front/UsageRelay.test.ts
+++ b/src/node/front/UsageRelay.test.ts
@@ -73,7 +73,7 @@
     expect(events).toEqual(['usage_receipt_malformed'])
   })
 
-  it('refuses malformed contributions', () => {
+  it('rejects malformed contributions', () => {
     for (const body of ['', '{', '{}', JSON.stringify({ ...contribution, windows: [{ window: 7, counts: { x: -1 } }] })]) {
       expect(UsageRelay.serve({ body: Buffer.from(body) } as unknown as Parameters<typeof UsageRelay.serve>[0], () => receipt, logger).status).toEqual(400)
     }
--- a/src/node/front/clientLimits.test.ts
+++ b/src/node/front/clientLimits.test.ts
@@ -55,7 +55,7 @@
     return { socket, text: () => text, isClosed: () => isClosed }
   }
 
-  it('answers a body without progress with 408, and frees what it held', async () => {
+  it('responds to a body without progress with 408, and frees what it held', async () => {
     const stalled = await open('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc')
     expect(budget.usedBytes('front')).toBeGreaterThan(0)
     await waitUntil('the body has timed out', () => stalled.isClosed())
@@ -65,7 +65,7 @@
   })
 
   // Guards against clients that send a byte now and then, which no idle timeout ends.
-  it('answers a body that arrives too slowly with 408', async () => {
+  it('responds to a body that arrives too slowly with 408', async () => {
     const slow = await open('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n')
     const timer = setInterval(() => slow.socket.write('x'), 100)
     await waitUntil('the body has timed out', () => slow.isClosed())
@@ -81,7 +81,7 @@
     expect([idle.isClosed(), rejections]).toEqual([false, ['header_timeout']])
   })
 
-  it('refuses a header section over the limit before its end', async () => {
+  it('rejects a header section over the limit before its end', async () => {
     const long = await open(`GET / HTTP/1.1\r\nHost: h\r\nX: ${'x'.repeat(600)}`)
     await waitUntil('the connection is closed', () => long.isClosed())
     expect([long.text().slice(0, 12), rejections]).toEqual(['HTTP/1.1 431', ['header_bytes']])
@@ -97,7 +97,7 @@
     const silent = []
     for (let count = 0; count < FRONT_CONNECTIONS; count++) silent.push(await open('GET / HTTP/1.1\r\n'))
     expect(silent.map(({ isClosed }) => isClosed())).toEqual([true, true, ...Array<boolean>(FRONT_CONNECTIONS - 2).fill(false)])
-    await waitUntil('the slow request is answered', () => running.text().includes('done'))
+    await waitUntil('the slow request has a response', () => running.text().includes('done'))
     idle.socket.write(GET)
     await waitUntil('the idle connection is used again', () => idle.text().split('200 OK').length === 3)
   })
@@ -139,7 +139,7 @@
     const caller = await open('POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n')
     const startedAtMs = performance.now()
     caller.socket.write('1\r\nx\r\n'.repeat(200_000) + '0\r\n\r\n')
-    await waitUntil('the body is answered', () => caller.text().includes('200000'))
+    await waitUntil('the body has a response', () => caller.text().includes('200000'))
     // Takes about twelve turns of 100 ms; without turns, the body took 342 and 489 ms.
     expect(performance.now() - startedAtMs).toBeGreaterThan(MIN_TURNS_MS)
     caller.socket.write(GET)
@@ -152,7 +152,7 @@
       const caller = await open('POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n')
       for (let chunk = 0; chunk < 9; chunk++) caller.socket.write(`f4240\r\n${'x'.repeat(1_000_000)}\r\n`)
       caller.socket.write('0\r\n\r\n')
-      await waitUntil('the body is answered', () => caller.text().includes('9000000'))
+      await waitUntil('the body has a response', () => caller.text().includes('9000000'))
     }
     await waitUntil('the memory is free', () => budget.usedBytes('front') === 0)
   })
--- a/src/node/http/HttpServer.test.ts
+++ b/src/node/http/HttpServer.test.ts
@@ -66,7 +66,7 @@
     }
   })
 
-  it('refuses a chunked body that exceeds the limit', async () => {
+  it('rejects a chunked body that exceeds the limit', async () => {
     const chunk = `400\r\n${'x'.repeat(1024)}\r\n`
     const head = 'POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer lin-shun-token\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n'
     expect(await sendRaw(fixture.url, `${head}${chunk.repeat(5)}0\r\n\r\n`)).toInclude('"kind":"body_too_large"')
@@ -91,7 +91,7 @@
     expect(await sendRaw(fixture.url, 'POST /v1/completions HTTP/1.1\r\n')).toMatchRegex(/^HTTP\/1.1 408 /)
   })
 
-  it('answers any JSON body on any endpoint without a 5xx', async () => {
+  it('responds to any JSON body on any endpoint without a 5xx', async () => {
     fixture.forward = () => okAsync({ status: 200, headers: {}, body: new Uint8Array() })
     fixture.training = { submit: () => okAsync(undefined), acknowledge: () => okAsync(undefined), announceWeights: () => okAsync(undefined) }
     const paths = fc.constantFrom('/v1/completions', '/v1/chat/completions', '/v1/trainers/brim/steps', '/v1/trainers/brim/ack', '/v1/trainers/brim/weights', '/v1/trainers/x', '/admin/v1/contracts/lin-shun')
@@ -105,7 +105,7 @@
     }), { numRuns: 300 })
   })
 
-  it('answers any path and query without a 5xx', async () => {
+  it('responds to any path and query without a 5xx', async () => {
     const path = fc.array(fc.oneof(fc.string(), fc.constantFrom('v1', 'services', 'trainers', 'order-app', 'orders', 'brim', 'groups', '..', '%2e%2e', '%', '%ff')), { maxLength: 6 })
     await fc.assert(fc.asyncProperty(path, fc.string(), async (parts, query) => {
       const target = `/${parts.join('/')}?cursor=${query}`.replace(/[^\x21-\x7e]/g, '')
--- a/src/node/http/routes/GenerationRoutes.test.ts
+++ b/src/node/http/routes/GenerationRoutes.test.ts
@@ -63,7 +63,7 @@
     expect((await fixture.send('POST', '/v1/completions', { model: 'shaping-llm', prompt: 'x' })).json.error.kind).toEqual('stream_incomplete')
   })
 
-  it('shortens the deadline by the header and refuses an invalid header', async () => {
+  it('shortens the deadline by the header and rejects an invalid header', async () => {
     generateChunks(chunk('a', 'stop'))
     await fixture.send('POST', '/v1/completions', { model: 'shaping-llm', prompt: 'x' }, { 'x-deadline-ms': '200' })
     expect(received.deadlineAtMs - performance.now()).toBeLessThan(200)
--- a/src/node/http/routes/OperatorRoutes.test.ts
+++ b/src/node/http/routes/OperatorRoutes.test.ts
@@ -10,7 +10,7 @@
   before(async () => { fixture = await new HttpTestFixture().start() })
   after(() => fixture.server.dispose())
 
-  it('refuses tokens of organisations on every path', async () => {
+  it('rejects tokens of organisations on every path', async () => {
     for (const path of ['contracts', 'contracts/lin-shun', 'contracts/lin-shun/history', 'status', 'audit']) {
       expect([path, (await fixture.send('GET', `/admin/v1/${path}`)).status]).toEqual([path, 401])
     }
--- a/src/node/http/routes/ServiceRoutes.test.ts
+++ b/src/node/http/routes/ServiceRoutes.test.ts
@@ -38,14 +38,14 @@
     lookup?.methods.pop()
   })
 
-  it('refuses calls that no work class covers', async () => {
+  it('rejects calls that no work class covers', async () => {
     const paths = ['/v1/services/order-app/admin', '/v1/services/order-app/orders-old', '/v1/services/order-app', '/v1/services/kapu/orders']
     for (const path of paths) expect([path, (await fixture.send('GET', path)).status]).toEqual([path, 403])
     expect((await fixture.send('DELETE', '/v1/services/order-app/orders')).status).toEqual(403)
     expect((await fixture.send('OPTIONS', '/v1/services/order-app/orders')).status).toEqual(405)
   })
 
-  it('refuses encoded dot segments, which an upstream may resolve to a path outside the prefix', async () => {
+  it('rejects encoded dot segments, which an upstream may resolve to a path outside the prefix', async () => {
     for (const path of ['/orders/..%2fadmin', '/orders/..%5cadmin', '/orders/%252e%252e%252fadmin']) {
       expect((await fixture.send('GET', `/v1/services/order-app${path}`)).json.error.field).toEqual('path')
     }
@@ -57,7 +57,7 @@
     expect([received.workClassName, received.idempotencyKey]).toEqual(['ticket', 'k1'])
   })
 
-  it('forwards outcome, status and retry delay of a refusal', async () => {
+  it('forwards outcome, status and retry delay of a rejection', async () => {
     const forward = fixture.forward
     fixture.forward = () => errAsync({ kind: 'queue_full', message: 'too many', outcome: 'not_run', status: 429, retryAfterMs: 1500 })
     const { status, json, headers } = await fixture.send('GET', '/v1/services/order-app/orders')
--- a/src/node/log/HttpLogClient.test.ts
+++ b/src/node/log/HttpLogClient.test.ts
@@ -36,7 +36,7 @@
     expect(urls).toEqual(['POST /v1/streams/claims/records', 'GET /v1/streams/claims/records?from=7&limit=10&wait_ms=0'])
   })
 
-  // A record that appears after its append was reported as not applied would run a call that its caller saw refused.
+  // A record that appears after its append was reported as not applied would run a call that its caller saw rejected.
   for (const [status, mayTakeEffect] of [[429, false], [503, false], [500, true], [400, false], [200, true]] as const) {
     it(`reports mayTakeEffect ${mayTakeEffect} for an append with status ${status} and no valid body`, async () => {
       await startServer((_request, response) => { response.writeHead(status).end('x') })
--- a/src/node/log/HttpLogClient.ts
+++ b/src/node/log/HttpLogClient.ts
@@ -46,7 +46,7 @@
         return err(unavailable(`the log responded with status ${response.status}`, false))
       }
       if (response.status >= 400 && response.status < 500) {
-        return err<number, LogError>({ kind: 'log_refused', message: `the log responded with status ${response.status}`, mayTakeEffect: false })
+        return err<number, LogError>({ kind: 'log_rejected', message: `the log responded with status ${response.status}`, mayTakeEffect: false })
       }
       if (response.status !== 200 && response.status !== 201) return err(unavailable(`the log responded with status ${response.status}`, true))
       return parseBody(response.body, appendResponseSchema, true).map(parsed => parsed.first_offset)
--- a/src/node/upstream/Exchange.test.ts
+++ b/src/node/upstream/Exchange.test.ts
@@ -34,7 +34,7 @@
     expect([errors, abortCount]).toEqual([['deadline_before_send false'], 1])
   })
 
-  it('refuses to write a request a second time', () => {
+  it('rejects to write a request a second time', () => {
     const exchange = create(1000)
     exchange.onRequestStart(controller)
     exchange.onRequestStart(controller)
