Keep the order of log lines of the same second in the log reader

Without simulated time, logged times are to the second. Events about the batch and about leaders were collected in separate lists and then sorted, so a leader change came after the acceptance of the same second, and `accepted_epoch` was missing. They are collected in one list now.

--- a/tools/logs/Timeline.ts
+++ b/tools/logs/Timeline.ts
@@ -19,18 +19,16 @@
   private readonly _failedReads = new FailedReads()
   private readonly _lines: string[] = []
   private readonly _summary = new Map<string, string | number>()
-  private readonly _matches: Set<LogEvent>
 
-  constructor (private readonly _subject: LogSubject, collector: EventCollector) {
-    this._matches = new Set(collector.matches)
+  constructor (private readonly _subject: LogSubject, private readonly _collector: EventCollector) {
     this._summary.set(_subject.kind, _subject.id)
-    const batches = new Set(collector.matches.map(({ fields }) => fields.get('batch')))
-    const batchEvents = collector.batchEvents.filter(({ fields }) => batches.has(fields.get('batch')))
-    const events = sortByTime([...collector.matches, ...batchEvents, ...collector.leaderEvents])
+    const batches = new Set(Array.from(_collector.matches, ({ fields }) => fields.get('batch')))
+    const isRelated = (event: LogEvent): boolean => _collector.matches.has(event) || isLeaderEvent(event.name) || batches.has(event.fields.get('batch'))
+    const events = sortByTime(_collector.events.filter(isRelated))
     const isSubjectEvent = (event: LogEvent): boolean => !isLeaderEvent(event.name)
     const [first, last] = [events.findIndex(isSubjectEvent), events.findLastIndex(isSubjectEvent)]
     events.forEach((event, index) => this._add(event, index >= first && index <= last))
-    this._completeSummary(collector.omittedCount)
+    this._completeSummary()
   }
 
   /** Lines of the events and of the summary. */
@@ -52,10 +50,10 @@
       this._summary.set('accepted_at', time).set('accepted_by', entry).set('accepted_epoch', this._leaders.heldEpoch(entry) ?? 'unknown')
     }
     if (name === 'batch_ended') this._summary.set('ended_at', time).set('results', `${fields.get('results') ?? '?'}/${fields.get('items') ?? '?'}`)
-    if (isFailedRead(name) && this._matches.has(event)) this._failedReads.add(event)
+    if (isFailedRead(name) && this._collector.matches.has(event)) this._failedReads.add(event)
   }
 
-  private _completeSummary (omittedCount: number): void {
+  private _completeSummary (): void {
     if (this._subject.kind === 'batch') {
       for (const key of ['accepted_at', 'ended_at', 'results']) if (!this._summary.has(key)) this._summary.set(key, 'none')
     }
@@ -63,6 +61,7 @@
     const leader = this._leaders.latest()
     if (leader === undefined) this._summary.set('last_leader', 'unknown')
     else this._summary.set('last_leader', leader.holder ?? leader.address).set('last_leader_address', leader.address).set('last_epoch', leader.epoch)
+    const { omittedCount } = this._collector
     if (omittedCount > 0) this._summary.set('events_left_out', omittedCount)
   }
 
--- a/tools/logs/runLogReader.test.ts
+++ b/tools/logs/runLogReader.test.ts
@@ -62,6 +62,13 @@
     expect(out.map(line => line.split(' ')[2])).toEqual(['batch_submitted', 'item_run_ended', 'batch_ended', 'leader_changed', 'leader_not_reached', 'batch_not_served', 'accepted_at=2026-02-08T03:27:11+0000', 'entry=e3', 'entry=e2'])
   })
 
+  // Guards against an acceptance without its epoch: logged times are to the second, and a leader often accepts at once.
+  it('keeps the order of lines of the same second', async () => {
+    const lines = LOG.slice(0, 2).map(line => line.replace(/^.*(?=level)/, '').replace('27:10', '27:11'))
+    const { out } = await run(['--batch', ID], lines.join(''))
+    expect(out.map(line => / (?:accepted_)?epoch=(\d+)/.exec(line)?.[1])).toEqual(['5', '5'])
+  })
+
   it('shows all events of an item, with begin and end of its batch', async () => {
     const { out } = await run(['--item', 'i1'], LOG.join(''))
     expect(out.map(line => line.trim().split(' ')[2])).toEqual(['batch_submitted', 'item_run_ended', 'batch_ended', 'accepted_at=1.0000'])
--- a/tools/logs/runLogReader.ts
+++ b/tools/logs/runLogReader.ts
@@ -33,7 +33,7 @@
   const subject = readSubject(argv)
   const collector = new EventCollector(subject)
   await collectFiles(files.map(String), collector, io.stdin)
-  if (collector.matches.length === 0) {
+  if (collector.matches.size === 0) {
     io.err(`no log line is about ${subject.kind} ${subject.id}`)
     return false
   }
