List no result behind one that is not durable, wherever a read begins

What callers could see: a read from a later position returned results after a position whose result the store had rejected so far. The next leader lists results only up to the gap and uses the positions after it again, so a position that was read could change.

Cause: the leader's read stopped at a gap only if it began before it.

Found by the review of the reader of stored batches.

--- a/src/common/batch/BatchService.test.ts
+++ b/src/common/batch/BatchService.test.ts
@@ -65,6 +65,20 @@
     expect(await refused).toEqual('refused')
   })
 
+  // Guards against positions that another leader uses again: a result after a gap has no position yet.
+  it('lists no result after one that the store has rejected, wherever a read begins', async () => {
+    engines.eventCounts = { a: 10, b: 4 }
+    const { service } = await lead(1)
+    store.appendOutcome = ({ records }) => records.some(({ key }) => key === 'result/batch-1/000000') ? 'rejected' : 'ok'
+    const submitted = service.submit(spec(), items)
+    await time.advance(1000)
+    await submitted
+    expect(await textsOf(service, 1)).toEqual([])
+    store.appendOutcome = () => 'ok'
+    await time.advance(1000)
+    expect(await textsOf(service, 1)).toEqual([engines.textOf('a')])
+  })
+
   // Guards against an item that is never placed again, and a slot that is never free again, after an unexpected error.
   it('runs an item again after an unexpected error of its run', async () => {
     engines.eventCounts = { a: 3, b: 3 }
--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -32,7 +32,7 @@
 type WriteOutcome = 'accepted' | 'refused' | 'unknown'
 
 /** Why a request for a batch gets no content; `absent` and `other_organisation` are final. */
-type NotServedReason = 'not_serving' | 'unreadable' | 'no_lease' | 'absent' | 'other_organisation'
+type NotServedReason = 'not_serving' | 'unreadable' | 'no_lease' | 'text_not_loaded' | 'absent' | 'other_organisation'
 
 /** The time from gaining the leadership to losing it. */
 interface Term { epoch: number, store: BatchStore, runner?: BatchRunner, isReady: boolean }
@@ -104,7 +104,7 @@
     const store = this._readyStore()
     const batch = findVisible(store, id, organisation)
     if (store === undefined || batch === undefined) return this._absentOrUnavailable(id, store)
-    if (batch.results.length <= fromPosition && expectsMoreResults(batch)) await this._waitForResult(store, batch, fromPosition, waitMs)
+    if (batch.listedResults().length <= fromPosition && expectsMoreResults(batch)) await this._waitForResult(store, batch, fromPosition, waitMs)
     if (batch.unloadedTextCount > 0) {
       const loaded = await store.loadTexts(batch, fromPosition, ResultPage.maxChars)
       if (loaded.isErr()) {
@@ -113,14 +113,14 @@
       }
     }
     const page = new ResultPage()
-    for (let position = fromPosition; position < batch.results.length; position++) {
-      const result = batch.results[position]
-      if (result === undefined || !batch.isTextLoaded(position) || !page.add(result)) break
+    const listed = batch.listedResults()
+    for (const [offset, result] of listed.slice(fromPosition).entries()) {
+      if (!batch.isTextLoaded(fromPosition + offset) || !page.add(result)) break
     }
     const { results } = page
     // Without a valid lease, another leader may have stored more results.
-    if (results.length === 0 && this._leadership.validEpoch() === undefined) {
-      this._logNotServed(id, 'no_lease')
+    if (results.length === 0 && (fromPosition < listed.length || this._leadership.validEpoch() === undefined)) {
+      this._logNotServed(id, fromPosition < listed.length ? 'text_not_loaded' : 'no_lease')
       return { kind: 'unavailable' }
     }
     return { kind: 'results', total: batch.spec.itemCount, next: fromPosition + results.length, results }
@@ -230,7 +230,7 @@
       }
       const timer = setTimeout(finish, waitMs)
       const subscription = store.onChanged(changed => {
-        if (changed === batch && (batch.results.length > fromPosition || !expectsMoreResults(batch))) finish()
+        if (changed === batch && (batch.listedResults().length > fromPosition || !expectsMoreResults(batch))) finish()
       })
     })
   }
