Refuse to end a batch at once while the store has failed for some time

What callers saw: the end of a batch at a leader without access to the store was held for 2.5 s and then got 504. Nothing could become durable meanwhile.

Change: ends are refused like submissions once appends have failed for 0.6 s.

Evidence: the new test of BatchService, which waits for 10 ms, does not end before the change.

--- a/src/common/batch/BatchService.test.ts
+++ b/src/common/batch/BatchService.test.ts
@@ -79,6 +79,16 @@
     expect(await textsOf(service, 1)).toEqual([engines.textOf('a')])
   })
 
+  // Guards against callers that wait for a write that cannot become durable.
+  it('refuses to end a batch at once while the store has failed for some time', async () => {
+    const { service } = await leadWithBatch(50)
+    store.isDown = true
+    await time.advance(1500)
+    const ended = service.end('batch-1')
+    await time.advance(10)
+    expect(await ended).toEqual('refused')
+  })
+
   // Guards against an item that is never placed again, and a slot that is never free again, after an unexpected error.
   it('runs an item again after an unexpected error of its run', async () => {
     engines.eventCounts = { a: 3, b: 3 }
--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -25,7 +25,7 @@
 const WRITE_TIMEOUT_MS = 2500
 /** Time-out for the progress of all runs to become durable at a planned stop. */
 const HANDOFF_TIMEOUT_MS = 600
-/** Submissions are refused at once after the store has failed for this time. */
+/** Submissions and ends are refused at once after the store has failed for this time. */
 const STORE_DOWN_MS = 600
 
 /** `unknown` if the write timed out or failed, so that its records may or may not become durable. */
@@ -141,6 +141,7 @@
     const batch = findVisible(store, id, organisation)
     if (store === undefined || batch === undefined) return this._absentOrUnavailable(id, store).kind === 'absent' ? 'absent' : 'refused'
     if (batch.isEnded) return 'accepted'
+    if (store.failingForMs() > STORE_DOWN_MS) return 'refused'
     const outcome = await this._withTimeout(store.end(batch))
     this._logger.info({ batch: id, results: batch.results.length, items: batch.spec.itemCount, outcome }, 'batch_ended')
     return outcome
