Give up no item for want of a route while the configuration is not known

Cause: the partition of the configuration was away for 13 s when the processes started again. The new leader restored the batches without any configuration, took each missing route for a removed one, and aborted the waiting items after 10 s. The same would follow from a stale configuration.

Change: the time without a route counts only as far as the configuration is known to be the newest one, which the tail of its topic tells.

Evidence: the log (item_aborted, reason 'route removed', no config_applied in that process before); the new test of BatchService fails before the change.

--- a/src/common/batch/BatchService.test.ts
+++ b/src/common/batch/BatchService.test.ts
@@ -208,6 +208,24 @@
     expect(await textsOf(service)).toEqual([engines.textOf('a'), engines.textOf('b')])
   })
 
+  // Guards against accepted items that a leader gives up because it cannot read the configuration after a restart.
+  it('aborts no item for want of a route while it does not know the newest configuration', async () => {
+    engines.eventCounts = { a: 20, b: 20 }
+    engines.breakAfterEvent = { b: 10 }
+    harness.isConfigReadable = false
+    harness.configure([])
+    const { service } = await leadWithBatch(15_000)
+    expect(await textsOf(service)).toEqual([])
+    harness.isConfigReadable = true
+    await time.advance(5000)
+    harness.isConfigReadable = false
+    await time.advance(15_000)
+    expect(await textsOf(service)).toEqual([])
+    harness.configure([createRoute()])
+    await time.advance(3000)
+    expect(await textsOf(service)).toEqual([engines.textOf('a'), engines.textOf('b')])
+  })
+
   // Guards against 404 for a batch that was accepted and whose records cannot be read (review/1).
   it('does not report a batch as absent whose records it cannot read', async () => {
     const first = await leadWithBatch(20)
--- a/src/common/batch/run/BatchRunner.ts
+++ b/src/common/batch/run/BatchRunner.ts
@@ -82,7 +82,7 @@
     this._statusReporter = new BatchStatusReporter(_batches, _fleet, _tracker, _logger, _metrics)
     this._stepReporter = new StepReporter(this._estimator, _logger, _metrics)
     this._results = new ResultWriter(_batches, _logger, _metrics)
-    this._unrouted = new UnroutedBatches(this._results)
+    this._unrouted = new UnroutedBatches(this._results, _routes)
     this._rewards = this._register(new RewardRunner(rewardClient, _fleet, (batch, state, score) => this._results.finishScored(batch, state, score), _logger, _metrics))
     this._register(this._batches.onChanged(() => this._scheduleDispatch()))
     this._register(this._batches.onEnded(batch => this._onBatchEnded(batch)))
--- a/src/common/batch/run/UnroutedBatches.ts
+++ b/src/common/batch/run/UnroutedBatches.ts
@@ -1,11 +1,9 @@
 import type { Batch } from '../Batch.js'
+import type { IConfigSource } from '../../routing/IConfigSource.js'
 import type { ItemState } from '../record/ItemState.js'
 import type { ResultWriter } from './ResultWriter.js'
 
-/**
- * Time for which items wait for a route. The operator may put the route back, and the entry that accepted the batch may
- * know a newer configuration than the leader does.
- */
+/** Time for which items wait for a route, since the operator may put it back. */
 const ROUTE_WAIT_MS = 10_000
 
 /** Ends the waiting items of open batches whose route has been removed, since no engine may run them any more. */
@@ -13,19 +11,23 @@
   /** `performance.now()` since which a batch has had no route. */
   private readonly _unroutedSinceMs = new WeakMap<Batch, number>()
 
-  constructor (private readonly _results: ResultWriter) {}
+  constructor (private readonly _results: ResultWriter, private readonly _configSource: IConfigSource) {}
 
   /** Records that a batch has a route. */
   clear (batch: Batch): void {
     this._unroutedSinceMs.delete(batch)
   }
 
-  /** Records that a batch has no route; after the waiting time, its waiting items get their results. */
+  /**
+   * Records that a batch has no route. Its waiting items get their results once the newest configuration is known to
+   * have had none for the waiting time. A process that cannot read the configuration does not know what was removed.
+   */
   check (batch: Batch): void {
-    const nowMs = performance.now()
-    const sinceMs = this._unroutedSinceMs.get(batch) ?? nowMs
+    const { upToDateAtMs } = this._configSource
+    if (!Number.isFinite(upToDateAtMs)) return
+    const sinceMs = this._unroutedSinceMs.get(batch) ?? performance.now()
     this._unroutedSinceMs.set(batch, sinceMs)
-    if (nowMs - sinceMs < ROUTE_WAIT_MS) return
+    if (upToDateAtMs - sinceMs < ROUTE_WAIT_MS) return
     for (const state of batch.items) {
       if (state.status === 'waiting') this._finish(batch, state)
     }
--- a/src/common/batch/test/BatchHarness.ts
+++ b/src/common/batch/test/BatchHarness.ts
@@ -27,11 +27,16 @@
   readonly engines = new FakeEngines(EVENT_INTERVAL_MS)
   readonly rewards = new FakeRewards(REWARD_MS)
   readonly fleet = this._register(new FleetTable(logger))
+  /** Whether the service can read the newest configuration. */
+  isConfigReadable = true
   private readonly _routes = new RouteTable(logger)
+  private _configUpToDateAtMs = Number.NEGATIVE_INFINITY
 
   constructor (private readonly _time: VirtualTime, toClient: (store: MemoryStore) => IStoreClient = store => store) {
     super()
     this._client = toClient(this.store)
+    const upToDateAtMs = (): number => this._readConfigAtMs()
+    this._routes.setSource({ get upToDateAtMs () { return upToDateAtMs() } })
     this.configure([createRoute()])
     for (const id of ['e1', 'e2']) {
       this.fleet.apply({ id, startedAtMs: 1, service: 'engines', address: id, failureDomain: 'd', slots: 4, isDraining: false, versions: new Map([['model-a', 1]]) })
@@ -45,6 +50,11 @@
     this._routes.apply({ version, routes, services: new Map(), limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
   }
 
+  private _readConfigAtMs (): number {
+    if (this.isConfigReadable) this._configUpToDateAtMs = performance.now()
+    return this._configUpToDateAtMs
+  }
+
   /** Starts a service that leads in an epoch. */
   async lead (epoch: number): Promise<{ service: BatchService, leadership: FakeLeadership }> {
     const leadership = new FakeLeadership()
--- a/src/common/organisation/ConfigFreshness.ts
+++ b/src/common/organisation/ConfigFreshness.ts
@@ -3,6 +3,7 @@
 import { startInterval } from '../kernel/startInterval.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IMetrics } from '../metrics/IMetrics.js'
+import type { IConfigSource } from '../routing/IConfigSource.js'
 
 /** The smallest jump that `ClockJumpDetector` detects is 400 ms; clocks of different rates add some milliseconds in 5 s. */
 const MARGIN_MS = 500
@@ -20,10 +21,10 @@
   /** `performance.now()` since which the configuration is stale; undefined before it was so for the first time. */
   private _staleSinceMs?: number
 
-  /** With an undefined `maxAgeMs`, the configuration is always fresh. `upToDateAtMs` is in terms of `performance.now()`. */
+  /** With an undefined `maxAgeMs`, the configuration is always fresh. */
   constructor (
     private readonly _maxAgeMs: number | undefined,
-    private readonly _source: { readonly upToDateAtMs: number },
+    private readonly _source: IConfigSource,
     private readonly _logger: ILogger,
     private readonly _metrics: IMetrics
   ) {
--- a/src/common/routing/RouteTable.ts
+++ b/src/common/routing/RouteTable.ts
@@ -1,6 +1,7 @@
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
 import type { ILogger } from '../metrics/ILogger.js'
+import type { IConfigSource } from './IConfigSource.js'
 import type { IRouteTable } from './IRouteTable.js'
 import type { Route } from './Route.js'
 import type { RoutingConfig } from './RoutingConfig.js'
@@ -10,6 +11,7 @@
   private readonly _onChanged = this._register(new Emitter<RoutingConfig>())
   readonly onChanged = this._onChanged.event
   private _config?: RoutingConfig
+  private _source?: IConfigSource
   private _routesByHost = new Map<string, Route[]>()
   /** Hosts that have a batch route, or had one before: their batches outlive it. */
   private readonly _batchHosts = new Set<string>()
@@ -22,6 +24,15 @@
     return this._config
   }
 
+  get upToDateAtMs (): number {
+    return this._config === undefined ? Number.NEGATIVE_INFINITY : this._source?.upToDateAtMs ?? Number.NEGATIVE_INFINITY
+  }
+
+  /** Sets where configurations are read; without it, none is known to be the newest one. */
+  setSource (source: IConfigSource): void {
+    this._source = source
+  }
+
   /** Puts a configuration into force if it is newer; returns whether it did. */
   apply (config: RoutingConfig): boolean {
     if (this._config !== undefined && config.version <= this._config.version) {
