--- a/src/common/store/Journal.ts
+++ b/src/common/store/Journal.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Backoff } from '../kernel/Backoff.js'
 import type { ILogger } from '../metrics/ILogger.js'
+import type { AppendedRange } from './AppendedRange.js'
 import type { IStoreClient } from './IStoreClient.js'
 import type { StoreError } from './StoreError.js'
 
@@ -13,16 +14,26 @@
 /** Repetitions of an append that the store rejects after an attempt without a response, which may have taken effect. */
 const MAX_REJECTED_RETRIES = 5
 
+/** Removal of a key that no record has. */
+const FILLER: JournalRecord = { key: 'filler' }
+
 interface JournalRecord { key: string, value?: Uint8Array }
 interface QueuedAppend { records: readonly JournalRecord[], bytes: number, resolve: (result: Result<void, StoreError>) => void }
 
 /**
  * The only writer of a keyed topic in one epoch. Sends one append at a time, which contains all records queued
- * meanwhile, and retries it with the same sequence number until the store has responded.
+ * meanwhile, and retries it with the same sequence number until the store has responded. An append counts as durable
+ * only if the offsets in the response show that it was executed, and not another one under its number.
  */
 export class Journal {
   private readonly _queue: QueuedAppend[] = []
+  /** Number of the next append with records. */
   private _sequence = 0
+  /** End of the last append that is known to be durable. An append of this journal begins there or later. */
+  private _knownEndOffset = 0
+  /** Numbers of records of the appends that were given up and may still take effect, by sequence number. */
+  private readonly _givenUpCounts = new Map<number, Set<number>>()
+  private _opening?: Promise<Result<void, StoreError>>
   private _isClosed = false
   private _isSending = false
   private _failingSinceMs?: number
@@ -35,9 +46,12 @@
     private readonly _logger: ILogger
   ) {}
 
-  /** Fences all writers with lower epochs. */
+  /** Fences all writers with lower epochs. An epoch may have one journal only, since numbers begin at 0. */
   async open (): Promise<Result<void, StoreError>> {
-    return await this._send([])
+    this._opening = this._send([])
+    const opened = await this._opening
+    this._opening = undefined
+    return opened
   }
 
   /**
@@ -71,6 +85,8 @@
 
   private async _sendQueue (): Promise<void> {
     this._isSending = true
+    // Until the journal has opened it knows no end, and could not tell its own appends.
+    if (this._opening !== undefined) await this._opening
     while (this._queue.length > 0 && !this._isClosed) {
       const appends = this._takeQueued()
       const result = await this._sendInCalls(appends)
@@ -107,57 +123,128 @@
 
   private async _send (records: readonly JournalRecord[]): Promise<Result<void, StoreError>> {
     const backoff = new Backoff(MAX_BACKOFF_MS)
-    let sequence = this._sequence
     let mayHaveTakenEffect = false
     let rejectedRetries = 0
-    for (;;) {
+    for (;; await delay(backoff.nextDelayMs())) {
       if (this._isClosed) return err(closedError())
-      const result = await this._client.append({
-        topic: this._topic,
-        records,
-        writer: { name: this._writerName, epoch: this._epoch, sequence },
-        timeoutMs: APPEND_TIMEOUT_MS
-      })
+      const sent = this._pad(records)
+      const result = await this._sendOnce(sent)
       if (result.isOk()) {
-        if (records.length > 0) this._sequence = sequence + 1
-        this._failingSinceMs = undefined
-        const { firstOffset, endOffset } = result.value
-        if (endOffset - firstOffset === records.length) return ok(undefined)
-        // The store treated this append as a retry of another one with the same sequence number.
-        this._logger.error({ topic: this._topic, epoch: this._epoch, sequence, first_offset: firstOffset, end_offset: endOffset, records: records.length }, 'journal_append_not_applied')
-        sequence = this._sequence
+        if (this._isOwn(result.value, sent.length)) return ok(undefined)
+        // Another append has this number, so none of the attempts under it can take effect any more.
+        mayHaveTakenEffect = false
         continue
       }
       const { error } = result
-      if (isFinal(error, mayHaveTakenEffect, rejectedRetries)) return this._onRefused(error, sequence, mayHaveTakenEffect)
+      if (error.kind === 'fenced') return this._onRefused(error)
       if (error.kind === 'out_of_sequence') {
-        this._sequence = error.expectedSequence
-        // If an append without a response took effect, the store expects the next sequence number.
-        if (mayHaveTakenEffect && error.expectedSequence === sequence + 1) return ok(undefined)
-        sequence = error.expectedSequence
-        this._logger.warn({ topic: this._topic, epoch: this._epoch, sequence }, 'journal_sequence_adopted')
+        // An attempt without a response may have taken effect; its records may be repeated, since only the newest of a key counts.
+        if (mayHaveTakenEffect) this._giveUp(sent.length)
+        this._adoptSequence(error.expectedSequence)
         continue
       }
-      if (error.kind === 'rejected') rejectedRetries += 1
+      if (error.kind === 'rejected') {
+        if (!mayHaveTakenEffect) return this._onRefused(error)
+        rejectedRetries += 1
+        if (rejectedRetries > MAX_REJECTED_RETRIES) return await this._settle(sent, error)
+      }
       mayHaveTakenEffect ||= error.mayTakeEffect
+      this._onRetry(error)
+    }
+  }
+
+  /**
+   * Decides whether an append whose repetitions are rejected took effect at an earlier attempt, by an append of other
+   * records under its number. After that no attempt can take effect.
+   */
+  private async _settle (records: readonly JournalRecord[], rejection: StoreError): Promise<Result<void, StoreError>> {
+    if (records.length === 0) return this._onRefused(rejection)
+    this._giveUp(records.length)
+    const backoff = new Backoff(MAX_BACKOFF_MS)
+    for (;; await delay(backoff.nextDelayMs())) {
+      if (this._isClosed) return err(closedError())
+      const filler = this._pad([FILLER])
+      const result = await this._sendOnce(filler)
+      if (result.isOk()) {
+        if (this._isOwn(result.value, filler.length)) return this._onRefused(rejection)
+        return result.value.endOffset - result.value.firstOffset === records.length ? ok(undefined) : this._onRefused(rejection)
+      }
+      const { error } = result
+      if (error.kind === 'fenced') return this._onRefused(error)
+      if (error.kind === 'out_of_sequence') {
+        this._adoptSequence(error.expectedSequence)
+        return this._onRefused(rejection)
+      }
+      this._onRetry(error)
+    }
+  }
+
+  private async _sendOnce (records: readonly JournalRecord[]): Promise<Result<AppendedRange, StoreError>> {
+    return await this._client.append({
+      topic: this._topic,
+      records,
+      writer: { name: this._writerName, epoch: this._epoch, sequence: this._sequence },
+      timeoutMs: APPEND_TIMEOUT_MS
+    })
+  }
+
+  /**
+   * Takes the response to an append under the present number, and tells whether it is the append's own. The store gives
+   * the first response again to any append under a number that it knows, whatever its records are.
+   */
+  private _isOwn ({ firstOffset, endOffset }: AppendedRange, recordCount: number): boolean {
+    const isOwn = firstOffset >= this._knownEndOffset && endOffset - firstOffset === recordCount
+    if (isOwn) {
+      this._failingSinceMs = undefined
+      this._knownEndOffset = endOffset
+    } else {
       this._failingSinceMs ??= performance.now()
-      this._logger.warn({ topic: this._topic, epoch: this._epoch, sequence, reason: error.message }, 'journal_append_retried')
-      await new Promise(resolve => setTimeout(resolve, backoff.nextDelayMs()))
+      this._logger.error({ topic: this._topic, epoch: this._epoch, sequence: this._sequence, first_offset: firstOffset, end_offset: endOffset, known_end_offset: this._knownEndOffset, records: recordCount }, 'journal_append_not_applied')
     }
+    // An append without records uses no number.
+    if (recordCount > 0) this._advanceTo(this._sequence + 1)
+    return isOwn
+  }
+
+  private _adoptSequence (expectedSequence: number): void {
+    this._failingSinceMs ??= performance.now()
+    this._logger.warn({ topic: this._topic, epoch: this._epoch, sequence: this._sequence, expected_sequence: expectedSequence }, 'journal_sequence_adopted')
+    this._advanceTo(expectedSequence)
+  }
+
+  private _advanceTo (sequence: number): void {
+    this._sequence = sequence
+    for (const used of this._givenUpCounts.keys()) if (used < sequence) this._givenUpCounts.delete(used)
+  }
+
+  /** Remembers an append under the present number that may still take effect although it is not repeated. */
+  private _giveUp (recordCount: number): void {
+    const counts = this._givenUpCounts.get(this._sequence) ?? new Set()
+    this._givenUpCounts.set(this._sequence, counts.add(recordCount))
+  }
+
+  /** Adds records without an effect, so that the response tells an append from those that were given up under its number. */
+  private _pad (records: readonly JournalRecord[]): readonly JournalRecord[] {
+    const counts = this._givenUpCounts.get(this._sequence)
+    if (counts === undefined || records.length === 0) return records
+    const padded = [...records]
+    while (counts.has(padded.length)) padded.push(FILLER)
+    return padded
+  }
+
+  private _onRetry (error: StoreError): void {
+    this._failingSinceMs ??= performance.now()
+    this._logger.warn({ topic: this._topic, epoch: this._epoch, sequence: this._sequence, reason: error.message }, 'journal_append_retried')
   }
 
-  private _onRefused (error: StoreError, sequence: number, mayHaveTakenEffect: boolean): Result<void, StoreError> {
-    this._logger.error({ topic: this._topic, epoch: this._epoch, sequence, reason: error.message, kind: error.kind }, 'journal_append_refused')
-    // The next append must not be taken for a repetition of this one.
-    if (mayHaveTakenEffect) this._sequence = sequence + 1
+  private _onRefused (error: StoreError): Result<void, StoreError> {
+    this._logger.error({ topic: this._topic, epoch: this._epoch, sequence: this._sequence, reason: error.message, kind: error.kind }, 'journal_append_refused')
     return err(error)
   }
 }
 
-/** Whether the journal does not repeat the append. */
-function isFinal (error: StoreError, mayHaveTakenEffect: boolean, rejectedRetries: number): boolean {
-  if (error.kind !== 'rejected') return error.kind === 'fenced'
-  return !mayHaveTakenEffect || rejectedRetries >= MAX_REJECTED_RETRIES
+async function delay (durationMs: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, durationMs))
 }
 
 function closedError (): StoreError {
