Keep writing after a record that cannot be encoded

All batches of a leader stopped for good, without a response, after one record that the store client throws at: a key has at most 255 bytes, and an id of 100 characters may have 300. The exception ended the loop that sends the queue, which stayed marked as sending, so no later append was sent or answered.

The new test got one of three responses before.

--- a/src/common/store/Journal.test.ts
+++ b/src/common/store/Journal.test.ts
@@ -192,6 +192,22 @@
     }
   })
 
+  // Guards against one record that cannot be encoded, for example with a key that is too long, and ends all writing.
+  it('rejects an append that the client cannot send, and sends the others', async () => {
+    const journal = create(1)
+    await journal.open()
+    const append = store.append.bind(store)
+    store.append = (request: StoreAppendRequest) => {
+      if (request.records.some(record => record.key === 'too long')) throw new RangeError('key is too long')
+      return append(request)
+    }
+    const settled: boolean[] = []
+    for (const key of ['a', 'too long', 'b']) journal.append([{ key, value }]).then(result => settled.push(result.isOk()), () => undefined)
+    await time.advance(500)
+    expect(settled).toEqual([true, false, true])
+    expect(store.keys('topic')).toEqual(['a', 'b'])
+  })
+
   it('reports for how long appends have failed, and fails queued appends when it is closed', async () => {
     const journal = create(1)
     await journal.open()
--- a/src/common/store/Journal.ts
+++ b/src/common/store/Journal.ts
@@ -180,12 +180,13 @@
   }
 
   private async _sendOnce (records: readonly JournalRecord[]): Promise<Result<AppendedRange, StoreError>> {
-    return await this._client.append({
-      topic: this._topic,
-      records,
-      writer: { name: this._writerName, epoch: this._epoch, sequence: this._sequence },
-      timeoutMs: APPEND_TIMEOUT_MS
-    })
+    const writer = { name: this._writerName, epoch: this._epoch, sequence: this._sequence }
+    try {
+      return await this._client.append({ topic: this._topic, records, writer, timeoutMs: APPEND_TIMEOUT_MS })
+    } catch (fault) {
+      // A record that cannot be encoded, for example with a key that is too long, must not end the sending of others.
+      return err({ kind: 'rejected', message: String(fault), mayTakeEffect: false })
+    }
   }
 
   /**
