Give up the leadership when its term cannot serve

An entry could renew the lease and serve no batch, so that every batch call got 503 and no other entry could take over. The lease had expired by then, and the next record that the tail reads ended it, so this way lasted as long as the tail was behind.

ILeadership.resign(epoch, reason) gives an epoch up: the release is appended, again until it or another leader's record is read, and the entry waits a second before it claims, so that others come first. An epoch that was given up is not gained again, and records of epochs before a reported leader's no longer replace it.

--- a/src/common/batch/BatchService.test.ts
+++ b/src/common/batch/BatchService.test.ts
@@ -1,8 +1,10 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
+import { testServices } from '../log/test/testServices.js'
 import { VirtualTime } from '../log/test/VirtualTime.test.js'
+import { FakeLeadership } from '../store/test/FakeLeadership.js'
 import type { MemoryStore } from '../store/test/MemoryStore.js'
-import type { BatchService } from './BatchService.js'
+import { BatchService } from './BatchService.js'
 import type { HandoffProgress } from './record/HandoffProgress.js'
 import { BatchHarness } from './test/BatchHarness.js'
 import { createItem } from './test/createItem.js'
@@ -65,6 +67,37 @@
     expect(await refused).toEqual('refused')
   })
 
+  // Guards against a leader that renews its lease and serves nothing, so that no other entry may take over.
+  describe('gives the leadership up', () => {
+    it('when its journal is fenced while it opens', async () => {
+      await lead(2)
+      const { service, leadership } = await lead(1)
+      expect(leadership.isLeader).toEqual(false)
+      expect(service.isServing).toEqual(false)
+    })
+
+    it('when its journal is fenced later, and accepts nothing', async () => {
+      const { service, leadership } = await lead(1)
+      await lead(2)
+      const submitted = service.submit(spec(), items)
+      await time.advance(50)
+      expect(await submitted).not.toEqual('accepted')
+      expect(leadership.isLeader).toEqual(false)
+      expect(service.isServing).toEqual(false)
+    })
+
+    it('when its term cannot start', async () => {
+      const leadership = new FakeLeadership()
+      const createRunner = (): never => { throw new Error('no runner') }
+      const service = new BatchService(store, leadership, createRunner, 1000, testServices().logger)
+      leadership.gain(1)
+      await time.advance(50)
+      expect(leadership.isLeader).toEqual(false)
+      expect(service.isServing).toEqual(false)
+      service.dispose()
+    })
+  })
+
   // Guards against an item that is never placed again, and a slot that is never free again, after an unexpected error.
   it('runs an item again after an unexpected error of its run', async () => {
     engines.eventCounts = { a: 3, b: 3 }
--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -56,7 +56,10 @@
   ) {
     super()
     this._register(_leadership.onGained(epoch => {
-      this._startTerm(epoch).catch((fault: unknown) => this._logger.error({ epoch, reason: String(fault) }, 'term_fault'))
+      this._startTerm(epoch).catch((fault: unknown) => {
+        this._logger.error({ epoch, reason: String(fault) }, 'term_fault')
+        this._leadership.resign(epoch, 'term did not start')
+      })
     }))
     this._register(_leadership.onLost(() => this._onLeadershipLost()))
     const timer = setInterval(() => {
@@ -204,16 +207,17 @@
     this._endTerm()
     const term: Term = { epoch, store: new BatchStore(this._client, epoch, this._retentionMs, this._logger), isReady: false }
     this._term = term
+    // Without a journal this entry would renew the lease and serve no batch.
+    term.store.onFenced(() => this._leadership.resign(epoch, 'journal is fenced'))
     for (;;) {
       const opened = await term.store.open()
       if (this._term !== term) return
       if (opened.isOk()) break
       this._logger.warn({ epoch, reason: opened.error.message }, 'batches_not_restored')
-      if (opened.error.kind === 'fenced') return
       await new Promise(resolve => setTimeout(resolve, RESTORE_BACKOFF_MS))
     }
-    term.isReady = true
     term.runner = this._createRunner(term.store, epoch)
+    term.isReady = true
   }
 
   private _endTerm (): void {
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
+import type { IEvent } from '../kernel/IEvent.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IStoreClient } from '../store/IStoreClient.js'
 import { Journal } from '../store/Journal.js'
@@ -50,6 +51,11 @@
     this._register({ dispose: () => this._journal.close() })
   }
 
+  /** Fires when a leader of a later epoch has fenced the journal, so that this store can write no more. */
+  get onFenced (): IEvent<void> {
+    return this._journal.onFenced
+  }
+
   /** Fences the previous writers and restores the batches that they wrote. */
   async open (): Promise<Result<void, StoreError>> {
     const startedAtMs = performance.now()
--- a/src/common/store/Journal.ts
+++ b/src/common/store/Journal.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Backoff } from '../kernel/Backoff.js'
+import { Emitter } from '../kernel/Emitter.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { AppendedRange } from './AppendedRange.js'
 import type { IStoreClient } from './IStoreClient.js'
@@ -26,6 +27,9 @@
  * only if the offsets in the response show that it was executed, and not another one under its number.
  */
 export class Journal {
+  private readonly _onFenced = new Emitter<void>()
+  /** Fires once when the store has a writer with a higher epoch, so that this one is closed. */
+  readonly onFenced = this._onFenced.event
   private readonly _queue: QueuedAppend[] = []
   /** Number of the next append with records. */
   private _sequence = 0
@@ -240,6 +244,10 @@
 
   private _onRefused (error: StoreError): Result<void, StoreError> {
     this._logger.error({ topic: this._topic, epoch: this._epoch, sequence: this._sequence, reason: error.message, kind: error.kind }, 'journal_append_refused')
+    if (error.kind === 'fenced' && !this._isClosed) {
+      this.close()
+      this._onFenced.fire()
+    }
     return err(error)
   }
 }
--- a/src/common/store/Leadership.test.ts
+++ b/src/common/store/Leadership.test.ts
@@ -3,6 +3,7 @@
 import { testServices } from '../log/test/testServices.js'
 import { VirtualTime } from '../log/test/VirtualTime.test.js'
 import { Leadership } from './Leadership.js'
+import { FaultyStoreClient } from './test/FaultyStoreClient.js'
 import { MemoryStore } from './test/MemoryStore.js'
 
 const TAKEOVER_MS = 2300
@@ -93,6 +94,79 @@
     expect(follower?.leaderAddress()).toEqual('y:1')
   })
 
+  // Guards against a second term in one epoch, whose journal would begin again at the sequence numbers of the first.
+  it('does not gain an epoch again that it gave up, when it learns late of an own renewal', async () => {
+    let delayMs = 0
+    const client = new FaultyStoreClient(store, () => ({ requestDelayMs: 0, responseDelayMs: delayMs, isResponseLost: false }))
+    const slow = new Leadership(client, 'slow', '10.0.0.4:1', testServices().logger)
+    entries.push(slow)
+    for (const entry of entries) if (entry !== slow) entry.dispose()
+    slow.start()
+    const gained: number[] = []
+    slow.onGained(epoch => gained.push(epoch))
+    await time.advance(3000)
+    expect(gained.length).toEqual(1)
+    delayMs = 250
+    await time.advance(1000)
+    slow.observeLeader((slow.latestKnownEpoch ?? 0) + 100, 'x:1')
+    expect(slow.isLeader).toEqual(false)
+    await time.advance(600)
+    expect(gained.length).toEqual(1)
+    expect(slow.isLeader).toEqual(false)
+    expect(slow.leaderAddress()).toEqual('x:1')
+  })
+
+  describe('when a leader resigns, because it cannot serve its epoch,', () => {
+    it('is gained by another entry soon, in a new epoch', async () => {
+      const [first] = leaders()
+      const epoch = first?.validEpoch() ?? -1
+      const lost: string[] = []
+      first?.onLost(() => lost.push('lost'))
+      first?.resign(epoch, 'journal is fenced')
+      expect(lost).toEqual(['lost'])
+      expect(first?.isLeader).toEqual(false)
+      await time.advance(500)
+      expect(leaders().length).toEqual(1)
+      expect(leaders()[0] === first).toEqual(false)
+      expect((leaders()[0]?.validEpoch() ?? -1) > epoch).toEqual(true)
+    })
+
+    it('is gained by the same entry in a new epoch if there is no other', async () => {
+      const [first] = leaders()
+      for (const entry of entries) if (entry !== first) entry.dispose()
+      const epoch = first?.validEpoch() ?? -1
+      const gained: number[] = []
+      first?.onGained(next => gained.push(next))
+      first?.resign(epoch, 'journal is fenced')
+      await time.advance(2500)
+      expect(gained.length).toEqual(1)
+      expect((gained[0] ?? -1) > epoch).toEqual(true)
+    })
+
+    // The release may be lost, and a renewal from before it may take effect after it.
+    it('is not gained again in that epoch, whatever the store does with the release', async () => {
+      const [first] = leaders()
+      const epoch = first?.validEpoch() ?? -1
+      const gained: number[] = []
+      first?.onGained(next => gained.push(next))
+      store.appendOutcome = () => ({ lateMs: 150 })
+      await time.advance(220)
+      first?.resign(epoch, 'journal is fenced')
+      await time.advance(2500)
+      store.appendOutcome = () => 'ok'
+      await time.advance(2500)
+      expect(gained.includes(epoch)).toEqual(false)
+      expect(leaders().length).toEqual(1)
+    })
+
+    it('has no effect on a later epoch', () => {
+      const [first] = leaders()
+      const epoch = first?.validEpoch() ?? -1
+      first?.resign(epoch - 1, 'journal is fenced')
+      expect(first?.validEpoch()).toEqual(epoch)
+    })
+  })
+
   describe('of entries whose claims the store rejects while it serves their reads', () => {
     const ENTRIES = 40
     /** Share of the store's writes that the claims of all entries may take: 3,200 a second, 370 entries, a quarter. */
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -21,6 +21,8 @@
 const RENEW_INTERVAL_MS = 200
 const APPEND_TIMEOUT_MS = 320
 const TICK_INTERVAL_MS = 50
+/** An entry that could not serve its epoch waits this long before it claims another, so that other entries come first. */
+const RESIGNED_CLAIM_DELAY_MS = 1000
 /** Maximum random delay before a claim. Spreads the claims, so that a returning leader and one other entry come first. */
 const MAX_CLAIM_JITTER_MS = 150
 /** Longest delay after a failed claim. Hundreds of entries claim at once while the store rejects writes but serves reads. */
@@ -55,6 +57,11 @@
   private _validUntilMs = Number.NEGATIVE_INFINITY
   private _lastSentAtMs = Number.NEGATIVE_INFINITY
   private _heldEpoch?: number
+  /** The last epoch that this entry held and gave up. */
+  private _endedEpoch = Number.NEGATIVE_INFINITY
+  private _resignedEpoch?: number
+  /** Earliest time of the next append that tells the others of a resignation. */
+  private _nextReleaseAtMs = Number.NEGATIVE_INFINITY
   private _isAppending = false
   private _isReleased = false
   private readonly _lowCpuDelayMs: number
@@ -104,7 +111,16 @@
   }
 
   leaderAddress (): string | undefined {
-    return this._latest === undefined || this._latest.released === true ? undefined : this._latest.address
+    if (this._latest === undefined || this._latest.released === true) return undefined
+    return (this.latestKnownEpoch ?? 0) <= this._endedEpoch ? undefined : this._latest.address
+  }
+
+  resign (epoch: number, reason: string): void {
+    if (this._heldEpoch !== epoch) return
+    this._nextClaimAtMs = performance.now() + RESIGNED_CLAIM_DELAY_MS
+    this._resignedEpoch = epoch
+    this._loseLeadership(reason)
+    this._tick()
   }
 
   async release (): Promise<void> {
@@ -130,11 +146,20 @@
     const nowMs = performance.now()
     if (this._heldEpoch !== undefined) {
       if (nowMs - this._lastSentAtMs >= RENEW_INTERVAL_MS) this._appendInBackground({ epoch: this._heldEpoch })
+    } else if (this._mustReleaseResigned(nowMs)) {
+      this._nextReleaseAtMs = nowMs + RENEW_INTERVAL_MS
+      this._appendInBackground({ epoch: this._resignedEpoch, released: true })
     } else if (this._mayClaim(nowMs)) {
       this._appendInBackground({})
     }
   }
 
+  /** Whether the others have yet to be told that this entry has resigned; otherwise they wait for the end of the lease. */
+  private _mustReleaseResigned (nowMs: number): boolean {
+    if (this._resignedEpoch === undefined || this._resignedEpoch !== this.latestKnownEpoch || this._latest?.released === true) return false
+    return nowMs >= this._nextReleaseAtMs
+  }
+
   private _mayClaim (nowMs: number): boolean {
     if (nowMs < this._nextClaimAtMs) return false
     const isVacant = this._latest === undefined || this._latest.released === true
@@ -146,7 +171,7 @@
     return nowMs >= claimAtMs && nowMs - this._tail.lastReadAtMs < MAX_READ_AGE_MS
   }
 
-  private _appendInBackground (content: { epoch?: number }): void {
+  private _appendInBackground (content: { epoch?: number, released?: boolean }): void {
     this._append(content).catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'leader_append_fault'))
   }
 
@@ -176,7 +201,7 @@
 
   private _delayNextClaim (reason: string, endOffset: number): void {
     const delayMs = this._claimBackoff.nextDelayMs()
-    this._nextClaimAtMs = performance.now() + delayMs
+    this._nextClaimAtMs = Math.max(this._nextClaimAtMs, performance.now() + delayMs)
     this._logger.info({ reason, end_offset: endOffset, retry_in_ms: Math.round(delayMs) }, 'leader_claim_failed')
   }
 
@@ -199,18 +224,23 @@
     this._endOffset = offset + 1
     this._claimBackoff.reset()
     const epoch = record.epoch ?? offset
+    // Another entry has reported a newer leader, whose record follows.
+    if (epoch < (this.latestKnownEpoch ?? epoch)) return
     const isOwn = record.holder === this._holder
     if (this._latest?.holder !== record.holder || record.released === true) {
       this._logger.info({ leader: record.address, epoch, own: isOwn, released: record.released ?? false }, 'leader_changed')
     }
     this._latest = { ...record, offset, receivedAtMs: performance.now() }
-    if (!isOwn || record.released === true) {
-      if (this._heldEpoch !== undefined) this._loseLeadership('replaced')
-      return
-    }
-    if (this._isReleased) return
-    const sentAtMs = this._sentAtMsBySequence.get(record.sequence) ?? Number.NEGATIVE_INFINITY
-    for (const sequence of this._sentAtMsBySequence.keys()) if (sequence <= record.sequence) this._sentAtMsBySequence.delete(sequence)
+    if (isOwn && record.released !== true) this._applyOwn(record.sequence, epoch)
+    else if (this._heldEpoch !== undefined) this._loseLeadership('replaced')
+  }
+
+  /** Extends the lease of this entry, and gains the leadership if the epoch is new. */
+  private _applyOwn (sequence: number, epoch: number): void {
+    // A second term in one epoch would repeat the sequence numbers of the first.
+    if (this._isReleased || epoch <= this._endedEpoch) return
+    const sentAtMs = this._sentAtMsBySequence.get(sequence) ?? Number.NEGATIVE_INFINITY
+    for (const sent of this._sentAtMsBySequence.keys()) if (sent <= sequence) this._sentAtMsBySequence.delete(sent)
     this._validUntilMs = Math.max(this._validUntilMs, sentAtMs + LEASE_MS - LEASE_GUARD_MS)
     if (this._heldEpoch === epoch) return
     this._heldEpoch = epoch
@@ -219,6 +249,7 @@
 
   private _loseLeadership (reason: string): void {
     this._logger.warn({ epoch: this._heldEpoch, reason }, 'leadership_lost')
+    this._endedEpoch = this._heldEpoch ?? this._endedEpoch
     this._heldEpoch = undefined
     this._validUntilMs = Number.NEGATIVE_INFINITY
     this._onLost.fire()
--- a/src/common/store/test/FakeLeadership.ts
+++ b/src/common/store/test/FakeLeadership.ts
@@ -14,6 +14,7 @@
   validEpoch (): number | undefined { return this.isValid ? this.latestKnownEpoch : undefined }
   leaderAddress (): string | undefined { return undefined }
   observeLeader (): void {}
+  resign (epoch: number): void { if (epoch === this.latestKnownEpoch) this.lose() }
   async release (): Promise<void> { this.lose() }
 
   gain (epoch: number): void {
