Continue a restore with the page that failed

While some reads of the store failed, no batch was served: each failed page began the restore of a new leader again.

The leader has fenced all other writers before the first page and writes nothing until the restore has ended, so the pages that were read stay valid: a retry continues after them. The stand-in of the store can now take time for each append, one at a time in a topic, and refuse what would wait over 2 s.

--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -7,6 +7,7 @@
 import { Journal } from '../store/Journal.js'
 import type { KeyedRecord } from '../store/KeyedRecord.js'
 import { readAllNewest } from '../store/readAllNewest.js'
+import { SnapshotReader } from '../store/SnapshotReader.js'
 import type { StoreError } from '../store/StoreError.js'
 import { Batch } from './Batch.js'
 import type { BatchItem } from './record/BatchItem.js'
@@ -42,6 +43,8 @@
   private readonly _textLoads = new Map<Batch, Promise<Result<void, StoreError>>>()
   private readonly _submissions = new Map<string, Promise<Result<Batch, StoreError>>>()
   private readonly _journal: Journal
+  /** Reads the records of the previous writers; undefined until they are fenced. */
+  private _snapshotReader?: SnapshotReader
   private readonly _codec: BatchRecordCodec
 
   constructor (private readonly _client: IStoreClient, private readonly _epoch: number, private readonly _retentionMs: number, private readonly _logger: ILogger) {
@@ -56,13 +59,20 @@
     return this._journal.onFenced
   }
 
-  /** Fences the previous writers and restores the batches that they wrote. */
+  /**
+   * Fences the previous writers and restores the batches that they wrote. After an error, it continues where it failed:
+   * nothing is written between the fence and the end of the restore.
+   */
   async open (): Promise<Result<void, StoreError>> {
     const startedAtMs = performance.now()
-    const fenced = await this._journal.open()
-    if (fenced.isErr()) return err(fenced.error)
-    const snapshot = await readAllNewest(this._client, TOPIC, { untilKey: BatchRecordCodec.firstTextKey })
+    if (this._snapshotReader === undefined) {
+      const fenced = await this._journal.open()
+      if (fenced.isErr()) return err(fenced.error)
+      this._snapshotReader = new SnapshotReader(this._client, TOPIC, { untilKey: BatchRecordCodec.firstTextKey })
+    }
+    const snapshot = await this._snapshotReader.read()
     if (snapshot.isErr()) return err(snapshot.error)
+    this._snapshotReader = undefined
     for (const [id, restored] of this._codec.restore(snapshot.value.records)) this._batches.set(id, restored)
     this._handleUnrestored(snapshot.value.records)
     for (const { batch } of this._batches.values()) this._markResubmittedGroups(batch)
--- a/src/common/store/test/MemoryStore.ts
+++ b/src/common/store/test/MemoryStore.ts
@@ -16,9 +16,13 @@
   newest: Map<string, KeyedRecord>
   writers: Map<string, { epoch: number, nextSequence: number | undefined, lastAppends: Array<{ sequence: number, range: AppendedRange }> }>
   waiters: Set<() => void>
+  /** `performance.now()` at which the appends that wait have been executed. */
+  busyUntilMs: number
 }
 
 const PAGE_RECORDS = 3
+/** An append that would wait longer is refused. */
+const MAX_APPEND_WAIT_MS = 2000
 
 /** In-memory stand-in of the store, with conditional appends, writers with epochs, keyed topics and faults. */
 export class MemoryStore implements IStoreClient {
@@ -28,6 +32,8 @@
   maxCallBytes = Number.POSITIVE_INFINITY
   /** Maximum number of records that one read returns. */
   maxReadRecords = Number.POSITIVE_INFINITY
+  /** Time that an append takes. The appends to a topic are executed one at a time. */
+  appendMs = 0
   /** Number of append calls. */
   appends = 0
   /** Decides the outcome of each append. */
@@ -75,6 +81,13 @@
     this.appends += 1
     if (this.isDown) return err(unavailable(false))
     if (this._exceedsLimits(request)) return err({ kind: 'rejected', message: 'append is too large', mayTakeEffect: false })
+    const topic = this._topic(request.topic)
+    const waitMs = Math.max(0, topic.busyUntilMs - performance.now())
+    if (waitMs > MAX_APPEND_WAIT_MS) return err(unavailable(false))
+    if (this.appendMs > 0) {
+      topic.busyUntilMs = performance.now() + waitMs + this.appendMs
+      await new Promise(resolve => setTimeout(resolve, waitMs + this.appendMs))
+    }
     const outcome = this.appendOutcome(request)
     if (outcome === 'refused') return err(unavailable(false))
     if (outcome === 'rejected') return err({ kind: 'rejected', message: 'append is rejected', mayTakeEffect: false })
@@ -149,7 +162,7 @@
   }
 
   private _topic (name: string): Topic {
-    const known = this._topics.get(name) ?? { records: [], firstOffset: 0, newest: new Map(), writers: new Map(), waiters: new Set() }
+    const known = this._topics.get(name) ?? { records: [], firstOffset: 0, newest: new Map(), writers: new Map(), waiters: new Set(), busyUntilMs: 0 }
     this._topics.set(name, known)
     return known
   }
