Keep the lease while the store is slow

With responses of 250 to 400 ms and 120 ms for each append, the leader had a valid lease for 67% of the time (20 s after the restore: 68%), so reads without new results got 503 and orders waited. A renewal timed out after 320 ms although it took effect; the next one expected the end before it and failed, and only the tail extended the lease.

The time-out of an append to the leadership topic is now twice the time that the last one took, between 320 and 900 ms, the tail ends the wait for an append whose record it reads, and the next renewal is sent as soon as it is due instead of at the next tick. Renewals are not sent ahead of the response to the previous one: such a condition would pass over the claim of another entry. The lease is as long as before, so is the takeover after a crash.

--- a/src/common/batch/slowStore.test.ts
+++ b/src/common/batch/slowStore.test.ts
@@ -18,6 +18,7 @@
 const RETENTION_MS = 1_000_000
 /** Batches with two records each, in pages of three: 20 pages. */
 const BATCHES = 30
+const PAGES = 20
 const { logger } = testServices()
 
 /** Entries on a store whose responses are slow, and what the callers of the entries would see. */
@@ -95,4 +96,16 @@
     await model.advance(5000)
     expect(model.isServing).toEqual(true)
   })
+
+  // The store can be 60 times slower than its usual 4 ms for a response and 2 ms for an append.
+  it('keeps its lease, restores and serves while responses take 250 to 400 ms and appends 120 ms more', async () => {
+    model = new SlowStoreModel(time, 250, 400)
+    model.store.appendMs = 120
+    // First reads, claim, fence, and every page at its slowest.
+    await model.advance(3000 + PAGES * 400)
+    expect(model.isServing).toEqual(true)
+    expect(await model.advance(20_000)).toBeGreaterThanOrEqual(0.95)
+    expect(model.isServing).toEqual(true)
+    expect(model.gainedEpochs.length).toEqual(1)
+  })
 })
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -19,7 +19,12 @@
 /** The holder treats its lease as expired this much earlier, since timers may fire late. */
 const LEASE_GUARD_MS = 120
 const RENEW_INTERVAL_MS = 200
-const APPEND_TIMEOUT_MS = 320
+/** Shortest time-out of an append; a lost response costs little of the lease. */
+const MIN_APPEND_TIMEOUT_MS = 320
+/** Longest time-out of an append; a later response would not extend the lease. */
+const MAX_APPEND_TIMEOUT_MS = 900
+/** Time-out of an append in multiples of the time that the last one took. */
+const APPEND_TIMEOUT_FACTOR = 2
 const TICK_INTERVAL_MS = 50
 /** An entry that could not serve its epoch waits this long before it claims another, so that other entries come first. */
 const RESIGNED_CLAIM_DELAY_MS = 1000
@@ -62,8 +67,12 @@
   private _resignedEpoch?: number
   /** Earliest time of the next append that tells the others of a resignation. */
   private _nextReleaseAtMs = Number.NEGATIVE_INFINITY
-  private _isAppending = false
+  /** Sequence number of the append that has no response yet and that the tail has not read. */
+  private _pendingSequence?: number
+  /** Time from sending the last append that took effect to learning so. */
+  private _lastAppendMs = 0
   private _isReleased = false
+  private _isStopped = false
   private readonly _lowCpuDelayMs: number
   private _claimJitterMs = Math.random() * MAX_CLAIM_JITTER_MS
   private readonly _claimBackoff = new Backoff(MAX_CLAIM_BACKOFF_MS)
@@ -90,6 +99,11 @@
     this._register(toDisposable(() => clearInterval(timer)))
   }
 
+  override dispose (): void {
+    this._isStopped = true
+    super.dispose()
+  }
+
   get isLeader (): boolean {
     return this._heldEpoch !== undefined
   }
@@ -142,7 +156,7 @@
 
   private _tick (): void {
     this._checkClockJump()
-    if (this._isAppending || this._isReleased || !this._tail.isSynced) return
+    if (this._pendingSequence !== undefined || this._isReleased || !this._tail.isSynced) return
     const nowMs = performance.now()
     if (this._heldEpoch !== undefined) {
       if (nowMs - this._lastSentAtMs >= RENEW_INTERVAL_MS) this._appendInBackground({ epoch: this._heldEpoch })
@@ -176,8 +190,8 @@
   }
 
   private async _append (content: { epoch?: number, released?: boolean }): Promise<void> {
-    this._isAppending = true
     const sequence = ++this._sequence
+    this._pendingSequence = sequence
     const record: LeaderRecord = { holder: this._holder, address: this._address, sequence, ...content }
     const sentAtMs = performance.now()
     this._sentAtMsBySequence.set(sequence, sentAtMs)
@@ -187,9 +201,9 @@
       topic: TOPIC,
       records: [{ key: KEY, value: new TextEncoder().encode(JSON.stringify(record)) }],
       expectedEndOffset,
-      timeoutMs: APPEND_TIMEOUT_MS
+      timeoutMs: this._appendTimeoutMs()
     })
-    this._isAppending = false
+    if (this._pendingSequence === sequence) this._pendingSequence = undefined
     if (result.isOk()) {
       this._apply(record, result.value.firstOffset)
     } else {
@@ -197,6 +211,13 @@
       this._claimJitterMs = Math.random() * MAX_CLAIM_JITTER_MS
       if (this._heldEpoch === undefined) this._delayNextClaim(result.error.kind, expectedEndOffset)
     }
+    // On a slow store the next renewal is due already.
+    if (!this._isStopped) this._tick()
+  }
+
+  /** A renewal whose response comes after its time-out is followed by one that fails, because it expects the end before it. */
+  private _appendTimeoutMs (): number {
+    return Math.min(MAX_APPEND_TIMEOUT_MS, Math.max(MIN_APPEND_TIMEOUT_MS, APPEND_TIMEOUT_FACTOR * this._lastAppendMs))
   }
 
   private _delayNextClaim (reason: string, endOffset: number): void {
@@ -240,6 +261,8 @@
     // A second term in one epoch would repeat the sequence numbers of the first.
     if (this._isReleased || epoch <= this._endedEpoch) return
     const sentAtMs = this._sentAtMsBySequence.get(sequence) ?? Number.NEGATIVE_INFINITY
+    if (this._pendingSequence === sequence) this._pendingSequence = undefined
+    if (Number.isFinite(sentAtMs)) this._lastAppendMs = performance.now() - sentAtMs
     for (const sent of this._sentAtMsBySequence.keys()) if (sent <= sequence) this._sentAtMsBySequence.delete(sent)
     this._validUntilMs = Math.max(this._validUntilMs, sentAtMs + LEASE_MS - LEASE_GUARD_MS)
     if (this._heldEpoch === epoch) return
