Wait longer for the store's response to an append after a time-out

No batch or result became durable while each append took longer than the time-out of 700 ms, although the store executed every one: each repetition timed out as well. At 60 times its usual time the store needs 0.4 to 0.5 s, so this needs large records or a queue of appends besides.

The time-out doubles after an append without a response, and is twice the time that the last one took, between 700 and 1,400 ms; more would delay the recovery after an outage without responses. The new test, with 1 s for each append, got no response in 10 s before, and now gets each with one call once the time is known.

--- a/src/common/store/Journal.test.ts
+++ b/src/common/store/Journal.test.ts
@@ -5,6 +5,7 @@
 import { VirtualTime } from '../log/test/VirtualTime.test.js'
 import { Journal } from './Journal.js'
 import type { StoreAppendRequest } from './StoreAppendRequest.js'
+import { FaultyStoreClient } from './test/FaultyStoreClient.js'
 import { MemoryStore } from './test/MemoryStore.js'
 
 const value = new Uint8Array([1])
@@ -208,6 +209,25 @@
     expect(store.keys('topic')).toEqual(['a', 'b'])
   })
 
+  // Guards against a store that executes every append and hears of each one again, because no response is waited for.
+  it('waits longer for the next response when an append has timed out', async () => {
+    const client = new FaultyStoreClient(store, () => ({ requestDelayMs: 200, responseDelayMs: 200, isResponseLost: false }))
+    const journal = new Journal(client, 'topic', 'writer', 1, testServices().logger)
+    store.appendMs = 600
+    const results: boolean[] = []
+    journal.open().then(async () => {
+      for (const key of ['a', 'b']) results.push((await journal.append([{ key, value }])).isOk())
+    }).catch(() => undefined)
+    await time.advance(10_000)
+    expect(results).toEqual([true, true])
+    const calls = store.appends
+    const third = journal.append([{ key: 'c', value }])
+    await time.advance(3000)
+    expect((await third).isOk()).toEqual(true)
+    expect(store.appends - calls).toEqual(1)
+    journal.close()
+  })
+
   it('reports for how long appends have failed, and fails queued appends when it is closed', async () => {
     const journal = create(1)
     await journal.open()
--- a/src/common/store/Journal.ts
+++ b/src/common/store/Journal.ts
@@ -6,8 +6,10 @@
 import type { IStoreClient } from './IStoreClient.js'
 import type { StoreError } from './StoreError.js'
 
-/** Time-out of one append. */
-const APPEND_TIMEOUT_MS = 700
+/** Shortest time-out of one append. */
+const MIN_APPEND_TIMEOUT_MS = 700
+/** Longest time-out of one append. After an outage without responses, the journal notices the store this much later. */
+const MAX_APPEND_TIMEOUT_MS = 1400
 /** Below the store's limit for one call, with a margin for keys and lengths. */
 const MAX_CALL_BYTES = 1_500_000
 const RECORD_OVERHEAD_BYTES = 64
@@ -38,6 +40,7 @@
   /** Numbers of records of the appends that were given up and may still take effect, by sequence number. */
   private readonly _givenUpCounts = new Map<number, Set<number>>()
   private _opening?: Promise<Result<void, StoreError>>
+  private _timeoutMs = MIN_APPEND_TIMEOUT_MS
   private _isClosed = false
   private _isSending = false
   private _failingSinceMs?: number
@@ -185,8 +188,13 @@
 
   private async _sendOnce (records: readonly JournalRecord[]): Promise<Result<AppendedRange, StoreError>> {
     const writer = { name: this._writerName, epoch: this._epoch, sequence: this._sequence }
+    const sentAtMs = performance.now()
     try {
-      return await this._client.append({ topic: this._topic, records, writer, timeoutMs: APPEND_TIMEOUT_MS })
+      const result = await this._client.append({ topic: this._topic, records, writer, timeoutMs: this._timeoutMs })
+      // Without a response, the next one may take longer, too.
+      if (result.isOk()) this._timeoutMs = clampTimeout(2 * (performance.now() - sentAtMs))
+      else if (result.error.mayTakeEffect) this._timeoutMs = clampTimeout(2 * this._timeoutMs)
+      return result
     } catch (fault) {
       // A record that cannot be encoded, for example with a key that is too long, must not end the sending of others.
       return err({ kind: 'rejected', message: String(fault), mayTakeEffect: false })
@@ -252,6 +260,10 @@
   }
 }
 
+function clampTimeout (timeoutMs: number): number {
+  return Math.min(MAX_APPEND_TIMEOUT_MS, Math.max(MIN_APPEND_TIMEOUT_MS, timeoutMs))
+}
+
 async function delay (durationMs: number): Promise<void> {
   await new Promise(resolve => setTimeout(resolve, durationMs))
 }
