--- a/src/common/log/test/VirtualTime.test.ts
+++ b/src/common/log/test/VirtualTime.test.ts
@@ -6,7 +6,8 @@
 export class VirtualTime {
   constructor () {
     mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'], now: START_MS })
-    mock.method(performance, 'now', () => Date.now())
+    // A mocked method would keep a record of each call, which takes gigabytes in long runs of the models.
+    Object.defineProperty(performance, 'now', { value: () => Date.now(), configurable: true, writable: true })
   }
 
   /** Advances the clock in steps and lets promises settle after each. */
@@ -25,7 +26,8 @@
 
   restore (): void {
     mock.timers.reset()
-    mock.restoreAll()
+    mock.reset()
+    Reflect.deleteProperty(performance, 'now')
   }
 }
 
--- a/src/common/store/test/FaultyStoreClient.ts
+++ b/src/common/store/test/FaultyStoreClient.ts
@@ -1,4 +1,4 @@
-import { err, ResultAsync, type Result } from 'neverthrow'
+import { err, errAsync, ResultAsync, type Result } from 'neverthrow'
 import type { AppendedRange } from '../AppendedRange.js'
 import type { IStoreClient } from '../IStoreClient.js'
 import type { StoreAppendRequest } from '../StoreAppendRequest.js'
@@ -21,6 +21,8 @@
 export class FaultyStoreClient implements IStoreClient {
   /** While set, no call reaches the store. */
   isCutOff = false
+  /** While set, the store refuses every call of this client. */
+  isRefused = false
   /** Added to the delay of every response. */
   extraResponseDelayMs = 0
 
@@ -39,6 +41,7 @@
   }
 
   private _call<T> (execute: () => Promise<Result<T, StoreError>>, timeoutMs: number): ResultAsync<T, StoreError> {
+    if (this.isRefused) return errAsync({ kind: 'unavailable', message: 'store refuses this client', mayTakeEffect: false })
     const isCutOff = this.isCutOff
     const { requestDelayMs, responseDelayMs, isResponseLost } = this._nextFault()
     return new ResultAsync(new Promise(resolve => {
--- a/src/common/store/test/MemoryStore.ts
+++ b/src/common/store/test/MemoryStore.ts
@@ -28,8 +28,8 @@
 export class MemoryStore implements IStoreClient {
   isDown = false
   /** Limits as of the platform's store; an append over one of them is rejected as a whole. */
-  maxRecordBytes = Number.POSITIVE_INFINITY
-  maxCallBytes = Number.POSITIVE_INFINITY
+  maxRecordBytes = 262_144
+  maxCallBytes = 2_097_152
   /** Maximum number of records that one read returns. */
   maxReadRecords = Number.POSITIVE_INFINITY
   /** Time that an append takes. The appends to a topic are executed one at a time. */
