Send a lost renewal again before the lease ends on a slow store

With a time-out of twice the last response time, a renewal that never reached a slow store was followed by the next one after about 0.9 s, and other entries could claim 1.05 s after the renewal before it. The factor is now 1.3.

--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -24,7 +24,7 @@
 /** Longest time-out of an append; a later response would not extend the lease. */
 const MAX_APPEND_TIMEOUT_MS = 900
 /** Time-out of an append in multiples of the time that the last one took. */
-const APPEND_TIMEOUT_FACTOR = 2
+const APPEND_TIMEOUT_FACTOR = 1.3
 const TICK_INTERVAL_MS = 50
 /** An entry that could not serve its epoch waits this long before it claims another, so that other entries come first. */
 const RESIGNED_CLAIM_DELAY_MS = 1000
