--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -1,11 +1,13 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
+import type { IEvent } from '../kernel/IEvent.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IStoreClient } from '../store/IStoreClient.js'
 import { Journal } from '../store/Journal.js'
 import type { KeyedRecord } from '../store/KeyedRecord.js'
 import { readAllNewest } from '../store/readAllNewest.js'
+import { SnapshotReader } from '../store/SnapshotReader.js'
 import type { StoreError } from '../store/StoreError.js'
 import { Batch } from './Batch.js'
 import type { BatchItem } from './record/BatchItem.js'
@@ -44,6 +46,8 @@
   private readonly _submissions = new Map<string, Promise<Result<Batch, StoreError>>>()
   private _isRemoving = false
   private readonly _journal: Journal
+  /** Reads the records of the previous writers; undefined until they are fenced. */
+  private _snapshotReader?: SnapshotReader
   private readonly _codec: BatchRecordCodec
   private readonly _textLoader: TextLoader
 
@@ -55,13 +59,25 @@
     this._register({ dispose: () => this._journal.close() })
   }
 
-  /** Fences the previous writers and restores the batches that they wrote. */
+  /** Fires when a leader of a later epoch has fenced the journal, so that this store can write no more. */
+  get onFenced (): IEvent<void> {
+    return this._journal.onFenced
+  }
+
+  /**
+   * Fences the previous writers and restores the batches that they wrote. After an error, it continues where it failed:
+   * nothing is written between the fence and the end of the restore.
+   */
   async open (): Promise<Result<void, StoreError>> {
     const startedAtMs = performance.now()
-    const fenced = await this._journal.open()
-    if (fenced.isErr()) return err(fenced.error)
-    const snapshot = await readAllNewest(this._client, TOPIC, { untilKey: BatchRecordCodec.firstTextKey })
+    if (this._snapshotReader === undefined) {
+      const fenced = await this._journal.open()
+      if (fenced.isErr()) return err(fenced.error)
+      this._snapshotReader = new SnapshotReader(this._client, TOPIC, { untilKey: BatchRecordCodec.firstTextKey })
+    }
+    const snapshot = await this._snapshotReader.read()
     if (snapshot.isErr()) return err(snapshot.error)
+    this._snapshotReader = undefined
     for (const [id, restored] of this._codec.restore(snapshot.value.records)) this._batches.set(id, restored)
     this._handleUnrestored(snapshot.value.records)
     for (const { batch } of this._batches.values()) this._markResubmittedGroups(batch)
--- a/src/common/log/test/VirtualTime.test.ts
+++ b/src/common/log/test/VirtualTime.test.ts
@@ -5,18 +5,16 @@
 /** Replaces timers, `Date` and `performance.now` by one virtual clock. */
 export class VirtualTime {
   private readonly _nowMs: () => number
-  private readonly _now
 
   constructor () {
     mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'], now: START_MS })
     this._nowMs = Date.now.bind(Date)
-    this._now = mock.method(performance, 'now', () => this._nowMs())
+    // A mocked method would keep a record of each call, which takes gigabytes in long runs of the models.
+    Object.defineProperty(performance, 'now', { value: () => this._nowMs(), configurable: true, writable: true })
   }
 
   /** Advances the clock in steps and lets promises settle after each. */
   async advance (durationMs: number, stepMs = 5): Promise<void> {
-    // The recorded calls keep their callers in memory: gigabytes over hundreds of runs of a property.
-    this._now.mock.resetCalls()
     await settle()
     for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
       mock.timers.tick(Math.min(stepMs, durationMs - elapsedMs))
@@ -36,7 +34,8 @@
 
   restore (): void {
     mock.timers.reset()
-    mock.restoreAll()
+    mock.reset()
+    Reflect.deleteProperty(performance, 'now')
   }
 }
 
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -19,8 +19,15 @@
 /** The holder treats its lease as expired this much earlier, since timers may fire late. */
 const LEASE_GUARD_MS = 120
 const RENEW_INTERVAL_MS = 200
-const APPEND_TIMEOUT_MS = 320
+/** Shortest time-out of an append; a lost response costs little of the lease. */
+const MIN_APPEND_TIMEOUT_MS = 320
+/** Longest time-out of an append; a later response would not extend the lease. */
+const MAX_APPEND_TIMEOUT_MS = 900
+/** Time-out of an append in multiples of the time that the last one took. */
+const APPEND_TIMEOUT_FACTOR = 1.3
 const TICK_INTERVAL_MS = 50
+/** An entry that could not serve its epoch waits this long before it claims another, so that other entries come first. */
+const RESIGNED_CLAIM_DELAY_MS = 1000
 /** Maximum random delay before a claim. Spreads the claims, so that a returning leader and one other entry come first. */
 const MAX_CLAIM_JITTER_MS = 150
 /** Longest delay after a failed claim. Hundreds of entries claim at once while the store rejects writes but serves reads. */
@@ -55,8 +62,17 @@
   private _validUntilMs = Number.NEGATIVE_INFINITY
   private _lastSentAtMs = Number.NEGATIVE_INFINITY
   private _heldEpoch?: number
-  private _isAppending = false
+  /** The last epoch that this entry held and gave up. */
+  private _endedEpoch = Number.NEGATIVE_INFINITY
+  private _resignedEpoch?: number
+  /** Earliest time of the next append that tells the others of a resignation. */
+  private _nextReleaseAtMs = Number.NEGATIVE_INFINITY
+  /** Sequence number of the append that has no response yet and that the tail has not read. */
+  private _pendingSequence?: number
+  /** Time from sending the last append that took effect to learning so. */
+  private _lastAppendMs = 0
   private _isReleased = false
+  private _isStopped = false
   private readonly _lowCpuDelayMs: number
   private _claimJitterMs = Math.random() * MAX_CLAIM_JITTER_MS
   private readonly _claimBackoff = new Backoff(MAX_CLAIM_BACKOFF_MS)
@@ -83,6 +99,11 @@
     this._register(toDisposable(() => clearInterval(timer)))
   }
 
+  override dispose (): void {
+    this._isStopped = true
+    super.dispose()
+  }
+
   get isLeader (): boolean {
     return this._heldEpoch !== undefined
   }
@@ -104,7 +125,16 @@
   }
 
   leaderAddress (): string | undefined {
-    return this._latest === undefined || this._latest.released === true ? undefined : this._latest.address
+    if (this._latest === undefined || this._latest.released === true) return undefined
+    return (this.latestKnownEpoch ?? 0) <= this._endedEpoch ? undefined : this._latest.address
+  }
+
+  resign (epoch: number, reason: string): void {
+    if (this._heldEpoch !== epoch) return
+    this._nextClaimAtMs = performance.now() + RESIGNED_CLAIM_DELAY_MS
+    this._resignedEpoch = epoch
+    this._loseLeadership(reason)
+    this._tick()
   }
 
   async release (): Promise<void> {
@@ -126,15 +156,24 @@
 
   private _tick (): void {
     this._checkClockJump()
-    if (this._isAppending || this._isReleased || !this._tail.isSynced) return
+    if (this._pendingSequence !== undefined || this._isReleased || !this._tail.isSynced) return
     const nowMs = performance.now()
     if (this._heldEpoch !== undefined) {
       if (nowMs - this._lastSentAtMs >= RENEW_INTERVAL_MS) this._appendInBackground({ epoch: this._heldEpoch })
+    } else if (this._mustReleaseResigned(nowMs)) {
+      this._nextReleaseAtMs = nowMs + RENEW_INTERVAL_MS
+      this._appendInBackground({ epoch: this._resignedEpoch, released: true })
     } else if (this._mayClaim(nowMs)) {
       this._appendInBackground({})
     }
   }
 
+  /** Whether the others have yet to be told that this entry has resigned; otherwise they wait for the end of the lease. */
+  private _mustReleaseResigned (nowMs: number): boolean {
+    if (this._resignedEpoch === undefined || this._resignedEpoch !== this.latestKnownEpoch || this._latest?.released === true) return false
+    return nowMs >= this._nextReleaseAtMs
+  }
+
   private _mayClaim (nowMs: number): boolean {
     if (nowMs < this._nextClaimAtMs) return false
     const isVacant = this._latest === undefined || this._latest.released === true
@@ -146,13 +185,13 @@
     return nowMs >= claimAtMs && nowMs - this._tail.lastReadAtMs < MAX_READ_AGE_MS
   }
 
-  private _appendInBackground (content: { epoch?: number }): void {
+  private _appendInBackground (content: { epoch?: number, released?: boolean }): void {
     this._append(content).catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'leader_append_fault'))
   }
 
   private async _append (content: { epoch?: number, released?: boolean }): Promise<void> {
-    this._isAppending = true
     const sequence = ++this._sequence
+    this._pendingSequence = sequence
     const record: LeaderRecord = { holder: this._holder, address: this._address, sequence, ...content }
     const sentAtMs = performance.now()
     this._sentAtMsBySequence.set(sequence, sentAtMs)
@@ -162,9 +201,9 @@
       topic: TOPIC,
       records: [{ key: KEY, value: new TextEncoder().encode(JSON.stringify(record)) }],
       expectedEndOffset,
-      timeoutMs: APPEND_TIMEOUT_MS
+      timeoutMs: this._appendTimeoutMs()
     })
-    this._isAppending = false
+    if (this._pendingSequence === sequence) this._pendingSequence = undefined
     if (result.isOk()) {
       this._apply(record, result.value.firstOffset)
     } else {
@@ -172,11 +211,18 @@
       this._claimJitterMs = Math.random() * MAX_CLAIM_JITTER_MS
       if (this._heldEpoch === undefined) this._delayNextClaim(result.error.kind, expectedEndOffset)
     }
+    // On a slow store the next renewal is due already.
+    if (!this._isStopped) this._tick()
+  }
+
+  /** A renewal whose response comes after its time-out is followed by one that fails, because it expects the end before it. */
+  private _appendTimeoutMs (): number {
+    return Math.min(MAX_APPEND_TIMEOUT_MS, Math.max(MIN_APPEND_TIMEOUT_MS, APPEND_TIMEOUT_FACTOR * this._lastAppendMs))
   }
 
   private _delayNextClaim (reason: string, endOffset: number): void {
     const delayMs = this._claimBackoff.nextDelayMs()
-    this._nextClaimAtMs = performance.now() + delayMs
+    this._nextClaimAtMs = Math.max(this._nextClaimAtMs, performance.now() + delayMs)
     this._logger.info({ reason, end_offset: endOffset, retry_in_ms: Math.round(delayMs) }, 'leader_claim_failed')
   }
 
@@ -199,18 +245,25 @@
     this._endOffset = offset + 1
     this._claimBackoff.reset()
     const epoch = record.epoch ?? offset
+    // Another entry has reported a newer leader, whose record follows.
+    if (epoch < (this.latestKnownEpoch ?? epoch)) return
     const isOwn = record.holder === this._holder
     if (this._latest?.holder !== record.holder || record.released === true) {
       this._logger.info({ leader: record.address, epoch, own: isOwn, released: record.released ?? false }, 'leader_changed')
     }
     this._latest = { ...record, offset, receivedAtMs: performance.now() }
-    if (!isOwn || record.released === true) {
-      if (this._heldEpoch !== undefined) this._loseLeadership('replaced')
-      return
-    }
-    if (this._isReleased) return
-    const sentAtMs = this._sentAtMsBySequence.get(record.sequence) ?? Number.NEGATIVE_INFINITY
-    for (const sequence of this._sentAtMsBySequence.keys()) if (sequence <= record.sequence) this._sentAtMsBySequence.delete(sequence)
+    if (isOwn && record.released !== true) this._applyOwn(record.sequence, epoch)
+    else if (this._heldEpoch !== undefined) this._loseLeadership('replaced')
+  }
+
+  /** Extends the lease of this entry, and gains the leadership if the epoch is new. */
+  private _applyOwn (sequence: number, epoch: number): void {
+    // A second term in one epoch would repeat the sequence numbers of the first.
+    if (this._isReleased || epoch <= this._endedEpoch) return
+    const sentAtMs = this._sentAtMsBySequence.get(sequence) ?? Number.NEGATIVE_INFINITY
+    if (this._pendingSequence === sequence) this._pendingSequence = undefined
+    if (Number.isFinite(sentAtMs)) this._lastAppendMs = performance.now() - sentAtMs
+    for (const sent of this._sentAtMsBySequence.keys()) if (sent <= sequence) this._sentAtMsBySequence.delete(sent)
     this._validUntilMs = Math.max(this._validUntilMs, sentAtMs + LEASE_MS - LEASE_GUARD_MS)
     if (this._heldEpoch === epoch) return
     this._heldEpoch = epoch
@@ -219,6 +272,7 @@
 
   private _loseLeadership (reason: string): void {
     this._logger.warn({ epoch: this._heldEpoch, reason }, 'leadership_lost')
+    this._endedEpoch = this._heldEpoch ?? this._endedEpoch
     this._heldEpoch = undefined
     this._validUntilMs = Number.NEGATIVE_INFINITY
     this._onLost.fire()
