Answer reads at once at a leader without a valid lease

The callers got no response, or a 503 after they had given up.

Cause: such a leader goes on serving from memory, and prepared reads as if the store could respond.

Change: without a valid lease a read gets what is in memory, or 503 at once.

--- a/src/common/batch/BatchService.test.ts
+++ b/src/common/batch/BatchService.test.ts
@@ -89,6 +89,21 @@
     expect(await ended).toEqual('refused')
   })
 
+  // Guards against reads that a leader without access to the store holds until their callers give up.
+  it('answers a read at once without a valid lease, if it has not got what the read needs', async () => {
+    engines.eventCounts = { a: 10, b: 4 }
+    const first = await leadWithBatch(1000)
+    first.service.dispose()
+    const { service, leadership } = await lead(2)
+    leadership.isValid = false
+    const read = service.read('batch-1', 0, 1000)
+    await time.advance(10)
+    expect((await read).kind).toEqual('unavailable')
+    const beyond = service.read('batch-1', 2, 1000)
+    await time.advance(10)
+    expect((await beyond).kind).toEqual('unavailable')
+  })
+
   // Guards against an item that is never placed again, and a slot that is never free again, after an unexpected error.
   it('runs an item again after an unexpected error of its run', async () => {
     engines.eventCounts = { a: 3, b: 3 }
--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -107,14 +107,8 @@
     const store = this._readyStore()
     const batch = findVisible(store, id, organisation)
     if (store === undefined || batch === undefined) return this._absentOrUnavailable(id, store)
-    if (batch.listedResults().length <= fromPosition && expectsMoreResults(batch)) await this._waitForResult(store, batch, fromPosition, waitMs)
-    if (batch.unloadedTextCount > 0) {
-      const loaded = await store.loadTexts(batch, fromPosition, ResultPage.maxChars)
-      if (loaded.isErr()) {
-        this._logger.warn({ batch: id, reason: loaded.error.message }, 'batch_texts_not_loaded')
-        return { kind: 'unavailable' }
-      }
-    }
+    // Without a valid lease the store is probably out of reach, so that waiting is in vain; another entry may serve.
+    if (this._leadership.validEpoch() !== undefined) await this._prepareRead(store, batch, fromPosition, waitMs)
     const page = new ResultPage()
     const listed = batch.listedResults()
     for (const [offset, result] of listed.slice(fromPosition).entries()) {
@@ -129,6 +123,14 @@
     return { kind: 'results', total: batch.spec.itemCount, next: fromPosition + results.length, results }
   }
 
+  /** Waits for a result if there is none to read, and for the texts of the results. */
+  private async _prepareRead (store: BatchStore, batch: Batch, fromPosition: number, waitMs: number): Promise<void> {
+    if (batch.listedResults().length <= fromPosition && expectsMoreResults(batch)) await this._waitForResult(store, batch, fromPosition, waitMs)
+    if (batch.unloadedTextCount === 0) return
+    const loaded = await store.loadTexts(batch, fromPosition, ResultPage.maxChars)
+    if (loaded.isErr()) this._logger.warn({ batch: batch.spec.id, reason: loaded.error.message }, 'batch_texts_not_loaded')
+  }
+
   /** Returns the body of an item of a batch that has not ended. */
   findItem (id: string, itemId: string, organisation?: string): { kind: 'body', bodyBase64: string } | { kind: 'absent' | 'unavailable' } {
     const store = this._readyStore()
