Remove results behind a gap before a new leader uses their positions

What callers could see: an item at two positions of a batch. A leader whose store rejected one result had made a later one durable; the next leader restored the results up to the gap and used the positions after it again, and the one after that took the old record for a result.

Cause: the record behind the gap stayed in the store until its position was written again.

Change: a new leader removes such records before its first result.

Two tests of the reader of stored batches made such a record through a takeover; they now let the store reject the removal, and check the same.

--- a/src/common/batch/BatchRecordCodec.ts
+++ b/src/common/batch/BatchRecordCodec.ts
@@ -141,6 +141,19 @@
     return { unreadableIds, abandonedKeys: abandonedKeys.filter(key => !unreadableIds.has(BatchRecordKeys.batchIdOf(key) ?? '')) }
   }
 
+  /**
+   * Keys of results behind a gap. They are not listed, and their positions are used again, so the next leader must not
+   * take them for results.
+   */
+  findResultsBehindGaps (restored: ReadonlyMap<string, { batch: Batch, keys: readonly string[] }>): string[] {
+    const behindGaps: string[] = []
+    for (const [id, { batch, keys }] of restored) {
+      const firstUnusedKey = BatchRecordKeys.result(id, batch.results.length)
+      behindGaps.push(...keys.filter(key => key.startsWith('result/') && key >= firstUnusedKey))
+    }
+    return behindGaps
+  }
+
   /** Sets the result texts of a batch from its text records. */
   restoreTexts (batch: Batch, records: ReadonlyArray<{ key: string, value?: Uint8Array }>): void {
     const values = new Map(records.flatMap(({ key, value }) => value === undefined ? [] : [[key, value] as const]))
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -210,9 +210,11 @@
     const { unreadableIds, abandonedKeys } = this._codec.findUnrestored(records, this._batches)
     this._unreadableIds = unreadableIds
     for (const id of unreadableIds) this._logger.error({ batch: id }, 'batch_unreadable')
-    if (abandonedKeys.length === 0) return
-    this._logger.info({ records: abandonedKeys.length }, 'incomplete_submissions_removed')
-    this._journal.append(this._codec.encodeRemoval(abandonedKeys))
+    const behindGaps = this._codec.findResultsBehindGaps(this._batches)
+    if (abandonedKeys.length + behindGaps.length === 0) return
+    this._logger.info({ records: abandonedKeys.length, results_behind_gaps: behindGaps.length }, 'incomplete_submissions_removed')
+    // Precedes all results of this term.
+    this._journal.append(this._codec.encodeRemoval([...abandonedKeys, ...behindGaps]))
       .catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'cleanup_fault'))
   }
 
--- a/src/common/batch/StoredBatchReader.test.ts
+++ b/src/common/batch/StoredBatchReader.test.ts
@@ -86,8 +86,11 @@
     harness.finish(batch, 0).catch(() => undefined)
     await time.advance(5)
     await harness.finish(batch, 1)
-    memory.appendOutcome = () => 'ok'
+    // The next leader would remove the record.
+    memory.appendOutcome = ({ records }) => records.some(({ value }) => value === undefined) ? 'rejected' : 'ok'
     const taken = await harness.takeOver(2)
+    await time.advance(5)
+    memory.appendOutcome = () => 'ok'
     await harness.finish(taken, 2)
     expect([await harness.texts(), await harness.texts(1)]).toEqual([['text 2'], 'unavailable'])
     expect(harness.lastLine['reason']).toEqual('results_uncertain')
@@ -102,8 +105,11 @@
     harness.finish(batch, 0).catch(() => undefined)
     await time.advance(5)
     await harness.finish(batch, 1)
-    memory.appendOutcome = () => 'ok'
+    // The next leader would remove the record.
+    memory.appendOutcome = ({ records }) => records.some(({ value }) => value === undefined) ? 'rejected' : 'ok'
     const taken = await harness.takeOver(2)
+    await time.advance(5)
+    memory.appendOutcome = () => 'ok'
     await harness.finish(taken, 1)
     await harness.leader.end(taken)
     expect([await harness.texts(), await harness.texts(1)]).toEqual([['text 1'], 'unavailable'])
