Test what the gateway answers after a lost attempt, as a leader, and while texts load

A write whose first attempt may have run gets 503 when the leader rejects the next attempt; it has to be 504. An entry that leads does not read from the store what its leader cannot serve. A forwarded read is given up after 0.7 s, while the leader may hold it for 1 s to load texts.

--- a/src/node/front/LeaderGateway.test.ts
+++ b/src/node/front/LeaderGateway.test.ts
@@ -22,12 +22,16 @@
   forward: (address: string) => 'ok' | 'not_leader' | 'lost' | 'unavailable'
   reported?: string
   canObserveLeader?: boolean
+  /** Time that the leader takes for a forwarded request; the client gives up at the deadline of the request. */
+  responseMs?: number
+  /** Status of this entry's own response, if it leads itself. */
+  localStatus?: number
 }
 
 function createGateway (responses: Responses) {
   const sent = { bodies: 0, views: 0 }
   const client = {
-    call: (to: string, upstreamRequest: { path: string }) => {
+    call: (to: string, upstreamRequest: { path: string, deadlineAtMs: number }) => {
       if (upstreamRequest.path === '/leader') {
         sent.views += 1
         const isServing = responses.view()
@@ -35,7 +39,8 @@
         return okAsync({ status: 200, headers: {}, body: Buffer.from(JSON.stringify({ epoch: 1, address: responses.reported, isServing })) })
       }
       sent.bodies += 1
-      const outcome = responses.forward(to)
+      const leftMs = upstreamRequest.deadlineAtMs - performance.now()
+      const outcome = (responses.responseMs ?? 0) > leftMs ? 'lost' : responses.forward(to)
       if (outcome === 'lost') return errAsync({ kind: 'reset', message: 'reset', sent: true } as const)
       if (outcome === 'unavailable') return okAsync({ status: 503, headers: {}, body: new Uint8Array() })
       return okAsync(outcome === 'ok' ? { status: 202, headers: {}, body: new Uint8Array() } : { status: 503, headers: { 'hyssopvalve-not-leader': '1' }, body: new Uint8Array() })
@@ -48,12 +53,12 @@
       address = reported
     }
   } as unknown as ILeadership
-  const gateway = new LeaderGateway(leadership, '10.0.0.1:1', () => false, client, new LeaderViewClient(client, logger), logger, () => responses.canObserveLeader ?? true)
+  const gateway = new LeaderGateway(leadership, '10.0.0.1:1', () => responses.localStatus !== undefined, client, new LeaderViewClient(client, logger), logger, () => responses.canObserveLeader ?? true)
   const serve = async (): Promise<number> => (await gateway.serve(request, options, async () => ({ status: 200 }))).status
   /** A read, which the store can serve with status 200 if `isStored`. */
   const read = async (isStored: boolean): Promise<number> => {
     const serveWithoutLeader = async (): Promise<ListenerResponse | undefined> => isStored ? { status: 200 } : undefined
-    return (await gateway.serve({ ...request, method: 'GET', body: Buffer.alloc(0) }, { ...options, serveWithoutLeader }, async () => ({ status: 500 }))).status
+    return (await gateway.serve({ ...request, method: 'GET', body: Buffer.alloc(0) }, { ...options, serveWithoutLeader }, async () => ({ status: responses.localStatus ?? 500 }))).status
   }
   return { sent, serve, read }
 }
@@ -77,12 +82,29 @@
     expect(await createGateway({ view: () => false, forward: () => 'lost' }).serve()).toEqual(504)
   })
 
+  // Guards against a submission that is answered with 503, which promises that it never runs, although its first attempt runs.
+  it('responds with 504 if the leader rejects a write after an attempt that may have been processed', async () => {
+    const { sent, serve } = createGateway({ view: () => true, forward: () => sent.bodies > 1 ? 'unavailable' : 'lost' })
+    expect(await serve()).toEqual(504)
+  })
+
   // Guards against accepted batches that nobody can read while the entry that is asked and the leader are separated.
   it('serves a read without a leader that does not respond or cannot serve it', async () => {
     expect(await createGateway({ view: () => undefined, forward: () => 'lost' }).read(true)).toEqual(200)
     expect(await createGateway({ view: () => true, forward: () => 'unavailable' }).read(true)).toEqual(200)
   })
 
+  // Guards against reads that the leading entry refuses without a lease or without texts, while all other entries serve them.
+  it('serves a read from the store when this entry leads and cannot serve it', async () => {
+    expect(await createGateway({ view: () => true, forward: () => 'ok', localStatus: 503 }).read(true)).toEqual(200)
+  })
+
+  // A leader holds a read for up to 1 s while it loads texts. Guards against entries that give it up before, and that then
+  // take the leader for unresponsive.
+  it('waits for a leader that loads the texts of a read', async () => {
+    expect(await createGateway({ view: () => true, forward: () => 'ok', responseMs: 950 }).read(false)).toEqual(202)
+  })
+
   it('passes on the 503 of the leader when a read cannot be served without it', async () => {
     expect(await createGateway({ view: () => true, forward: () => 'unavailable' }).read(false)).toEqual(503)
   })
