--- a/src/common/batch/BatchService.test.ts
+++ b/src/common/batch/BatchService.test.ts
@@ -54,6 +54,14 @@
     expect(await textsOf(service, 1)).toEqual([engines.textOf('a')])
   })
 
+  // Guards against results without their texts after a read from a position that is no integer.
+  it('returns no result without its text, also from a fractional position', async () => {
+    const { leadership } = await leadWithBatch(1000)
+    leadership.lose()
+    const texts = await textsOf((await lead(2)).service, 0.5)
+    expect(texts === 'unavailable' || !texts.includes('')).toEqual(true)
+  })
+
   it('does not accept a batch that the store has not accepted', async () => {
     const { service } = await lead(1)
     store.isDown = true
