--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -32,7 +32,7 @@
 type WriteOutcome = 'accepted' | 'refused' | 'unknown'
 
 /** Why a request for a batch gets no content; `absent` and `other_organisation` are final. */
-type NotServedReason = 'not_serving' | 'unreadable' | 'no_lease' | 'text_not_loaded' | 'absent' | 'other_organisation'
+type NotServedReason = 'not_serving' | 'unreadable' | 'being_submitted' | 'no_lease' | 'text_not_loaded' | 'absent' | 'other_organisation'
 
 /** The time from gaining the leadership to losing it. */
 interface Term { epoch: number, store: BatchStore, runner?: BatchRunner, isReady: boolean }
@@ -93,7 +93,8 @@
     const existing = store.find(spec.id)
     if (existing !== undefined) return this._acceptRepeated(existing, organisation)
     if (store.isUnreadable(spec.id)) return 'refused'
-    if (store.failingForMs() > STORE_DOWN_MS) return 'refused'
+    // An earlier attempt may still become durable, so only a new submission can be refused.
+    if (store.failingForMs() > STORE_DOWN_MS && !store.isSubmitting(spec.id)) return 'refused'
     // Another organisation may have submitted the id at the same moment, so the batch that is stored decides.
     const write = store.submit({ ...spec, organisation }, items)
     let outcome = await this._withTimeout(write)
@@ -103,7 +104,8 @@
   }
 
   /** Reads results from a position on; waits up to `waitMs` if there are none yet. */
-  async read (id: string, fromPosition: number, waitMs: number, organisation?: string): Promise<BatchReadOutcome> {
+  async read (id: string, position: number, waitMs: number, organisation?: string): Promise<BatchReadOutcome> {
+    const fromPosition = Math.trunc(position)
     const store = this._readyStore()
     const batch = findVisible(store, id, organisation)
     if (store === undefined || batch === undefined) return this._absentOrUnavailable(id, store)
@@ -195,6 +197,7 @@
   private _absenceReason (id: string, store: BatchStore | undefined): NotServedReason {
     if (store === undefined) return 'not_serving'
     if (store.isUnreadable(id)) return 'unreadable'
+    if (store.isSubmitting(id)) return 'being_submitted'
     if (this._leadership.validEpoch() === undefined) return 'no_lease'
     return store.find(id) === undefined ? 'absent' : 'other_organisation'
   }
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -95,6 +95,11 @@
     return this._unreadableIds.has(id)
   }
 
+  /** Whether a submission of a batch is being written, so that nobody can tell whether the batch exists. */
+  isSubmitting (id: string): boolean {
+    return this._submissions.has(id)
+  }
+
   * all (): Iterable<Batch> {
     for (const { batch } of this._batches.values()) yield batch
   }
--- a/src/common/batch/StoredBatchReader.ts
+++ b/src/common/batch/StoredBatchReader.ts
@@ -1,4 +1,4 @@
-import { err, type Result } from 'neverthrow'
+import { err, ok, type Result } from 'neverthrow'
 import { ConcurrencyLimit } from '../kernel/ConcurrencyLimit.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { IMetrics } from '../metrics/IMetrics.js'
@@ -8,10 +8,15 @@
 import { StoredBatchRead } from './StoredBatchRead.js'
 import type { StoredReadFailure } from './StoredReadFailure.js'
 
-/** Each request may hold a page of 1 MB and the texts of a response in memory, in several encodings. */
-const MAX_CONCURRENT_READS = 2
-/** Further requests would pass their deadline while they wait, so the caller should ask another entry at once. */
-const MAX_QUEUED_READS = 32
+/** Several reads that share a slow link would all pass their deadlines; and each holds pages of 1 MB in memory. */
+const MAX_CONCURRENT_READS = 1
+const MAX_QUEUED_READS = 8
+/** A read that cannot start within this time would hardly be in time, so the caller should ask another entry. */
+const START_TIMEOUT_MS = 300
+/** A read goes on after the deadline of its caller, for the next attempt of the same one. */
+const MAX_READ_MS = 4000
+const KEPT_MS = 2000
+const MAX_KEPT_READS = 2
 
 /**
  * Answers reads of batches from the store, on any entry and without the leadership. Only a leader with a lease can tell
@@ -21,6 +26,9 @@
 export class StoredBatchReader {
   private readonly _codec: BatchRecordCodec
   private readonly _limit = new ConcurrencyLimit(MAX_CONCURRENT_READS, MAX_QUEUED_READS)
+  /** Reads in progress, and those that ended after the deadline of their caller, by what they read. */
+  private readonly _reads = new Map<string, Promise<Result<unknown, StoredReadFailure>>>()
+  private _keptCount = 0
 
   constructor (private readonly _client: IStoreClient, private readonly _logger: ILogger, private readonly _metrics: IMetrics) {
     this._codec = new BatchRecordCodec(_logger)
@@ -29,8 +37,8 @@
   /** Reads results from a position on; does not wait for results that are not durable yet. */
   async read (id: string, fromPosition: number, organisation: string | undefined, deadlineAtMs: number): Promise<BatchReadOutcome> {
     const startedAtMs = performance.now()
-    const read = new StoredBatchRead(this._client, this._codec, id, organisation, deadlineAtMs)
-    const page = await this._run(async () => await read.readResults(fromPosition), deadlineAtMs)
+    const read = new StoredBatchRead(this._client, this._codec, id, organisation, Math.max(deadlineAtMs, startedAtMs + MAX_READ_MS))
+    const page = await this._share(`results ${organisation} ${id} ${fromPosition}`, async () => await read.readResults(fromPosition), ({ results }) => results.length > 0, deadlineAtMs)
     const fields = { batch: id, from: fromPosition, results: page.isOk() ? page.value.results.length : 0, ...costOf(read, startedAtMs) }
     if (page.isErr()) return this._onFailed('results', page.error, fields)
     const { total, results } = page.value
@@ -42,8 +50,8 @@
   /** Returns the body of an item of a batch that has not ended. */
   async findItem (id: string, itemId: string, organisation: string | undefined, deadlineAtMs: number): Promise<{ kind: 'body', bodyBase64: string } | { kind: 'absent' | 'unavailable' }> {
     const startedAtMs = performance.now()
-    const read = new StoredBatchRead(this._client, this._codec, id, organisation, deadlineAtMs)
-    const body = await this._run(async () => await read.readItemBody(itemId), deadlineAtMs)
+    const read = new StoredBatchRead(this._client, this._codec, id, organisation, Math.max(deadlineAtMs, startedAtMs + MAX_READ_MS))
+    const body = await this._share(`item ${organisation} ${id} ${itemId}`, async () => await read.readItemBody(itemId), () => true, deadlineAtMs)
     const fields = { batch: id, item: itemId, ...costOf(read, startedAtMs) }
     if (body.isErr()) return this._onFailed('item', body.error, fields)
     const kind = body.value === undefined ? 'absent' : 'body'
@@ -52,14 +60,44 @@
     return body.value === undefined ? { kind: 'absent' } : { kind: 'body', bodyBase64: body.value }
   }
 
+  /**
+   * Joins a read of the same content, or starts one. `isLasting` tells whether a value is still true later; that there
+   * are no results at a position is not.
+   */
+  private async _share<T> (content: string, read: () => Promise<Result<T, StoredReadFailure>>, isLasting: (value: T) => boolean, deadlineAtMs: number): Promise<Result<T, StoredReadFailure>> {
+    const shared = this._reads.get(content) as Promise<Result<T, StoredReadFailure>> | undefined
+    if (shared !== undefined) {
+      const joined = await withDeadline(shared, deadlineAtMs)
+      return joined.andThen(value => isLasting(value) ? ok(value) : err({ reason: 'results_uncertain' as const }))
+    }
+    const reading = this._run(read, deadlineAtMs)
+    this._reads.set(content, reading)
+    reading.then(
+      result => this._keepOrForget(content, result.isOk() && isLasting(result.value) && performance.now() > deadlineAtMs),
+      () => this._keepOrForget(content, false)
+    )
+    return await withDeadline(reading, deadlineAtMs)
+  }
+
   private async _run<T> (read: () => Promise<Result<T, StoredReadFailure>>, deadlineAtMs: number): Promise<Result<T, StoredReadFailure>> {
-    const acquired = await this._limit.acquire(deadlineAtMs)
+    const acquired = await this._limit.acquire(Math.min(deadlineAtMs, performance.now() + START_TIMEOUT_MS))
     if (acquired !== 'acquired') return err({ reason: acquired })
-    // After the deadline, a read keeps its place until its last page has ended, since that page still needs memory.
-    const reading = read()
+    return await read()
       .catch((fault: unknown) => err<T, StoredReadFailure>({ reason: 'fault', message: String(fault) }))
       .finally(() => this._limit.release())
-    return await withDeadline(reading, deadlineAtMs)
+  }
+
+  /** Keeps a result that nobody has received for a short time; there are few of these, since they take much memory. */
+  private _keepOrForget (content: string, isUnused: boolean): void {
+    if (!isUnused || this._keptCount >= MAX_KEPT_READS) {
+      this._reads.delete(content)
+      return
+    }
+    this._keptCount += 1
+    setTimeout(() => {
+      this._keptCount -= 1
+      this._reads.delete(content)
+    }, KEPT_MS)
   }
 
   private _onFailed (request: 'results' | 'item', { reason, message }: StoredReadFailure, fields: Record<string, unknown>): { kind: 'absent' | 'unavailable' } {
--- a/src/node/front/LeaderGateway.ts
+++ b/src/node/front/LeaderGateway.ts
@@ -15,8 +15,8 @@
 const RETRY_DELAY_MS = 80
 /** Time-out of one request to the leader, in addition to the time that the leader may hold it. */
 const FORWARD_TIMEOUT_MS = 1500
-/** The same for requests that can be served without the leader, so that their callers get a response in time. */
-const READ_FORWARD_TIMEOUT_MS = 700
+/** The same for requests that can be served without the leader. Longer than the leader loads texts for a read. */
+const READ_FORWARD_TIMEOUT_MS = 1100
 /** A request is served without the leader when there has been none for this time. Many takeovers are over by then. */
 const LEADERLESS_READ_DELAY_MS = 600
 /** A leader that did not respond to a query gets the next one after this time, and requests do not wait for it meanwhile. */
@@ -73,12 +73,12 @@
     let mayHaveRun = false
     let isFirstAttempt = true
     for (;;) {
-      if (this._isServing()) return await serveLocally()
-      const outcome = await this._tryLeader(request, options, isFirstAttempt)
+      const outcome: LeaderOutcome = this._isServing() ? await serveLocally() : await this._tryLeader(request, options, isFirstAttempt)
       isFirstAttempt &&= outcome === 'no_leader'
       mayHaveRun ||= outcome === 'lost'
       const response = await respond(outcome, options, performance.now() - startedAtMs)
-      if (response !== undefined) return response
+      // 503 promises that the request has not been processed, which holds for the last attempt only.
+      if (response !== undefined) return mayHaveRun && request.method !== 'GET' && response.status === 503 ? { status: 504 } : response
       if (this._shouldGiveUp(request, options, outcome, startedAtMs)) break
       await new Promise(resolve => setTimeout(resolve, RETRY_DELAY_MS))
     }
