Repeat a failed read from the store after 0.3 s at the earliest

A read without a leader that the store could not prove was tried every 80 ms for 0.6 s, at three or more pages of up to 1 MB each, which kept other reads from the link.

--- a/src/node/front/LeaderGateway.ts
+++ b/src/node/front/LeaderGateway.ts
@@ -21,6 +21,7 @@
 const LEADERLESS_READ_DELAY_MS = 600
 /** A leader that did not respond to a query gets the next one after this time, and requests do not wait for it meanwhile. */
 const SILENT_LEADER_PAUSE_MS = 300
+const LEADERLESS_READ_INTERVAL_MS = 300
 const NO_LEADER_RETRY_AFTER_S = '0.4'
 
 type LeaderOutcome = ListenerResponse | ForwardFailure | 'no_leader'
@@ -70,13 +71,14 @@
    */
   async serve (request: ListenerRequest, options: GatewayOptions, serveLocally: () => Promise<ListenerResponse>): Promise<ListenerResponse> {
     const startedAtMs = performance.now()
+    const serveWithoutLeader = spaceOut(options.serveWithoutLeader)
     let mayHaveRun = false
     let isFirstAttempt = true
     for (;;) {
       const outcome: LeaderOutcome = this._isServing() ? await serveLocally() : await this._tryLeader(request, options, isFirstAttempt)
       isFirstAttempt &&= outcome === 'no_leader'
       mayHaveRun ||= outcome === 'lost'
-      const response = await respond(outcome, options, performance.now() - startedAtMs)
+      const response = await respond(outcome, serveWithoutLeader, performance.now() - startedAtMs)
       // 503 promises that the request has not been processed, which holds for the last attempt only.
       if (response !== undefined) return mayHaveRun && request.method !== 'GET' && response.status === 503 ? { status: 504 } : response
       if (this._shouldGiveUp(request, options, outcome, startedAtMs)) break
@@ -143,10 +145,22 @@
 }
 
 /** The response to the caller, unless the request has to be tried again. */
-async function respond (outcome: LeaderOutcome, options: GatewayOptions, elapsedMs: number): Promise<ListenerResponse | undefined> {
+async function respond (outcome: LeaderOutcome, serveWithoutLeader: GatewayOptions['serveWithoutLeader'], elapsedMs: number): Promise<ListenerResponse | undefined> {
   const leaderResponse = typeof outcome === 'string' ? undefined : outcome
   if (leaderResponse !== undefined && leaderResponse.status !== 503) return leaderResponse
   // The leader may be known or ready soon.
   if ((outcome === 'no_leader' || outcome === 'not_sent') && elapsedMs < LEADERLESS_READ_DELAY_MS) return undefined
-  return await options.serveWithoutLeader?.() ?? leaderResponse
+  return await serveWithoutLeader?.() ?? leaderResponse
+}
+
+/** Each attempt reads up to several megabytes from the store, so an attempt that failed is not repeated at once. */
+function spaceOut (serve: GatewayOptions['serveWithoutLeader']): GatewayOptions['serveWithoutLeader'] {
+  if (serve === undefined) return undefined
+  let nextAtMs = Number.NEGATIVE_INFINITY
+  return async () => {
+    if (performance.now() < nextAtMs) return undefined
+    const response = await serve()
+    nextAtMs = performance.now() + LEADERLESS_READ_INTERVAL_MS
+    return response
+  }
 }
