--- a/src/common/store/KeyedTail.ts
+++ b/src/common/store/KeyedTail.ts
@@ -9,6 +9,8 @@
 /** Kept short, since a connection that no longer responds hides new records for this long. */
 const READ_WAIT_MS = 1000
 const MAX_BACKOFF_MS = 400
+/** Longer than a read that waits for records and then times out. */
+const RECENT_READ_MS = 2500
 
 /** Follows a keyed topic: reads the newest record of each key first, then every new record in order. */
 export class KeyedTail extends Disposable {
@@ -47,6 +49,11 @@
     return this._nextOffset
   }
 
+  /** Whether the store has responded to a read recently. */
+  get hasReadRecently (): boolean {
+    return performance.now() - this._lastReadAtMs < RECENT_READ_MS
+  }
+
   /** `performance.now()` of the last successful read; 0 or less if there has been none. */
   get lastReadAtMs (): number {
     return this._lastReadAtMs
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -108,6 +108,11 @@
     return this._heldEpoch !== undefined
   }
 
+  /** Whether this entry would learn of a new leader from the store. */
+  get isObserving (): boolean {
+    return this._tail.hasReadRecently
+  }
+
   get latestKnownEpoch (): number | undefined {
     return this._latest === undefined ? undefined : this._latest.epoch ?? this._latest.offset
   }
