--- a/src/common/batch/Batch.ts
+++ b/src/common/batch/Batch.ts
@@ -6,6 +6,7 @@
 /** An accepted batch: its items, its durable results by position, and whether it has ended. */
 export class Batch {
   readonly items: ItemState[]
+  /** Durable results by position; sparse while a lower position is not durable. */
   readonly results: BatchResult[] = []
   /** Number of result positions allocated, including those whose records are not durable yet. */
   positionsAllocated = 0
--- a/src/common/batch/BatchService.ts
+++ b/src/common/batch/BatchService.ts
@@ -260,7 +260,7 @@
 }
 
 function expectsMoreResults (batch: Batch): boolean {
-  return !batch.isEnded && batch.results.length < batch.spec.itemCount
+  return !batch.isEnded && batch.listedResults().length < batch.spec.itemCount
 }
 
 /** A rejected write has had no effect that counts, since the record that makes it count comes last. */
--- a/src/common/batch/BatchStore.ts
+++ b/src/common/batch/BatchStore.ts
@@ -19,8 +19,6 @@
 import type { ItemState } from './record/ItemState.js'
 import { TextLoader } from './TextLoader.js'
 
-/** Topic of all batches. */
-const TOPIC = 'keyed.batches'
 const WRITER = 'batches'
 /** Texts of ended batches stay in memory for this time after the submission; later reads load them from the store. */
 const TEXT_RETENTION_MS = 15_000
@@ -41,7 +39,7 @@
   private readonly _batches = new Map<string, { batch: Batch, keys: string[] }>()
   /** Time of the last version order to each engine, in Unix milliseconds. */
   private readonly _orderTimes = new Map<string, number>()
-  /** Batches that were accepted, but whose records cannot be read. */
+  /** Ids with records that cannot be read; their batches may have been accepted. */
   private _unreadableIds: ReadonlySet<string> = new Set()
   private readonly _submissions = new Map<string, Promise<Result<Batch, StoreError>>>()
   private _isRemoving = false
@@ -53,9 +51,9 @@
 
   constructor (private readonly _client: IStoreClient, private readonly _epoch: number, private readonly _retentionMs: number, private readonly _logger: ILogger) {
     super()
-    this._journal = new Journal(_client, TOPIC, WRITER, _epoch, _logger)
+    this._journal = new Journal(_client, BatchRecordCodec.topic, WRITER, _epoch, _logger)
     this._codec = new BatchRecordCodec(_logger)
-    this._textLoader = this._register(new TextLoader(_client, TOPIC, this._codec, _logger))
+    this._textLoader = this._register(new TextLoader(_client, BatchRecordCodec.topic, this._codec, _logger))
     this._register({ dispose: () => this._journal.close() })
   }
 
@@ -73,7 +71,7 @@
     if (this._snapshotReader === undefined) {
       const fenced = await this._journal.open()
       if (fenced.isErr()) return err(fenced.error)
-      this._snapshotReader = new SnapshotReader(this._client, TOPIC, { untilKey: BatchRecordCodec.firstTextKey })
+      this._snapshotReader = new SnapshotReader(this._client, BatchRecordCodec.topic, { untilKey: BatchRecordCodec.firstTextKey })
     }
     const snapshot = await this._snapshotReader.read()
     if (snapshot.isErr()) return err(snapshot.error)
@@ -217,7 +215,7 @@
     for (const id of unreadableIds) this._logger.error({ batch: id }, 'batch_unreadable')
     const behindGaps = this._codec.findResultsBehindGaps(this._batches)
     if (abandonedKeys.length + behindGaps.length === 0) return
-    this._logger.info({ records: abandonedKeys.length, results_behind_gaps: behindGaps.length }, 'incomplete_submissions_removed')
+    this._logger.info({ records: abandonedKeys.length, results_behind_gaps: behindGaps.length }, 'leftover_records_removed')
     // Precedes all results of this term.
     this._journal.append(this._codec.encodeRemoval([...abandonedKeys, ...behindGaps]))
       .catch((fault: unknown) => this._logger.error({ reason: String(fault) }, 'cleanup_fault'))
@@ -226,7 +224,7 @@
   private async _readTexts (id: string): Promise<Result<KeyedRecord[], StoreError>> {
     const prefix = BatchRecordCodec.textKeyPrefix(id)
     // '0' is the character after '/', so the key range ends after the last text of the batch.
-    const read = await readAllNewest(this._client, TOPIC, { afterKey: prefix, untilKey: `${prefix.slice(0, -1)}0` })
+    const read = await readAllNewest(this._client, BatchRecordCodec.topic, { afterKey: prefix, untilKey: `${prefix.slice(0, -1)}0` })
     return read.map(({ records }) => records.filter(record => record.key.startsWith(prefix)))
   }
 
--- a/src/common/batch/StoredBatchReader.test.ts
+++ b/src/common/batch/StoredBatchReader.test.ts
@@ -276,4 +276,14 @@
     expect(await harness.texts()).toEqual(['text 0'])
     expect(log[0]?.['reason']).toEqual('fault')
   })
+
+  // Guards against results of another organisation for a caller whose read joins that of another one.
+  it('keeps reads apart whose organisations and ids have the same text when joined', async () => {
+    await harness.submit([createItem('i0', 'g')], 'c', 'a b')
+    await harness.submit([createItem('i0', 'g')], 'b c', 'a')
+    client.beforePage = async () => { await new Promise(resolve => { setTimeout(resolve, 10) }) }
+    const readings = [harness.find('i0', 'c', 'a b'), harness.find('i0', 'b c', 'a'), harness.find('i0', 'c', 'a')]
+    await time.advance(StoredReaderHarness.deadlineMs)
+    expect((await Promise.all(readings)).map(found => found.split(' ')[0])).toEqual(['body', 'body', 'absent'])
+  })
 })
--- a/src/common/batch/StoredBatchReader.ts
+++ b/src/common/batch/StoredBatchReader.ts
@@ -8,13 +8,14 @@
 import { StoredBatchRead } from './StoredBatchRead.js'
 import type { StoredReadFailure } from './StoredReadFailure.js'
 
-/** Several reads that share a slow link would all pass their deadlines; and each holds pages of 1 MB in memory. */
+/** Concurrent reads on a slow link would all miss their deadlines, and each holds pages of 1 MB in memory. */
 const MAX_CONCURRENT_READS = 1
 const MAX_QUEUED_READS = 8
 /** A read that cannot start within this time would hardly be in time, so the caller should ask another entry. */
 const START_TIMEOUT_MS = 300
-/** A read goes on after the deadline of its caller, for the next attempt of the same one. */
-const MAX_READ_MS = 4000
+/** Time-out of a read. Longer than its caller waits, so that the next attempt of the same caller can join it. */
+const READ_TIMEOUT_MS = 4000
+/** Time for which a result that came after the deadline of its caller is kept for the next attempt. */
 const KEPT_MS = 2000
 const MAX_KEPT_READS = 2
 
@@ -37,8 +38,8 @@
   /** Reads results from a position on; does not wait for results that are not durable yet. */
   async read (id: string, fromPosition: number, organisation: string | undefined, deadlineAtMs: number): Promise<BatchReadOutcome> {
     const startedAtMs = performance.now()
-    const read = new StoredBatchRead(this._client, this._codec, id, organisation, Math.max(deadlineAtMs, startedAtMs + MAX_READ_MS))
-    const page = await this._share(`results ${organisation} ${id} ${fromPosition}`, async () => await read.readResults(fromPosition), ({ results }) => results.length > 0, deadlineAtMs)
+    const read = new StoredBatchRead(this._client, this._codec, id, organisation, Math.max(deadlineAtMs, startedAtMs + READ_TIMEOUT_MS))
+    const page = await this._share(JSON.stringify(['results', organisation ?? null, id, fromPosition]), async () => await read.readResults(fromPosition), ({ results }) => results.length > 0, deadlineAtMs)
     const fields = { batch: id, from: fromPosition, results: page.isOk() ? page.value.results.length : 0, ...costOf(read, startedAtMs) }
     if (page.isErr()) return this._onFailed('results', page.error, fields)
     const { total, results } = page.value
@@ -50,8 +51,8 @@
   /** Returns the body of an item of a batch that has not ended. */
   async findItem (id: string, itemId: string, organisation: string | undefined, deadlineAtMs: number): Promise<{ kind: 'body', bodyBase64: string } | { kind: 'absent' | 'unavailable' }> {
     const startedAtMs = performance.now()
-    const read = new StoredBatchRead(this._client, this._codec, id, organisation, Math.max(deadlineAtMs, startedAtMs + MAX_READ_MS))
-    const body = await this._share(`item ${organisation} ${id} ${itemId}`, async () => await read.readItemBody(itemId), () => true, deadlineAtMs)
+    const read = new StoredBatchRead(this._client, this._codec, id, organisation, Math.max(deadlineAtMs, startedAtMs + READ_TIMEOUT_MS))
+    const body = await this._share(JSON.stringify(['item', organisation ?? null, id, itemId]), async () => await read.readItemBody(itemId), () => true, deadlineAtMs)
     const fields = { batch: id, item: itemId, ...costOf(read, startedAtMs) }
     if (body.isErr()) return this._onFailed('item', body.error, fields)
     const kind = body.value === undefined ? 'absent' : 'body'
@@ -64,17 +65,17 @@
    * Joins a read of the same content, or starts one. `isLasting` tells whether a value is still true later; that there
    * are no results at a position is not.
    */
-  private async _share<T> (content: string, read: () => Promise<Result<T, StoredReadFailure>>, isLasting: (value: T) => boolean, deadlineAtMs: number): Promise<Result<T, StoredReadFailure>> {
-    const shared = this._reads.get(content) as Promise<Result<T, StoredReadFailure>> | undefined
+  private async _share<T> (readKey: string, read: () => Promise<Result<T, StoredReadFailure>>, isLasting: (value: T) => boolean, deadlineAtMs: number): Promise<Result<T, StoredReadFailure>> {
+    const shared = this._reads.get(readKey) as Promise<Result<T, StoredReadFailure>> | undefined
     if (shared !== undefined) {
       const joined = await withDeadline(shared, deadlineAtMs)
-      return joined.andThen(value => isLasting(value) ? ok(value) : err({ reason: 'results_uncertain' as const }))
+      return joined.andThen(value => isLasting(value) ? ok(value) : err({ reason: 'joined_too_early' as const }))
     }
     const reading = this._run(read, deadlineAtMs)
-    this._reads.set(content, reading)
+    this._reads.set(readKey, reading)
     reading.then(
-      result => this._keepOrForget(content, result.isOk() && isLasting(result.value) && performance.now() > deadlineAtMs),
-      () => this._keepOrForget(content, false)
+      result => this._keepOrForget(readKey, result.isOk() && isLasting(result.value) && performance.now() > deadlineAtMs),
+      () => this._keepOrForget(readKey, false)
     )
     return await withDeadline(reading, deadlineAtMs)
   }
@@ -88,15 +89,15 @@
   }
 
   /** Keeps a result that nobody has received for a short time; there are few of these, since they take much memory. */
-  private _keepOrForget (content: string, isUnused: boolean): void {
+  private _keepOrForget (readKey: string, isUnused: boolean): void {
     if (!isUnused || this._keptCount >= MAX_KEPT_READS) {
-      this._reads.delete(content)
+      this._reads.delete(readKey)
       return
     }
     this._keptCount += 1
     setTimeout(() => {
       this._keptCount -= 1
-      this._reads.delete(content)
+      this._reads.delete(readKey)
     }, KEPT_MS)
   }
 
--- a/src/common/batch/TextLoader.ts
+++ b/src/common/batch/TextLoader.ts
@@ -48,7 +48,7 @@
  * What was read stays when a later page fails, and when the reads that asked for it have been refused.
  */
 export class TextLoader extends Disposable {
-  /** Loads in the order of their arrival. */
+  /** Loads in the order in which they are started; one whose page failed goes to the end. */
   private readonly _loads = new Map<Batch, TextLoad>()
   private _retryTimer?: NodeJS.Timeout
   /** Time of the last failed page, unless a later one succeeded. */
--- a/src/common/batch/run/UnroutedBatches.ts
+++ b/src/common/batch/run/UnroutedBatches.ts
@@ -34,12 +34,12 @@
   }
 
   private _finish (batch: Batch, state: ItemState): void {
-    if (isResult(state)) this._results.complete(batch, state)
+    if (isValidResult(state)) this._results.complete(batch, state)
     else this._results.abort(batch, state, 'route removed')
   }
 }
 
 /** Whether the output is a valid result under any route; the removed one may have allowed a single version only. */
-function isResult ({ item, progress }: ItemState): boolean {
+function isValidResult ({ item, progress }: ItemState): boolean {
   return progress.isComplete && progress.versions.length === 1 && item.rewardCall === undefined
 }
--- a/src/common/store/Journal.ts
+++ b/src/common/store/Journal.ts
@@ -137,7 +137,7 @@
       const sent = this._pad(records)
       const result = await this._sendOnce(sent)
       if (result.isOk()) {
-        if (this._isOwn(result.value, sent.length)) return ok(undefined)
+        if (this._acceptResponse(result.value, sent.length)) return ok(undefined)
         // Another append has this number, so none of the attempts under it can take effect any more.
         mayHaveTakenEffect = false
         continue
@@ -153,7 +153,7 @@
       if (error.kind === 'rejected') {
         if (!mayHaveTakenEffect) return this._onRefused(error)
         rejectedRetries += 1
-        if (rejectedRetries > MAX_REJECTED_RETRIES) return await this._settle(sent, error)
+        if (rejectedRetries > MAX_REJECTED_RETRIES) return await this._resolveUncertainAppend(sent, error)
       }
       mayHaveTakenEffect ||= error.mayTakeEffect
       this._onRetry(error)
@@ -164,7 +164,7 @@
    * Decides whether an append whose repetitions are rejected took effect at an earlier attempt, by an append of other
    * records under its number. After that no attempt can take effect.
    */
-  private async _settle (records: readonly JournalRecord[], rejection: StoreError): Promise<Result<void, StoreError>> {
+  private async _resolveUncertainAppend (records: readonly JournalRecord[], rejection: StoreError): Promise<Result<void, StoreError>> {
     if (records.length === 0) return this._onRefused(rejection)
     this._giveUp(records.length)
     const backoff = new Backoff(MAX_BACKOFF_MS)
@@ -173,7 +173,7 @@
       const filler = this._pad([FILLER])
       const result = await this._sendOnce(filler)
       if (result.isOk()) {
-        if (this._isOwn(result.value, filler.length)) return this._onRefused(rejection)
+        if (this._acceptResponse(result.value, filler.length)) return this._onRefused(rejection)
         return result.value.endOffset - result.value.firstOffset === records.length ? ok(undefined) : this._onRefused(rejection)
       }
       const { error } = result
@@ -202,10 +202,10 @@
   }
 
   /**
-   * Takes the response to an append under the present number, and tells whether it is the append's own. The store gives
-   * the first response again to any append under a number that it knows, whatever its records are.
+   * Processes the response to an append under the present number, and tells whether it is its own. The store gives the
+   * first response again to any append under a number that it knows, whatever its records are.
    */
-  private _isOwn ({ firstOffset, endOffset }: AppendedRange, recordCount: number): boolean {
+  private _acceptResponse ({ firstOffset, endOffset }: AppendedRange, recordCount: number): boolean {
     const isOwn = firstOffset >= this._knownEndOffset && endOffset - firstOffset === recordCount
     if (isOwn) {
       this._failingSinceMs = undefined
--- a/src/common/store/KeyedTail.ts
+++ b/src/common/store/KeyedTail.ts
@@ -25,6 +25,7 @@
   private _isReachable = false
   private _reachableSinceMs = Number.NEGATIVE_INFINITY
   private _lastReadAtMs = Number.NEGATIVE_INFINITY
+  private _isFirstFailureLogged = false
   private _upToDateAtMs = Number.NEGATIVE_INFINITY
   private _hasFailed = false
 
@@ -54,7 +55,7 @@
     return performance.now() - this._lastReadAtMs < RECENT_READ_MS
   }
 
-  /** `performance.now()` of the last successful read; 0 or less if there has been none. */
+  /** `performance.now()` of the last successful read; negative infinity if there has been none. */
   get lastReadAtMs (): number {
     return this._lastReadAtMs
   }
@@ -149,10 +150,9 @@
 
   private _onReadFailed (reason: string): false {
     this._hasFailed = true
-    if (this._isReachable || this._lastReadAtMs === Number.NEGATIVE_INFINITY) {
+    if (this._isReachable || !this._isFirstFailureLogged) {
       this._logger.warn({ topic: this._topic, offset: this._nextOffset, reason }, 'store_unreachable')
-      // Any value above -Infinity shows that the failure of the first read has been logged.
-      this._lastReadAtMs = Math.max(this._lastReadAtMs, 0)
+      this._isFirstFailureLogged = true
     }
     this._isReachable = false
     return false
--- a/src/common/store/Leadership.ts
+++ b/src/common/store/Leadership.ts
@@ -2,6 +2,7 @@
 import { ClockJumpDetector } from '../kernel/ClockJumpDetector.js'
 import { Disposable } from '../kernel/Disposable.js'
 import { Emitter } from '../kernel/Emitter.js'
+import { parseJson } from '../kernel/parseJson.js'
 import { toDisposable } from '../kernel/toDisposable.js'
 import type { ILogger } from '../metrics/ILogger.js'
 import type { ILeadership } from './ILeadership.js'
@@ -283,11 +284,3 @@
     this._onLost.fire()
   }
 }
-
-function parseJson (bytes: Uint8Array): unknown {
-  try {
-    return JSON.parse(new TextDecoder().decode(bytes))
-  } catch {
-    return undefined
-  }
-}
--- a/src/node/front/LeaderGateway.ts
+++ b/src/node/front/LeaderGateway.ts
@@ -19,25 +19,28 @@
 const READ_FORWARD_TIMEOUT_MS = 1100
 /** A request is served without the leader when there has been none for this time. Many takeovers are over by then. */
 const LEADERLESS_READ_DELAY_MS = 600
-/** A leader that did not respond to a query gets the next one after this time, and requests do not wait for it meanwhile. */
-const SILENT_LEADER_PAUSE_MS = 300
+/** Time after a failed query during which the leader counts as unreachable. */
+const LEADER_QUERY_RETRY_MS = 300
 const LEADERLESS_READ_INTERVAL_MS = 300
 const NO_LEADER_RETRY_AFTER_S = '0.4'
 
 type LeaderOutcome = ListenerResponse | ForwardFailure | 'no_leader'
 
-/** `not_sent` and `unreachable`: the request has not been processed. `lost`: it may have been. */
-type ForwardFailure = 'not_sent' | 'unreachable' | 'lost'
+/**
+ * `not_serving`: the entry asked responds, but does not serve as the leader. `unreachable`: the request could not be
+ * sent. Neither has been processed. `lost`: sent without a response, so it may have been.
+ */
+type ForwardFailure = 'not_serving' | 'unreachable' | 'lost'
 
 /**
  * Serves requests that only the leader may process: locally if this entry leads, otherwise by forwarding them.
  * Such requests are idempotent, so they are sent again if the leader does not respond.
  */
 export class LeaderGateway {
-  /** Address of a leader that did not respond to the last request. */
-  private _unresponsiveAddress?: string
-  /** A leader that did not respond to the last query either. */
-  private _silentLeader?: { address: string, untilMs: number }
+  /** Address of a leader whose last request failed; it is queried before it gets the next one. */
+  private _queryFirstAddress?: string
+  /** The last query without a response. */
+  private _failedQuery?: { address: string, untilMs: number }
 
   /** `canObserveLeader` tells whether this entry would learn of a new leader. */
   constructor (
@@ -91,7 +94,7 @@
   private _shouldGiveUp (request: ListenerRequest, options: GatewayOptions, outcome: LeaderOutcome, startedAtMs: number): boolean {
     if (request.signal.aborted) return true
     // An entry that responds, although it does not lead, may know the leader.
-    if (outcome !== 'not_sent' && !this._canObserveLeader()) return true
+    if (outcome !== 'not_serving' && !this._canObserveLeader()) return true
     return performance.now() - startedAtMs + RETRY_DELAY_MS > options.retryForMs
   }
 
@@ -99,18 +102,18 @@
   private async _tryLeader (request: ListenerRequest, options: GatewayOptions, isFirstAttempt: boolean): Promise<LeaderOutcome> {
     const address = this._leadership.leaderAddress()
     if (address === undefined || address === this._ownAddress) return 'no_leader'
-    const isUnresponsive = this._unresponsiveAddress === address
+    const isUnresponsive = this._queryFirstAddress === address
     if (isFirstAttempt && !isUnresponsive) return await this._forward(request, options, address)
     const readiness = await this._checkReady(address)
     if (readiness === 'serving') return await this._forward(request, options, address)
-    return readiness === 'unreachable' ? 'unreachable' : 'not_sent'
+    return readiness === 'unreachable' ? 'unreachable' : 'not_serving'
   }
 
   /** Bodies are large, so before one is sent again a query checks that the leader is ready. */
   private async _checkReady (address: string): Promise<'serving' | 'not_serving' | 'unreachable'> {
-    if (this._silentLeader?.address === address && performance.now() < this._silentLeader.untilMs) return 'unreachable'
+    if (this._failedQuery?.address === address && performance.now() < this._failedQuery.untilMs) return 'unreachable'
     const view = await this._leaderViews.fetch(address)
-    this._silentLeader = view === undefined ? { address, untilMs: performance.now() + SILENT_LEADER_PAUSE_MS } : undefined
+    this._failedQuery = view === undefined ? { address, untilMs: performance.now() + LEADER_QUERY_RETRY_MS } : undefined
     if (view === undefined) return 'unreachable'
     // An entry that cannot read the store learns of a new leader from the previous one.
     if (view.epoch !== undefined && view.address !== undefined) this._leadership.observeLeader(view.epoch, view.address)
@@ -133,12 +136,12 @@
     if (result.isErr()) {
       this._logger.warn({ request: options.requestId, leader: address, reason: result.error.message, sent: result.error.sent }, 'leader_hop_failed')
       // A caller that leaves says nothing about the leader.
-      if (result.error.kind !== 'cancelled') this._unresponsiveAddress = address
+      if (result.error.kind !== 'cancelled') this._queryFirstAddress = address
       return result.error.sent ? 'lost' : 'unreachable'
     }
-    this._unresponsiveAddress = undefined
+    this._queryFirstAddress = undefined
     const { status, body } = result.value
-    if (result.value.headers[NOT_LEADER_HEADER] !== undefined) return 'not_sent'
+    if (result.value.headers[NOT_LEADER_HEADER] !== undefined) return 'not_serving'
     const { 'content-length': _length, ...responseHeaders } = result.value.headers
     return { status, headers: responseHeaders, body }
   }
@@ -149,7 +152,7 @@
   const leaderResponse = typeof outcome === 'string' ? undefined : outcome
   if (leaderResponse !== undefined && leaderResponse.status !== 503) return leaderResponse
   // The leader may be known or ready soon.
-  if ((outcome === 'no_leader' || outcome === 'not_sent') && elapsedMs < LEADERLESS_READ_DELAY_MS) return undefined
+  if ((outcome === 'no_leader' || outcome === 'not_serving') && elapsedMs < LEADERLESS_READ_DELAY_MS) return undefined
   return await serveWithoutLeader?.() ?? leaderResponse
 }
 
--- a/tools/logs/LeaderHistory.ts
+++ b/tools/logs/LeaderHistory.ts
@@ -16,7 +16,7 @@
     const term = this._terms.get(epoch) ?? { epoch, address: fields.get('leader') ?? 'unknown' }
     this._terms.set(epoch, term)
     this._heldEpochs.delete(entry)
-    if (fields.get('own') !== 'true') return
+    if (fields.get('own') !== 'true' || fields.get('released') === 'true') return
     term.holder = entry
     this._heldEpochs.set(entry, epoch)
   }
