--- a/review/common-2/Entry.mjs
+++ b/review/common-2/Entry.mjs
@@ -7,6 +7,10 @@
 export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../..')
 const READY_INTERVAL_MS = 50
 
+const children = new Set()
+process.on('exit', () => { for (const child of children) child.kill('SIGKILL') })
+for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => process.exit(2))
+
 /** The `run` line of the deploy file, split at spaces as the platform does. */
 function deployCommand () {
   const line = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8').split('\n').find(text => text.startsWith('run = '))
@@ -57,9 +61,11 @@
     const child = spawn(program, args, { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME ?? '/tmp', HYSSOPVALVE_CONFIG: this._file }, stdio: ['ignore', 'pipe', 'pipe'] })
     this._child = child
     this.isRunning = true
+    children.add(child)
     for (const stream of [child.stdout, child.stderr]) createInterface({ input: stream }).on('line', line => this.logs.push(line))
     this._exited = new Promise(resolve => child.once('exit', (code, signal) => {
       this.isRunning = false
+      children.delete(child)
       const exit = { code, signal, isRequested: this._isStopRequested }
       this._isStopRequested = false
       this.exits.push(exit)
