Keep a byte order mark at the start of a text that is read from the store

Cause: `BatchRecordCodec.joinText` decoded the stored bytes with a default `TextDecoder`, which drops a byte order mark at the start. The first reads come from memory, so the text changed with the first read from the store: after a change of leader, an eviction, or at an entry that does not lead.

`joinText` alone loses the character from bytes that contain it, which the new property in BatchRecordCodec.test.ts shows without a store.

The decoder keeps the mark now, so decoding is the inverse of encoding for every text that an engine can send.

--- a/src/common/batch/BatchRecordCodec.test.ts
+++ b/src/common/batch/BatchRecordCodec.test.ts
@@ -6,6 +6,8 @@
 import { BatchRecordCodec } from './BatchRecordCodec.js'
 import { createItem } from './test/createItem.js'
 import { createSpec } from './test/createSpec.js'
+import { splitBytes } from './test/splitBytes.js'
+import { textArbitrary } from './test/textArbitrary.js'
 
 const codec = new BatchRecordCodec(testServices().logger)
 
@@ -28,6 +30,13 @@
     }), { numRuns: 20 })
   })
 
+  // Guards against a decoder that drops a byte order mark, or that decodes the records of a text one by one.
+  it('joins a text from records that end anywhere, whatever it begins with', () => {
+    fc.assert(fc.property(textArbitrary, fc.array(fc.nat()), (text, cuts) => {
+      expect(codec.joinText(splitBytes(new TextEncoder().encode(text), cuts))).toEqual(text)
+    }))
+  })
+
   it('restores scores and complete texts, also from the end of a batch and from records without them', () => {
     const rewardCall = { id: 'r', host: 'h', path: '/r', bodyBase64: '' }
     const batch = new Batch(createSpec({ itemCount: 2 }), [{ ...createItem('i', 'g'), rewardCall }, createItem('j', 'g')])
--- a/src/common/batch/BatchRecordCodec.ts
+++ b/src/common/batch/BatchRecordCodec.ts
@@ -214,7 +214,8 @@
 
   /** Decodes a text from all of its records; characters may be split between them. */
   joinText (records: readonly Uint8Array[]): string {
-    const decoder = new TextDecoder()
+    // A byte order mark at the start is part of the text; by default a decoder drops it.
+    const decoder = new TextDecoder('utf-8', { ignoreBOM: true })
     return records.map(record => decoder.decode(record, { stream: true })).join('') + decoder.decode()
   }
 
--- a/src/common/batch/test/FakeEngines.ts
+++ b/src/common/batch/test/FakeEngines.ts
@@ -20,6 +20,8 @@
   versions: Record<string, number> = {}
   /** Version that the engine has from an event of an item on, in the first run that makes this event. */
   versionFromEvent: Record<string, { eventId: number, version: number }> = {}
+  /** Data of an event of an item, the same at all engines. */
+  eventData: (itemId: string, eventId: number) => string = (itemId, eventId) => `${itemId}${eventId}`
   /** All runs so far, as `ITEM ENGINE LAST_EVENT_ID`. */
   readonly runs: string[] = []
   /** Organisation of each run. */
@@ -30,7 +32,7 @@
 
   /** Complete output text of an item. */
   textOf (itemId: string): string {
-    return Array.from({ length: this.eventCounts[itemId] ?? 0 }, (_, index) => `${itemId}${index + 1}`).join('\n')
+    return Array.from({ length: this.eventCounts[itemId] ?? 0 }, (_, index) => this.eventData(itemId, index + 1)).join('\n')
   }
 
   /** Event id after which the last run of an item resumed; 0 for a run from the start. */
@@ -64,7 +66,7 @@
           listener.onVersion(change.version)
         }
         if (isEnded) return
-        listener.onEvent(eventId, `${id}${eventId}`)
+        listener.onEvent(eventId, this.eventData(id, eventId))
         if (eventId === breakAfterEvent) finish({ kind: 'broken', reason: 'reset' })
         else if (eventId >= (this.eventCounts[id] ?? 0)) finish({ kind: 'complete' })
       }, this._eventIntervalMs)
