--- a/src/common/batch/BatchRecordCodec.test.ts
+++ b/src/common/batch/BatchRecordCodec.test.ts
@@ -6,8 +6,8 @@
 import { BatchRecordCodec } from './BatchRecordCodec.js'
 import { createItem } from './test/createItem.js'
 import { createSpec } from './test/createSpec.js'
-import { splitBytes } from './test/splitBytes.js'
-import { textArbitrary } from './test/textArbitrary.js'
+import { splitBytes } from '../kernel/test/splitBytes.js'
+import { textArbitrary } from '../kernel/test/textArbitrary.js'
 
 const codec = new BatchRecordCodec(testServices().logger)
 
--- a/src/common/batch/sameText.test.ts
+++ b/src/common/batch/sameText.test.ts
@@ -8,7 +8,7 @@
 import { BatchHarness } from './test/BatchHarness.js'
 import { createItem } from './test/createItem.js'
 import { createSpec } from './test/createSpec.js'
-import { textArbitrary } from './test/textArbitrary.js'
+import { textArbitrary } from '../kernel/test/textArbitrary.js'
 
 const { logger, metrics } = testServices()
 const ID = 'batch-1'
--- a/src/node/log/HttpLogClient.test.ts
+++ b/src/node/log/HttpLogClient.test.ts
@@ -2,7 +2,9 @@
 import type { AddressInfo } from 'node:net'
 import { afterEach, describe, it } from 'node:test'
 import { expect } from 'earl'
+import fc from 'fast-check'
 import type { EntrySettings } from '../../common/settings/EntrySettings.js'
+import { textArbitrary } from '../../common/kernel/test/textArbitrary.js'
 import { HttpLogClient } from './HttpLogClient.js'
 
 describe('HttpLogClient', () => {
@@ -36,6 +38,23 @@
     expect(urls).toEqual(['POST /v1/streams/claims/records', 'GET /v1/streams/claims/records?from=7&limit=10&wait_ms=0'])
   })
 
+  // Guards against a sample whose text differs from the generated one when another entry reads it from the log.
+  it('reads the texts that were appended, whatever they contain', async () => {
+    let value: unknown
+    await startServer((request, response) => {
+      const chunks: Buffer[] = []
+      request.on('data', (chunk: Buffer) => chunks.push(chunk)).on('end', () => {
+        if (request.method === 'POST') value = (JSON.parse(Buffer.concat(chunks).toString()) as { records: unknown[] }).records[0]
+        const records = [{ offset: 0, time_ms: 5, value }]
+        response.end(JSON.stringify(request.method === 'POST' ? { first_offset: 0, next_offset: 1 } : { records, earliest_offset: 0, next_offset: 1 }))
+      })
+    })
+    await fc.assert(fc.asyncProperty(textArbitrary, async text => {
+      (await client.append('steps', [text]))._unsafeUnwrap()
+      expect((await client.read('steps', 0, 1, 0))._unsafeUnwrap().entries.map(entry => entry.value)).toEqual([text])
+    }))
+  })
+
   // A record that appears after its append was reported as not applied would run a call that its caller saw rejected.
   for (const [status, mayTakeEffect] of [[429, false], [503, false], [500, true], [400, false], [200, true]] as const) {
     it(`reports mayTakeEffect ${mayTakeEffect} for an append with status ${status} and no valid body`, async () => {
