Suspect no request of a crash because of an invalid status

Callers whose request met responses with a status that is none of HTTP at three servers were refused with 503 and a Retry-After of 4 to 5 s, although their servers were there: in a run of one caller against three stand-ins, five refusals in 1.3 s, and again after the servers were sound.

Cause: such a run counted as one whose server broke off, so as a crash, until a heartbeat of the server proved otherwise. This entry ends such a run itself, and its server has just sent a whole head, so it now counts as a crash only once its server has ended, as runs do that time out.

--- a/src/common/call/CallAttemptOutcome.ts
+++ b/src/common/call/CallAttemptOutcome.ts
@@ -6,6 +6,6 @@
   | { kind: 'answer', answer: UpstreamResponse }
   /** The upstream has not run the request. `wrong_upstream`: another upstream uses the address now. */
   | { kind: 'not_run', reason: 'full' | 'wrong_upstream' | 'connect_failed' | 'cancelled' | 'deadline' }
-  /** There is no usable response, and the request may have run. `isAbandoned`: this entry stopped waiting for the response. */
+  /** There is no usable response, and the request may have run. `isAbandoned`: this entry ended the attempt, and the upstream did not. */
   | { kind: 'broken', reason: string, isAbandoned: boolean }
 )
--- a/src/common/suspect/RunEnd.ts
+++ b/src/common/suspect/RunEnd.ts
@@ -4,5 +4,5 @@
   | 'responded'
   /** The upstream or the connection to it broke off. */
   | 'broken'
-  /** This entry stopped waiting, and the upstream may still be running it. */
+  /** This entry ended it without a response, and the upstream may still be running it. */
   | 'abandoned'
