Share the raw server of the tests of upstream clients

Seven test files started a TCP server of their own, with the same list of connections, error handlers and clean-up. RawServer does this once; checks, bounds and the bytes that are sent are unchanged.

--- a/src/node/upstream/closeDelimitedResponses.test.ts
+++ b/src/node/upstream/closeDelimitedResponses.test.ts
@@ -1,38 +1,30 @@
-import { once } from 'node:events'
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { after, before, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { HttpUpstreamClient } from './HttpUpstreamClient.js'
 import { defaultUpstreamProtocol } from './defaultUpstreamProtocol.js'
+import { RawServer } from './test/RawServer.js'
 
 const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n'
 
 describe('responses delimited by the end of the connection', () => {
-  let server: Server
-  let address: string
   let endResponse: (socket: Socket) => void
   const client = new HttpUpstreamClient({ maxBodyBytes: 1000, maxHeaderBytes: 1000 }, { ...defaultUpstreamProtocol, acceptsCloseDelimited: true })
 
-  before(async () => {
-    server = createServer(socket => {
-      socket.on('error', () => {})
-      socket.once('data', () => {
-        socket.write(`${HEAD}half of it`)
-        setTimeout(() => endResponse(socket), 30)
-      })
-    })
-    server.listen(0, '127.0.0.1')
-    await once(server, 'listening')
-    address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  const server = new RawServer(socket => {
+    socket.write(`${HEAD}half of it`)
+    setTimeout(() => endResponse(socket), 30)
   })
+
+  before(async () => await server.listen())
   after(() => {
     client.dispose()
-    server.close()
+    server.dispose()
   })
 
   const call = async (): Promise<string> => {
     const request = { requestId: 'r', method: 'GET', path: '/', headers: {}, deadlineAtMs: performance.now() + 2000 }
-    const result = await client.call(address, request, new AbortController().signal)
+    const result = await client.call(server.address, request, new AbortController().signal)
     return result.match(response => Buffer.from(response.body).toString(), error => error.kind)
   }
 
--- a/src/node/upstream/endlessResponses.test.ts
+++ b/src/node/upstream/endlessResponses.test.ts
@@ -1,9 +1,10 @@
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import type { UpstreamError } from '../../common/upstream/client/UpstreamError.js'
 import type { UpstreamRequest } from '../../common/upstream/client/UpstreamRequest.js'
 import { HttpUpstreamClient } from './HttpUpstreamClient.js'
+import { RawServer } from './test/RawServer.js'
 
 const MAX_BODY_BYTES = 1_000_000
 const CHUNK = 'x'.repeat(65_536)
@@ -14,33 +15,26 @@
 /** Servers send bytes that are no response, or no end of one, until the client closes the connection. */
 describe('responses without end', () => {
   let client: HttpUpstreamClient
-  let servers: Server[]
-  let sockets: Socket[]
+  let servers: RawServer[]
 
   beforeEach(() => {
     client = new HttpUpstreamClient({ maxBodyBytes: MAX_BODY_BYTES, maxHeaderBytes: 16_384 })
     servers = []
-    sockets = []
   })
   afterEach(() => {
     client.dispose()
-    for (const socket of sockets) socket.destroy()
-    for (const server of servers) server.close()
+    for (const server of servers) server.dispose()
   })
 
-  async function startServer (onRequest: (socket: Socket) => void): Promise<string> {
-    const server = createServer(socket => {
-      sockets.push(socket)
-      socket.on('error', () => undefined)
-      socket.on('data', () => onRequest(socket))
-    })
+  async function startServer (onRequest: (socket: Socket) => void): Promise<RawServer> {
+    const server = new RawServer(onRequest)
     servers.push(server)
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-    return `127.0.0.1:${(server.address() as AddressInfo).port}`
+    await server.listen()
+    return server
   }
 
   /** Sends a head once, and then a part again and again until the connection is closed. */
-  const startEndlessServer = async (head: string, part: string): Promise<string> => await startServer(socket => {
+  const startEndlessServer = async (head: string, part: string): Promise<RawServer> => await startServer(socket => {
     const send = (): void => {
       while (!socket.destroyed && socket.write(part));
       if (!socket.destroyed) socket.once('drain', send)
@@ -52,7 +46,7 @@
   const request = (requestId: string): UpstreamRequest => ({ requestId, method: 'GET', path: '/x', headers: {}, deadlineAtMs: performance.now() + DEADLINE_MS })
 
   async function expectFailure (head: string, part: string, kind: UpstreamError['kind']): Promise<void> {
-    const address = await startEndlessServer(head, part)
+    const { address, sockets } = await startEndlessServer(head, part)
     const startedAtMs = performance.now()
     const error = (await client.call(address, request('a'), neverAborted))._unsafeUnwrapErr()
     expect([error.kind, error.sent]).toEqual([kind, true])
@@ -70,9 +64,7 @@
 
   it('fail in a head of one endless header, of endless headers, and of bytes that are no head', async () => {
     await expectFailure('HTTP/1.1 200 OK\r\nx-long: ', CHUNK, 'reset')
-    sockets.length = 0
     await expectFailure('HTTP/1.1 200 OK\r\n', `x-next: ${'y'.repeat(1000)}\r\n`, 'reset')
-    sockets.length = 0
     await expectFailure('', CHUNK, 'reset')
   })
 
@@ -84,13 +76,13 @@
   it('share one limit on memory, which does not fail a small response beside them', async () => {
     const half = 'x'.repeat(Math.floor(MAX_BODY_BYTES * 0.9))
     const stuck = await startServer(socket => socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${MAX_BODY_BYTES}\r\n\r\n${half}`))
-    const calls = Array.from({ length: 8 }, (_, index) => client.call(stuck, request(`stuck-${index}`), neverAborted))
+    const calls = Array.from({ length: 8 }, (_, index) => client.call(stuck.address, request(`stuck-${index}`), neverAborted))
     let finish = (): void => {}
     const slow = await startServer(socket => {
       socket.write('HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello')
       finish = () => { socket.write('world') }
     })
-    const small = client.call(slow, request('small'), neverAborted)
+    const small = client.call(slow.address, request('small'), neverAborted)
     const failed = await Promise.any(calls.map(async call => (await call)._unsafeUnwrapErr()))
     expect(failed.kind).toEqual('truncated')
     await new Promise(resolve => setTimeout(resolve, 300))
