Send invalid statuses in the lookup test of the own interface

The stand-in of plain services sends responses with the status 000 or 600, and the test of lookups whose services all send wrong bytes covers them: none is passed on, and the outcome is unknown.

--- a/standin/service/sendResponse.ts
+++ b/standin/service/sendResponse.ts
@@ -7,6 +7,8 @@
 import type { ServiceResponse } from './ServiceResponse.js'
 import type { serviceFaultsSchema } from './serviceFaultsSchema.js'
 
+const INVALID_STATUSES = ['000', '600'] as const
+
 /** Sends a response, either intact or altered by the active faults. */
 export function sendResponse (c: Context<StandInEnv>, response: ServiceResponse, faults: z.output<typeof serviceFaultsSchema>): Response {
   const { body } = response
@@ -20,10 +22,19 @@
     outgoing.write(half, () => outgoing.socket?.end())
     return RESPONSE_ALREADY_SENT
   }
+  const invalidStatus = INVALID_STATUSES.find(status => consumeFault(faults, `status_${status}`))
+  if (invalidStatus !== undefined) {
+    c.env.incoming.socket.write(formatHead(invalidStatus, { ...headers, 'content-length': String(Buffer.byteLength(body)) }) + body)
+    return RESPONSE_ALREADY_SENT
+  }
   if (consumeFault(faults, 'close_delimited')) {
-    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`)
-    c.env.incoming.socket.end(`HTTP/1.1 ${response.status} OK\r\n${lines.join('')}connection: close\r\n\r\n${half}`)
+    c.env.incoming.socket.end(formatHead(String(response.status), { ...headers, connection: 'close' }) + half)
     return RESPONSE_ALREADY_SENT
   }
   return c.body(body, response.status as 200, headers)
 }
+
+function formatHead (status: string, headers: Record<string, string>): string {
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`)
+  return `HTTP/1.1 ${status} OK\r\n${lines.join('')}\r\n`
+}
--- a/standin/service/serviceFaultsSchema.ts
+++ b/standin/service/serviceFaultsSchema.ts
@@ -12,6 +12,9 @@
   truncate: z.int().min(0).default(0),
   /** Sends half of the body without Content-Length or chunked encoding, then closes the connection. */
   close_delimited: z.int().min(0).default(0),
+  /** Sends the response with a status that is not valid in HTTP. */
+  status_000: z.int().min(0).default(0),
+  status_600: z.int().min(0).default(0),
   /** Responds with body and x-request-id of the previously finished request. */
   swap_answers: z.boolean().default(false),
   /** Responds with 503 without running the request. */
--- a/test/lookups.test.ts
+++ b/test/lookups.test.ts
@@ -10,6 +10,7 @@
 const FAULT_PHASE_MS = 4000
 const FAULT_INTERVAL_MS = 120
 const CALLERS = 24
+const MAX_STATUS = 599
 const RETRY_DELAY_MS = 20
 // Budget of hedges, section 5.14 of the design page.
 const MAX_HEDGE_SHARE = 0.05
@@ -104,8 +105,8 @@
     expect(outcomeCounts['200'] ?? 0).toBeGreaterThan(CALLERS)
   })
 
-  it('does not accept truncated, close-delimited or swapped responses when all services send them', async () => {
-    for (const fault of [{ truncate: 99 }, { close_delimited: 99 }, { swap_answers: true }]) {
+  it('does not accept truncated, close-delimited or swapped responses, or such with an invalid status, when all services send them', async () => {
+    for (const fault of [{ truncate: 99 }, { close_delimited: 99 }, { status_000: 99 }, { status_600: 99 }, { swap_answers: true }]) {
       const name = Object.keys(fault)[0]!
       await Promise.all(services().map(async service => await service.setFaults(fault)))
       const responses = []
@@ -114,6 +115,7 @@
       // A service that has no earlier response to swap with sends the right one.
       if (name !== 'swap_answers') expect(isComplete).toEqual(Array(6).fill(false))
       expect(responses.some(response => response.outcome === 'unknown')).toEqual(true)
+      expect(responses.filter(response => response.status > MAX_STATUS)).toEqual([])
       await clearFaults()
     }
     console.log(recorder.countOutcomes())
